The whole path, thin: entry, sidecars, stand-ins, demo

Cause: nothing was there; the other issues need a path to build on.

Change: a kernel and timer service, ports to platform and targets with HTTP adapters and in-memory stand-ins, entry and sidecar daemons, release notes, programs with receipts and budgets, claims for non-idempotent requests, a local rate limiter, first-come-first-served queues, the command line and a demo that loses a sidecar and withdraws a key on the way.

Before: none.

Known gaps, each with an issue: limits are strict only while the number of entry hosts stays the same, one transaction a turn, no ejection, no group commit.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, one module each; every one prints JSON lines."""
--- /dev/null
+++ b/src/endivepier/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module each."""
--- /dev/null
+++ b/src/endivepier/cli/main.py
@@ -0,0 +1,69 @@
+"""The `endivepier` command.
+
+This is the entry module of every daemon: it sets the event loop and patches
+the standard library before anything else is imported.
+"""
+
+from __future__ import annotations
+
+from endivepier.internal import loop
+
+loop.configure()
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse
+from collections.abc import Sequence
+import importlib.metadata
+import sys
+
+from endivepier import errors
+from endivepier.cli import demo
+from endivepier.cli import entry
+from endivepier.cli import program
+from endivepier.cli import release
+from endivepier.cli import sidecar
+from endivepier.cli import standin
+from endivepier.cli import status
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Returns the parser of the whole command."""
+    parser = argparse.ArgumentParser(
+        prog="endivepier",
+        description="A scheduler for agent programs: in order, on budget, "
+        "nothing lost, nothing twice.",
+    )
+    parser.add_argument(
+        "--version",
+        action="version",
+        version="endivepier " + importlib.metadata.version("endivepier"),
+    )
+    commands = parser.add_subparsers(
+        title="commands", dest="command", required=True
+    )
+    for module in (entry, sidecar, release, program, status, demo, standin):
+        module.add_to(commands)
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Runs the command and returns its exit code."""
+    args = make_parser().parse_args(argv)
+    try:
+        return int(args.run(args))
+    except errors.SettingsError as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_USAGE
+    except errors.EndivepierError as exc:
+        print(f"endivepier: {exc}", file=sys.stderr)
+        return EXIT_FAILED
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/endivepier/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Release notes, revisions, keys and routes."""
--- /dev/null
+++ b/src/endivepier/daemons/common.py
@@ -0,0 +1,99 @@
+"""What both daemons do: servers, signals, waiting for the end."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import signal
+
+import eliot
+import gevent
+import gevent.event
+
+from endivepier import settings
+from endivepier import timers as timers_lib
+from endivepier.internal import http_peers
+from endivepier.internal import peers as peers_lib
+from endivepier.internal import platform_clients
+from endivepier.internal import process
+from endivepier.internal import web
+from endivepier.telemetry import spans
+
+INTERNAL_BODY_BYTES = 256 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shell:
+    """What surrounds a process as a daemon.
+
+    Attributes:
+        env: the process's environment, over HTTP.
+        tracer: makes its spans.
+        app: the application for other processes.
+    """
+
+    env: process.Environment
+    tracer: spans.Tracer
+    app: web.App
+
+
+def make_shell(cfg: settings.ProcessSettings) -> Shell:
+    """Returns the surroundings that the settings describe."""
+    address = cfg.advertise or cfg.listen
+    tracer = spans.Tracer(address, cfg.trace_export, cfg.trace_endpoint)
+    secret = cfg.fleet_secret.get_secret_value()
+    inbox = peers_lib.Inbox()
+    app = web.App(body_limit=INTERNAL_BODY_BYTES)
+    http_peers.InboxRoute(inbox, secret, tracer).add_to(app)
+    env = process.Environment(
+        address=address,
+        data_centre=cfg.data_centre,
+        timers=timers_lib.SystemTimers(),
+        peers=http_peers.HttpPeers(secret, tracer),
+        inbox=inbox,
+        platform=platform_clients.over_http(cfg, tracer),
+        rng=random.SystemRandom(),
+        fleet_secret=secret,
+    )
+    return Shell(env, tracer, app)
+
+
+class Daemon:
+    """A process with its servers."""
+
+    def __init__(
+        self, base: process.Base, servers: list[web.Server], shell: Shell
+    ) -> None:
+        self.base = base
+        self.servers = servers
+        self._shell = shell
+
+    def start(self) -> None:
+        """Listens, then starts the parts."""
+        for server in self.servers:
+            server.start()
+        self.base.start()
+        eliot.log_message("daemon:ready", address=self._shell.env.address)
+
+    def stop(self) -> None:
+        """Stops gracefully: what runs ends, nothing new begins."""
+        eliot.log_message("daemon:draining", address=self._shell.env.address)
+        self.base.stop()
+        for server in self.servers:
+            server.stop()
+        self._shell.tracer.stop()
+
+    def kill(self) -> None:
+        """Ends at once, as a lost host does; for the demo and tests."""
+        for server in self.servers:
+            server.kill()
+        self.base.kernel.stop()
+
+    def run(self) -> None:
+        """Runs until SIGTERM or SIGINT, then stops gracefully."""
+        ended = gevent.event.Event()
+        gevent.signal_handler(signal.SIGTERM, ended.set)
+        gevent.signal_handler(signal.SIGINT, ended.set)
+        self.start()
+        ended.wait()
+        self.stop()
--- /dev/null
+++ b/src/endivepier/effects/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent requests: claims, outcomes, resolution."""
--- /dev/null
+++ b/src/endivepier/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: the callers' and operators' HTTP."""
--- /dev/null
+++ b/src/endivepier/entry/owners.py
@@ -0,0 +1,150 @@
+"""Finds the owner of a program and carries messages to it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from endivepier import errors
+from endivepier import timers as timers_lib
+from endivepier.internal import ids as ids_lib
+from endivepier.internal import peers as peers_lib
+from endivepier.membership import view as view_lib
+from endivepier.ownership import placement
+
+RETRY_SECONDS = 0.1
+CALL_SECONDS = 10.0
+
+
+class Owners:
+    """Sends messages to owners; follows redirects and waits for takeovers."""
+
+    def __init__(
+        self,
+        view: view_lib.View,
+        peers: peers_lib.Peers,
+        timers: timers_lib.Timers,
+    ) -> None:
+        self._view = view
+        self._peers = peers
+        self._timers = timers
+        self._known: dict[str, str] = {}
+
+    def call(
+        self,
+        program: ids_lib.ProgramId,
+        req: Any,
+        reply: type[Any],
+        *,
+        seconds: float,
+        repeatable: bool = True,
+    ) -> Any:
+        """Sends `req` to the program's owner and returns its answer.
+
+        Args:
+            program: whose owner is meant.
+            req: the message.
+            reply: the type of the answer.
+            seconds: how long to go on trying.
+            repeatable: whether it may be sent again after no answer came.
+
+        Raises:
+            errors.Refused: the owner's refusal, or none could be reached.
+        """
+        deadline = self._timers.now() + seconds
+        while True:
+            address = self._guess(program)
+            try:
+                if address is not None:
+                    left = deadline - self._timers.now()
+                    return self._peers.call(address, req, reply, seconds=left)
+            except errors.PeerUnreachable as exc:
+                self._lost(program, exc)
+                if exc.sent and not repeatable:
+                    raise _no_answer(errors.Ran.UNKNOWN) from None
+            except errors.Refused as exc:
+                self._redirected(program, exc)
+            self._pause(deadline, errors.Ran.NO)
+
+    def stream(
+        self,
+        program: ids_lib.ProgramId,
+        req: Any,
+        event: Any,
+        *,
+        seconds: float,
+    ) -> Iterator[Any]:
+        """Sends `req` to the owner and yields events from one try.
+
+        Another try is made only while nothing was yielded.
+
+        Raises:
+            errors.Refused: the owner's refusal, or none could be reached.
+        """
+        deadline = self._timers.now() + seconds
+        yielded = False
+        ran = errors.Ran.NO
+        while True:
+            address = self._guess(program)
+            try:
+                if address is not None:
+                    left = deadline - self._timers.now()
+                    for item in self._peers.stream(
+                        address, req, event, seconds=left
+                    ):
+                        yielded = True
+                        yield item
+                    return
+            except errors.PeerUnreachable as exc:
+                self._lost(program, exc)
+                if exc.sent:
+                    ran = errors.Ran.UNKNOWN
+                if yielded:
+                    raise _no_answer(errors.Ran.UNKNOWN) from None
+            except errors.Refused as exc:
+                if yielded:
+                    raise
+                self._redirected(program, exc)
+            self._pause(deadline, ran)
+
+    def _guess(self, program: ids_lib.ProgramId) -> str | None:
+        """Returns the address of the likely owner, or None."""
+        known = self._known.get(program.shard_name)
+        if known is not None and self._view.find(known) is not None:
+            return known
+        candidates = self._view.ready("sidecar", program.pool)
+        order = placement.ranked(program.shard_name, candidates)
+        return order[0].address if order else None
+
+    def _lost(
+        self, program: ids_lib.ProgramId, exc: errors.PeerUnreachable
+    ) -> None:
+        self._view.suspect(exc.address)
+        self._known.pop(program.shard_name, None)
+
+    def _redirected(
+        self, program: ids_lib.ProgramId, exc: errors.Refused
+    ) -> None:
+        """Notes who the owner is; raises what is not a redirect."""
+        if exc.code is not errors.Code.WRONG_OWNER:
+            raise exc
+        if exc.location:
+            self._known[program.shard_name] = exc.location
+        else:
+            self._known.pop(program.shard_name, None)
+
+    def _pause(self, deadline: float, ran: errors.Ran) -> None:
+        if self._timers.now() + RETRY_SECONDS >= deadline:
+            raise _no_answer(ran)
+        self._timers.sleep(RETRY_SECONDS)
+
+
+def _no_answer(ran: errors.Ran) -> errors.Refused:
+    return errors.Refused(
+        errors.Code.NOT_READY,
+        503,
+        "the program's owner gave no answer; send the call again with the "
+        "same call id",
+        ran=ran,
+        retry_after=1.0,
+    )
--- /dev/null
+++ b/src/endivepier/entry/parts.py
@@ -0,0 +1,40 @@
+"""An entry host, assembled from its parts."""
+
+from __future__ import annotations
+
+from endivepier.configuration import keys as keys_lib
+from endivepier.entry import callers as callers_lib
+from endivepier.entry import operators as operators_lib
+from endivepier.entry import owners as owners_lib
+from endivepier.internal import process
+from endivepier.internal import web
+from endivepier.limits import limiter as limiter_lib
+
+
+class Entry(process.Base):
+    """An entry host: everything but its servers."""
+
+    def __init__(
+        self,
+        env: process.Environment,
+        *,
+        call_seconds: float = 60.0,
+        bootstrap_digest: str = "",
+    ) -> None:
+        super().__init__(env, "entry")
+        self.authenticator = keys_lib.Authenticator(self.current)
+        self.limiter = limiter_lib.Limiter(
+            self.current, env.timers, lambda: len(self.view.ready("entry"))
+        )
+        self.owners = owners_lib.Owners(self.view, env.peers, env.timers)
+        self.callers = callers_lib.Callers(
+            self, self.authenticator, self.limiter, self.owners, call_seconds
+        )
+        self.operators = operators_lib.Operators(
+            self, self.authenticator, bootstrap_digest
+        )
+
+    def add_to(self, app: web.App) -> None:
+        """Adds the routes for callers and operators."""
+        self.callers.add_to(app)
+        self.operators.add_to(app)
--- /dev/null
+++ b/src/endivepier/history/__init__.py
@@ -0,0 +1,1 @@
+"""The programs' journal: turns, receipts, recovery, budgets."""
--- /dev/null
+++ b/src/endivepier/internal/__init__.py
@@ -0,0 +1,1 @@
+"""What may change at any time: messages between processes."""
--- /dev/null
+++ b/src/endivepier/internal/platform_clients.py
@@ -0,0 +1,36 @@
+"""The platform's services as one process reaches them."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from endivepier import settings
+from endivepier.platform import http_hosts
+from endivepier.platform import http_objects
+from endivepier.platform import http_table
+from endivepier.platform import ports
+from endivepier.telemetry import spans
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Platform:
+    """The ports to the platform.
+
+    Attributes:
+        table: the table service.
+        objects: the object store.
+        hosts: the list of hosts.
+    """
+
+    table: ports.Table
+    objects: ports.Objects
+    hosts: ports.HostList
+
+
+def over_http(cfg: settings.ProcessSettings, tracer: spans.Tracer) -> Platform:
+    """Returns the platform that the settings name."""
+    return Platform(
+        table=http_table.HttpTable(cfg.table_url, tracer),
+        objects=http_objects.HttpObjects(cfg.objects_url),
+        hosts=http_hosts.HttpHostList(cfg.hosts_url),
+    )
--- /dev/null
+++ b/src/endivepier/internal/process.py
@@ -0,0 +1,106 @@
+"""What every process of the system is made of, whatever its role.
+
+An `Environment` is what surrounds a process: time, peers, platform. The same
+parts run in a daemon, where these are real, and in tests, where they are
+stand-ins.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from endivepier import kernel as kernel_lib
+from endivepier import timers as timers_lib
+from endivepier.configuration import current as current_lib
+from endivepier.configuration import store as store_lib
+from endivepier.internal import ids as ids_lib
+from endivepier.internal import peers as peers_lib
+from endivepier.internal import platform_clients
+from endivepier.membership import members
+from endivepier.membership import view as view_lib
+from endivepier.platform import commit
+from endivepier.telemetry import metrics as metrics_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Environment:
+    """What surrounds a process.
+
+    Attributes:
+        address: "ip:port" where others reach it.
+        data_centre: the data centre's name.
+        timers: the timer service.
+        peers: the way to other processes.
+        inbox: the handlers for other processes' messages.
+        platform: the platform's services.
+        rng: the source of random numbers.
+        fleet_secret: the secret that all processes share.
+    """
+
+    address: str
+    data_centre: str
+    timers: timers_lib.Timers
+    peers: peers_lib.Peers
+    inbox: peers_lib.Inbox
+    platform: platform_clients.Platform
+    rng: random.Random
+    fleet_secret: str
+
+
+class Base:
+    """The parts that entry hosts and sidecars have in common."""
+
+    def __init__(self, env: Environment, role: str, target: str = "") -> None:
+        self.env = env
+        self.kernel = kernel_lib.Kernel()
+        self.ids = ids_lib.Ids(env.rng)
+        self.metrics = metrics_lib.Metrics()
+        self.current = current_lib.Current()
+        self.incarnation = self.ids.unique()
+        self.state = members.MemberState.STARTING
+        self.committer = commit.Committer(
+            env.platform.table, env.timers, env.rng
+        )
+        self.store = store_lib.Store(env.platform.table, self.committer)
+        self.follower = store_lib.Follower(self.store, self.current, env.timers)
+        self._role = role
+        self._target = target
+        self.view = view_lib.View(
+            env.platform.hosts, env.peers, env.timers, self.describe
+        )
+        self.view.register(env.inbox)
+        self.kernel.register("configuration", self.follower)
+        self.kernel.register("membership", self.view)
+
+    def describe(self) -> members.Member:
+        """Returns what this process says of itself."""
+        target = self.current.state.targets.get(self._target)
+        return members.Member(
+            address=self.env.address,
+            role=self._role,
+            data_centre=self.env.data_centre,
+            target=self._target,
+            pool="" if target is None else target.pool,
+            state=self.effective_state(),
+            incarnation=self.incarnation,
+            revision=self.current.state.revision,
+        )
+
+    def effective_state(self) -> members.MemberState:
+        """Returns the state; READY only with a configuration in force."""
+        ready = self.state is members.MemberState.READY
+        if ready and not self.follower.has_read:
+            return members.MemberState.STARTING
+        return self.state
+
+    def start(self) -> None:
+        """Starts all parts, then says that the process is ready."""
+        self.kernel.start()
+        self.state = members.MemberState.READY
+
+    def stop(self) -> None:
+        """Leaves readiness, then stops all parts."""
+        self.state = members.MemberState.DRAINING
+        self.kernel.stop()
+        self.state = members.MemberState.GONE
--- /dev/null
+++ b/src/endivepier/internal/web.py
@@ -0,0 +1,234 @@
+"""The HTTP server of every process: routes, problem documents, TLS.
+
+`gevent.pywsgi` serves, since `geventhttpclient` has no server. Handlers take
+a `werkzeug` request and return a response, or raise `errors.Refused`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import math
+from typing import Any
+
+import eliot
+import gevent
+from gevent import pywsgi
+from gevent import socket
+import werkzeug.exceptions
+import werkzeug.routing
+import werkzeug.wrappers
+
+from endivepier import errors
+from endivepier.internal import codec
+from endivepier.internal import problems
+
+SOCKET_KEY = "endivepier.socket"
+JSON_TYPE = "application/json"
+STOP_SECONDS = 30.0
+
+Handler = Callable[..., werkzeug.wrappers.Response]
+
+
+class _WsgiHandler(pywsgi.WSGIHandler):
+    """Gives handlers the connection, so that they can see it close."""
+
+    def get_environ(self) -> dict[str, Any]:
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
+    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
+        """Ends the connection after a failure in the midst of an answer.
+
+        A caller that hung up is no failure of ours, so nothing is logged.
+        """
+        if isinstance(v, Exception) and not isinstance(v, OSError):
+            eliot.write_traceback(exc_info=(t, v, tb))
+        self._send_error_response_if_possible(500)
+
+
+class Request(werkzeug.wrappers.Request):
+    """A request whose body is bounded."""
+
+    def hung_up(self) -> bool:
+        """Returns whether the caller has closed the connection."""
+        sock = self.environ.get(SOCKET_KEY)
+        if sock is None:
+            return False
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            return sock._sock.recv(1, flags) == b""
+        except (BlockingIOError, AttributeError, ValueError):
+            return False
+        except OSError:
+            return True
+
+
+def json_response(
+    value: Any, status: int = 200, headers: dict[str, str] | None = None
+) -> werkzeug.wrappers.Response:
+    """Returns a response with a data class as JSON."""
+    return werkzeug.wrappers.Response(
+        codec.encode(value),
+        status=status,
+        headers=headers,
+        content_type=JSON_TYPE,
+    )
+
+
+def stream_response(
+    chunks: Iterable[bytes],
+    content_type: str,
+    headers: dict[str, str] | None = None,
+) -> werkzeug.wrappers.Response:
+    """Returns a response whose chunks are sent as they come."""
+    return werkzeug.wrappers.Response(
+        chunks,
+        headers=headers,
+        content_type=content_type,
+        direct_passthrough=True,
+    )
+
+
+def problem_response(exc: errors.Refused) -> werkzeug.wrappers.Response:
+    """Returns the problem document for a refusal."""
+    headers = {}
+    if exc.retry_after is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(exc.retry_after)))
+    return werkzeug.wrappers.Response(
+        codec.encode(problems.from_refusal(exc)),
+        status=exc.status,
+        headers=headers,
+        content_type=problems.MEDIA_TYPE,
+    )
+
+
+class App:
+    """A WSGI application made of routes."""
+
+    def __init__(self, *, body_limit: int) -> None:
+        """Makes an application without routes.
+
+        Args:
+            body_limit: the largest request body, in bytes.
+        """
+        self._map = werkzeug.routing.Map(merge_slashes=False)
+        self._handlers: dict[str, Handler] = {}
+        self._body_limit = body_limit
+
+    def route(self, method: str, rule: str, handler: Handler) -> None:
+        """Has `handler` answer `method` at paths like `rule`."""
+        endpoint = f"{method} {rule}"
+        self._handlers[endpoint] = handler
+        self._map.add(
+            werkzeug.routing.Rule(rule, methods=[method], endpoint=endpoint)
+        )
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        """Serves one request (WSGI)."""
+        return self._respond(environ)(environ, start_response)
+
+    def _respond(self, environ: dict[str, Any]) -> werkzeug.wrappers.Response:
+        req = Request(environ)
+        req.max_content_length = self._body_limit
+        try:
+            self._check(req)
+            endpoint, args = self._map.bind_to_environ(environ).match()
+            return self._handlers[endpoint](req, **args)
+        except errors.Refused as exc:
+            return problem_response(exc)
+        except werkzeug.exceptions.RequestEntityTooLarge:
+            return problem_response(self._too_large())
+        except werkzeug.exceptions.HTTPException as exc:
+            return problem_response(_from_http(exc))
+        except gevent.GreenletExit:
+            raise
+        except Exception:
+            eliot.write_traceback()
+            return problem_response(
+                errors.Refused(
+                    errors.Code.TARGET_FAILED,
+                    500,
+                    "an internal error; the log of this process has it",
+                    ran=errors.Ran.UNKNOWN,
+                )
+            )
+
+    def _check(self, req: Request) -> None:
+        """Refuses requests whose length is ambiguous or too large."""
+        coded = "HTTP_TRANSFER_ENCODING" in req.environ
+        if coded and req.environ.get("CONTENT_LENGTH"):
+            raise errors.Refused(
+                errors.Code.BAD_REQUEST,
+                400,
+                "send Content-Length or Transfer-Encoding, not both",
+            )
+        if (req.content_length or 0) > self._body_limit:
+            raise self._too_large()
+
+    def _too_large(self) -> errors.Refused:
+        return errors.Refused(
+            errors.Code.BODY_TOO_LARGE,
+            413,
+            f"the body is over {self._body_limit} bytes; send less",
+        )
+
+
+def _from_http(exc: werkzeug.exceptions.HTTPException) -> errors.Refused:
+    code = errors.Code.BAD_REQUEST
+    if exc.code == 404:
+        code = errors.Code.NOT_FOUND
+    return errors.Refused(code, exc.code or 400, exc.description or exc.name)
+
+
+class Server:
+    """A listening server for one application."""
+
+    def __init__(
+        self,
+        listen: str,
+        app: App,
+        *,
+        certificate: str = "",
+        private_key: str = "",
+    ) -> None:
+        """Makes a server.
+
+        Args:
+            listen: "ip:port"; port 0 takes a free one.
+            app: the application.
+            certificate: path of a PEM file, or empty for plain HTTP.
+            private_key: path of a PEM file, or empty.
+        """
+        host, _, port = listen.rpartition(":")
+        options = {}
+        if certificate:
+            options = {"certfile": certificate, "keyfile": private_key}
+        self._server = pywsgi.WSGIServer(
+            (host, int(port)),
+            app,
+            log=None,
+            error_log=None,
+            handler_class=_WsgiHandler,
+            **options,
+        )
+
+    @property
+    def address(self) -> str:
+        """The "ip:port" that the server listens on, once started."""
+        return f"{self._server.server_host}:{self._server.server_port}"
+
+    def start(self) -> None:
+        """Listens; requests are served from now on."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stops listening and waits for the requests that run."""
+        self._server.stop(timeout=STOP_SECONDS)
+
+    def kill(self) -> None:
+        """Closes the listener and cuts off all that runs."""
+        self._server.stop(timeout=0)
--- /dev/null
+++ b/src/endivepier/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits across the fleet: shares, lending, admission."""
--- /dev/null
+++ b/src/endivepier/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which processes and targets are there, and their states."""
--- /dev/null
+++ b/src/endivepier/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Who owns which programs: shards, epochs, takeover."""
--- /dev/null
+++ b/src/endivepier/platform/__init__.py
@@ -0,0 +1,1 @@
+"""What the platform gives: the table service, object store and host list."""
--- /dev/null
+++ b/src/endivepier/platform/http_hosts.py
@@ -0,0 +1,33 @@
+"""The platform's list of hosts over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from endivepier import errors
+from endivepier.internal import codec
+from endivepier.internal import http_client
+from endivepier.platform import ports
+from endivepier.platform import wire
+
+READ_SECONDS = 2.0
+
+
+class HttpHostList:
+    """A `platform.ports.HostList` over HTTP."""
+
+    def __init__(self, base_url: str) -> None:
+        self._client = http_client.HttpClient(
+            base_url, read_seconds=READ_SECONDS
+        )
+
+    def hosts(self) -> Sequence[ports.Host]:
+        """Returns the list; see `platform.ports.HostList.hosts`."""
+        try:
+            answer = self._client.request("GET", wire.HOSTS_PATH)
+        except OSError as exc:
+            raise errors.Unavailable(f"the host list: {exc}") from exc
+        if answer.status != 200:
+            raise errors.Unavailable(f"the host list said {answer.status}")
+        document: wire.Hosts = codec.decode(wire.Hosts, answer.body)
+        return document.hosts
--- /dev/null
+++ b/src/endivepier/platform/http_table.py
@@ -0,0 +1,76 @@
+"""The table service over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+from endivepier import errors
+from endivepier.internal import codec
+from endivepier.internal import http_client
+from endivepier.internal import web
+from endivepier.platform import ports
+from endivepier.platform import wire
+from endivepier.telemetry import spans
+
+READ_SECONDS = 2.0
+HEADERS = {"Content-Type": web.JSON_TYPE}
+
+
+class HttpTable:
+    """A `platform.ports.Table` over HTTP."""
+
+    def __init__(self, base_url: str, tracer: spans.Tracer) -> None:
+        self._client = http_client.HttpClient(
+            base_url, read_seconds=READ_SECONDS
+        )
+        self._tracer = tracer
+
+    def get(self, key: str) -> ports.Row | None:
+        """Returns a row; see `platform.ports.Table.get`."""
+        answer = self._read(wire.GET_PATH, wire.Get(key))
+        rows = codec.decode(wire.Rows, answer.body).rows
+        return rows[0].row() if rows else None
+
+    def scan(
+        self, prefix: str, *, after: str = "", limit: int = 1000
+    ) -> Sequence[ports.Row]:
+        """Returns rows in order; see `platform.ports.Table.scan`."""
+        answer = self._read(wire.SCAN_PATH, wire.Scan(prefix, after, limit))
+        rows = codec.decode(wire.Rows, answer.body).rows
+        return [row.row() for row in rows]
+
+    def transact(self, txn: ports.Transaction) -> int:
+        """Commits a transaction; see `platform.ports.Table.transact`."""
+        document = wire.transact_document(txn)
+        try:
+            answer = self._post(wire.TRANSACT_PATH, document)
+        except http_client.ConnectFailed as exc:
+            raise errors.Unavailable(f"the table: {exc}") from exc
+        except http_client.ExchangeFailed as exc:
+            raise errors.OutcomeUnknown(f"the table: {exc}") from exc
+        if answer.status == 503:
+            raise errors.Unavailable("the table service is down")
+        if answer.status != 200:
+            raise errors.OutcomeUnknown(f"the table said {answer.status}")
+        result = codec.decode(wire.Committed | wire.Conflict, answer.body)
+        match result:
+            case wire.Conflict(key=key):
+                raise errors.ConditionFailed(key)
+            case _:
+                return int(result.version)
+
+    def _read(self, path: str, document: Any) -> http_client.Answer:
+        try:
+            answer = self._post(path, document)
+        except OSError as exc:
+            raise errors.Unavailable(f"the table: {exc}") from exc
+        if answer.status != 200:
+            raise errors.Unavailable(f"the table said {answer.status}")
+        return answer
+
+    def _post(self, path: str, document: Any) -> http_client.Answer:
+        with self._tracer.span("table" + path):
+            return self._client.request(
+                "POST", path, codec.encode(document), HEADERS
+            )
--- /dev/null
+++ b/src/endivepier/platform/wire.py
@@ -0,0 +1,136 @@
+"""The platform's HTTP protocol: the documents that go to and fro."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Literal
+
+import pydantic
+
+from endivepier.platform import ports
+
+GET_PATH = "/table/get"
+SCAN_PATH = "/table/scan"
+TRANSACT_PATH = "/table/transact"
+OBJECT_PATH = "/objects/"
+HOSTS_PATH = "/hosts"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Get:
+    """Asks for one row."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scan:
+    """Asks for rows in order."""
+
+    prefix: str
+    after: str
+    limit: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowDocument:
+    """A row; the value travels as base64."""
+
+    key: str
+    value: pydantic.Base64Bytes
+    version: int
+
+    def row(self) -> ports.Row:
+        """Returns the row."""
+        return ports.Row(self.key, self.value, self.version)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rows:
+    """The answer to `Get` and `Scan`."""
+
+    rows: tuple[RowDocument, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConditionDocument:
+    """A condition; `version` is None for an absent row."""
+
+    key: str
+    version: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteDocument:
+    """A write; `value` is None for a deleted row."""
+
+    key: str
+    value: pydantic.Base64Bytes | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transact:
+    """Asks to commit a transaction."""
+
+    conditions: tuple[ConditionDocument, ...]
+    writes: tuple[WriteDocument, ...]
+
+    def transaction(self) -> ports.Transaction:
+        """Returns the transaction."""
+        conditions: list[ports.Condition] = []
+        for condition in self.conditions:
+            if condition.version is None:
+                conditions.append(ports.Absent(condition.key))
+            else:
+                conditions.append(
+                    ports.VersionIs(condition.key, condition.version)
+                )
+        writes: list[ports.Write] = []
+        for write in self.writes:
+            if write.value is None:
+                writes.append(ports.Delete(write.key))
+            else:
+                writes.append(ports.Put(write.key, write.value))
+        return ports.Transaction(tuple(conditions), tuple(writes))
+
+
+def transact_document(txn: ports.Transaction) -> Transact:
+    """Returns the document for a transaction."""
+    conditions = []
+    for condition in txn.conditions:
+        match condition:
+            case ports.Absent(key=key):
+                conditions.append(ConditionDocument(key, None))
+            case ports.VersionIs(key=key, version=version):
+                conditions.append(ConditionDocument(key, version))
+    writes = []
+    for write in txn.writes:
+        match write:
+            case ports.Put(key=key, value=value):
+                writes.append(WriteDocument(key, value))
+            case ports.Delete(key=key):
+                writes.append(WriteDocument(key, None))
+    return Transact(tuple(conditions), tuple(writes))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Committed:
+    """The answer to `Transact`: committed at a version."""
+
+    version: int
+    kind: Literal["committed"] = "committed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """The answer to `Transact`: a condition does not hold."""
+
+    key: str
+    kind: Literal["conflict"] = "conflict"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hosts:
+    """The platform's list of hosts."""
+
+    hosts: tuple[ports.Host, ...]
--- /dev/null
+++ b/src/endivepier/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Fairness, order of programs, placement, prefix holding."""
--- /dev/null
+++ b/src/endivepier/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar daemon: the only path to its target."""
--- /dev/null
+++ b/src/endivepier/sidecar/parts.py
@@ -0,0 +1,95 @@
+"""A sidecar, assembled from its parts."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from endivepier.effects import claims as claims_lib
+from endivepier.effects import runner as runner_lib
+from endivepier.history import journal as journal_lib
+from endivepier.history import receipts as receipts_lib
+from endivepier.internal import process
+from endivepier.membership import members
+from endivepier.ownership import shards as shards_lib
+from endivepier.scheduling import dispatch
+from endivepier.scheduling import queue as queue_lib
+from endivepier.scheduling import router as router_lib
+from endivepier.sidecar import programs as programs_lib
+from endivepier.targets import ports as target_ports
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueLimits:
+    """Bounds of the queue in front of the target.
+
+    Attributes:
+        slots: how many requests may run at the target at a time.
+        waiting: how many may wait.
+    """
+
+    slots: int = 8
+    waiting: int = 512
+
+
+class EngineSidecar(process.Base):
+    """A sidecar beside a model engine; owns programs, too."""
+
+    def __init__(
+        self,
+        env: process.Environment,
+        target: str,
+        engine: target_ports.ModelEngine,
+        limits: QueueLimits,
+    ) -> None:
+        super().__init__(env, "sidecar", target)
+        table = env.platform.table
+        self.queue = queue_lib.Queue(
+            env.timers, slots=limits.slots, limit=limits.waiting
+        )
+        self.dispatcher = dispatch.Dispatcher(
+            engine, self.queue, env.timers, self.metrics
+        )
+        self.router = router_lib.Router(self.dispatcher, env.peers, self.view)
+        self.shards = shards_lib.Shards(
+            table, self.committer, self.view, self.ids, self.describe()
+        )
+        self.programs = programs_lib.Programs(
+            shards=self.shards,
+            journal=journal_lib.Journal(table, self.committer, self.ids),
+            receipts=receipts_lib.Receipts(env.fleet_secret),
+            router=self.router,
+            current=self.current,
+            view=self.view,
+            peers=env.peers,
+            timers=env.timers,
+            ids=self.ids,
+        )
+        self.dispatcher.register(env.inbox)
+        self.programs.register(env.inbox)
+
+    def describe(self) -> members.Member:
+        """Returns what this sidecar says of itself, with its load."""
+        queue = getattr(self, "queue", None)
+        member = super().describe()
+        if queue is None:
+            return member
+        return dataclasses.replace(
+            member, queued=queue.queued, running=queue.running
+        )
+
+
+class ServiceSidecar(process.Base):
+    """A sidecar beside a plain service."""
+
+    def __init__(
+        self,
+        env: process.Environment,
+        target: str,
+        service: target_ports.Service,
+    ) -> None:
+        super().__init__(env, "sidecar", target)
+        self.claims = claims_lib.Claims(
+            env.platform.table, self.committer, self.ids
+        )
+        self.runner = runner_lib.Runner(service, self.claims, self.ids)
+        self.runner.register(env.inbox)
--- /dev/null
+++ b/src/endivepier/standins/objects.py
@@ -0,0 +1,52 @@
+"""An object store in memory."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from endivepier import errors
+from endivepier import timers as timers_lib
+
+
+@dataclasses.dataclass(slots=True)
+class ObjectFaults:
+    """What is wrong with the store now.
+
+    Attributes:
+        outage: every call fails with `errors.Unavailable`.
+        seconds: how long a call takes.
+    """
+
+    outage: bool = False
+    seconds: float = 0.008
+
+
+class MemoryObjects:
+    """A `platform.ports.Objects` in memory."""
+
+    def __init__(self, timers: timers_lib.Timers) -> None:
+        self.faults = ObjectFaults()
+        self.puts = 0
+        self.gets = 0
+        self._timers = timers
+        self._bodies: dict[str, bytes] = {}
+
+    def put(self, name: str, body: bytes) -> None:
+        """Stores a body; see `platform.ports.Objects.put`."""
+        self._call()
+        self.puts += 1
+        if self._bodies.setdefault(name, body) != body:
+            raise errors.ConditionFailed(name)
+
+    def get(self, name: str) -> bytes | None:
+        """Returns a body; see `platform.ports.Objects.get`."""
+        self._call()
+        self.gets += 1
+        return self._bodies.get(name)
+
+    def _call(self) -> None:
+        if self.faults.outage:
+            raise errors.Unavailable("the object store is down")
+        self._timers.sleep(self.faults.seconds)
+        if self.faults.outage:
+            raise errors.Unavailable("the object store is down")
--- /dev/null
+++ b/src/endivepier/standins/table.py
@@ -0,0 +1,126 @@
+"""A table service in memory, with the faults that the platform's has."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import dataclasses
+import random
+
+import sortedcontainers
+
+from endivepier import errors
+from endivepier import timers as timers_lib
+from endivepier.platform import ports
+
+
+@dataclasses.dataclass(slots=True)
+class TableFaults:
+    """What is wrong with the service now; change the fields at any time.
+
+    Attributes:
+        outage: every call fails with `errors.Unavailable`.
+        read_seconds: how long a read takes.
+        write_seconds: how long a transaction takes.
+        lost_replies: share of transactions whose reply is lost after they
+            took effect.
+        lost_requests: share of transactions that look the same to the caller
+            but never took effect.
+    """
+
+    outage: bool = False
+    read_seconds: float = 0.001
+    write_seconds: float = 0.004
+    lost_replies: float = 0.0
+    lost_requests: float = 0.0
+
+
+class MemoryTable:
+    """A `platform.ports.Table` in memory."""
+
+    def __init__(
+        self, timers: timers_lib.Timers, rng: random.Random | None = None
+    ) -> None:
+        self.faults = TableFaults()
+        self.reads = 0
+        self.transactions = 0
+        self.rows_written = 0
+        self._timers = timers
+        self._rng = rng or random.Random(0)
+        self._rows: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
+        self._version = 0
+
+    def get(self, key: str) -> ports.Row | None:
+        """Returns a row; see `platform.ports.Table.get`."""
+        self._read()
+        row: ports.Row | None = self._rows.get(key)
+        return row
+
+    def scan(
+        self, prefix: str, *, after: str = "", limit: int = 1000
+    ) -> Sequence[ports.Row]:
+        """Returns rows in order; see `platform.ports.Table.scan`."""
+        self._read()
+        found: list[ports.Row] = []
+        start = max(prefix, after)
+        for key in self._rows.irange(start, inclusive=(True, True)):
+            if not key.startswith(prefix) or len(found) >= limit:
+                break
+            if key > after:
+                found.append(self._rows[key])
+        return found
+
+    def transact(self, txn: ports.Transaction) -> int:
+        """Commits a transaction; see `platform.ports.Table.transact`."""
+        self._check_up()
+        self._timers.sleep(self.faults.write_seconds / 2)
+        self._check_up()
+        if self._rng.random() < self.faults.lost_requests:
+            raise errors.OutcomeUnknown("the request was lost")
+        self._check_conditions(txn.conditions)
+        version = self._apply(txn.writes)
+        self._timers.sleep(self.faults.write_seconds / 2)
+        if self.faults.outage or (
+            self._rng.random() < self.faults.lost_replies
+        ):
+            raise errors.OutcomeUnknown("the reply was lost")
+        return version
+
+    def peek(self, prefix: str = "") -> list[ports.Row]:
+        """Returns rows at once, without faults: for checkers and tests."""
+        return [
+            row for key, row in self._rows.items() if key.startswith(prefix)
+        ]
+
+    def _read(self) -> None:
+        self._check_up()
+        self.reads += 1
+        self._timers.sleep(self.faults.read_seconds)
+        self._check_up()
+
+    def _check_up(self) -> None:
+        if self.faults.outage:
+            self._timers.sleep(self.faults.read_seconds)
+            raise errors.Unavailable("the table service is down")
+
+    def _check_conditions(self, conditions: Sequence[ports.Condition]) -> None:
+        for condition in conditions:
+            row = self._rows.get(condition.key)
+            match condition:
+                case ports.Absent():
+                    holds = row is None
+                case ports.VersionIs(version=version):
+                    holds = row is not None and row.version == version
+            if not holds:
+                raise errors.ConditionFailed(condition.key)
+
+    def _apply(self, writes: Sequence[ports.Write]) -> int:
+        self._version += 1
+        self.transactions += 1
+        self.rows_written += len(writes)
+        for write in writes:
+            match write:
+                case ports.Put(key=key, value=value):
+                    self._rows[key] = ports.Row(key, value, self._version)
+                case ports.Delete(key=key):
+                    self._rows.pop(key, None)
+        return self._version
--- /dev/null
+++ b/src/endivepier/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Ports and adapters to targets: engines, services, tools, weight store."""
--- /dev/null
+++ b/src/endivepier/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, logs and spans."""
--- /dev/null
+++ b/src/endivepier/telemetry/spans.py
@@ -0,0 +1,159 @@
+"""Traces: a span for each hop, W3C trace context in and out.
+
+Spans are exported by a gevent task from a bounded queue, so that neither a
+slow collector nor its absence delays a request; what does not fit is dropped
+and counted.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import contextlib
+import enum
+from typing import Protocol
+
+import gevent
+import gevent.queue
+from opentelemetry import context as context_api
+from opentelemetry import propagate
+from opentelemetry import trace
+from opentelemetry.sdk import resources
+from opentelemetry.sdk import trace as trace_sdk
+from opentelemetry.sdk.trace import export
+
+QUEUE_SPANS = 2048
+BATCH_SPANS = 256
+EXPORT_SECONDS = 1.0
+
+
+class _Headers(Protocol):
+    """Whatever gives a header by its name."""
+
+    def get(self, name: str, /) -> str | None:
+        """Returns the header, or None."""
+
+
+class Exporter(enum.StrEnum):
+    """Where spans go."""
+
+    NONE = "none"
+    CONSOLE = "console"
+    OTLP = "otlp"
+
+
+class _QueueProcessor(trace_sdk.SpanProcessor):
+    """Hands ended spans to a gevent task."""
+
+    def __init__(self, exporter: export.SpanExporter) -> None:
+        self._exporter = exporter
+        self._queue: gevent.queue.Queue = gevent.queue.Queue(QUEUE_SPANS)
+        self.dropped = 0
+        self._task = gevent.spawn(self._drain)
+
+    def on_end(self, span: trace_sdk.ReadableSpan) -> None:
+        """Queues a span; drops it if the queue is full."""
+        try:
+            self._queue.put_nowait(span)
+        except gevent.queue.Full:
+            self.dropped += 1
+
+    def shutdown(self) -> None:
+        """Exports what is queued and ends the task."""
+        self._task.kill()
+        self._export_batch()
+        self._exporter.shutdown()
+
+    def force_flush(self, timeout_millis: int = 30000) -> bool:
+        """Exports what is queued."""
+        del timeout_millis
+        self._export_batch()
+        return True
+
+    def _drain(self) -> None:
+        while True:
+            gevent.sleep(EXPORT_SECONDS)
+            self._export_batch()
+
+    def _export_batch(self) -> None:
+        while not self._queue.empty():
+            count = min(BATCH_SPANS, self._queue.qsize())
+            batch = [self._queue.get_nowait() for _ in range(count)]
+            self._exporter.export(batch)
+
+
+def _make_exporter(kind: Exporter, endpoint: str) -> export.SpanExporter | None:
+    match kind:
+        case Exporter.NONE:
+            return None
+        case Exporter.CONSOLE:
+            return export.ConsoleSpanExporter()
+        case Exporter.OTLP:
+            from opentelemetry.exporter.otlp.proto.http import trace_exporter
+
+            return trace_exporter.OTLPSpanExporter(endpoint=endpoint or None)
+
+
+class Tracer:
+    """Makes the spans of one process."""
+
+    def __init__(
+        self,
+        process: str,
+        kind: Exporter = Exporter.NONE,
+        endpoint: str = "",
+    ) -> None:
+        """Makes a tracer.
+
+        Args:
+            process: name of the process, the resource of its spans.
+            kind: where spans go.
+            endpoint: URL of the OTLP collector, for `Exporter.OTLP`.
+        """
+        resource = resources.Resource({"service.name": process})
+        self._provider = trace_sdk.TracerProvider(
+            resource=resource, shutdown_on_exit=False
+        )
+        exporter = _make_exporter(kind, endpoint)
+        self._enabled = exporter is not None
+        if exporter is not None:
+            self._provider.add_span_processor(_QueueProcessor(exporter))
+        self._tracer = self._provider.get_tracer("endivepier")
+
+    def incoming(self, headers: _Headers) -> context_api.Context:
+        """Returns the trace context that a request carries."""
+        carrier = {}
+        for name in ("traceparent", "tracestate"):
+            value = headers.get(name)
+            if value:
+                carrier[name] = value
+        return propagate.extract(carrier, context=context_api.Context())
+
+    def outgoing(self) -> dict[str, str]:
+        """Returns the headers that carry the current trace context on."""
+        carrier: dict[str, str] = {}
+        propagate.inject(carrier)
+        return carrier
+
+    @contextlib.contextmanager
+    def span(
+        self, name: str, context: context_api.Context | None = None
+    ) -> Iterator[None]:
+        """Makes the block a span, child of `context` or of the current one."""
+        parent = context_api.get_current() if context is None else context
+        if not self._enabled:
+            # Without an exporter only the caller's own context is sent on.
+            current = trace.get_current_span(parent)
+        else:
+            current = self._tracer.start_span(name, context=parent)
+        token = context_api.attach(trace.set_span_in_context(current, parent))
+        try:
+            yield
+        finally:
+            with contextlib.suppress(ValueError):
+                context_api.detach(token)
+            if self._enabled:
+                current.end()
+
+    def stop(self) -> None:
+        """Exports what is left."""
+        self._provider.shutdown()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,18 @@
+import os
+
+import hypothesis
+
+from endivepier.internal import loop
+
+loop.configure()
+
+hypothesis.settings.register_profile(
+    "ci",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    print_blob=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+hypothesis.settings.register_profile("dev", deadline=None)
+hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
--- /dev/null
+++ b/tests/cover/test_timers.py
@@ -0,0 +1,68 @@
+import gevent
+import gevent.event
+import pytest
+
+from endivepier import errors
+from endivepier import timers
+from endivepier.standins import clock
+
+
+def test_tasks_wake_in_the_order_of_their_timers():
+    virtual = clock.VirtualTimers()
+    woken = []
+
+    def sleeper(seconds):
+        virtual.sleep(seconds)
+        woken.append((seconds, virtual.now()))
+
+    def main():
+        gevent.joinall([gevent.spawn(sleeper, s) for s in (3.0, 1.0, 2.0)])
+
+    virtual.run(main)
+    assert woken == [(1.0, 1.0), (2.0, 2.0), (3.0, 3.0)]
+
+
+@pytest.mark.parametrize("make", [clock.VirtualTimers, timers.SystemTimers])
+def test_a_limit_raises_inside_the_block_and_only_there(make):
+    service = make()
+
+    def main():
+        with pytest.raises(errors.DeadlineExceeded), service.limit(0.01):
+            service.sleep(10.0)
+        with service.limit(0.01):
+            pass
+        service.sleep(0.03)
+        return "done"
+
+    run = service.run if make is clock.VirtualTimers else lambda f: f()
+    assert run(main) == "done"
+
+
+@pytest.mark.parametrize("make", [clock.VirtualTimers, timers.SystemTimers])
+def test_wait_tells_whether_the_event_came_in_time(make):
+    service = make()
+
+    def main():
+        event = gevent.event.Event()
+        late = service.wait(event, 0.01)
+        service.after(0.01, event.set)
+        return late, service.wait(event, 1.0), service.wait(event, 0.0)
+
+    run = service.run if make is clock.VirtualTimers else lambda f: f()
+    assert run(main) == (False, True, True)
+
+
+def test_a_cancelled_subscription_does_not_fire_again():
+    virtual = clock.VirtualTimers()
+    fired = []
+    subscription = virtual.every(1.0, lambda: fired.append(virtual.now()))
+    virtual.advance(3.5)
+    subscription.cancel()
+    virtual.advance(5.0)
+    assert fired == [1.0, 2.0, 3.0]
+
+
+def test_waiting_for_nothing_is_an_error_not_a_hang():
+    virtual = clock.VirtualTimers()
+    with pytest.raises(RuntimeError, match="no timer is set"):
+        virtual.run(gevent.event.Event().wait)
