--- a/src/endivepier/cli/standin.py
+++ b/src/endivepier/cli/standin.py
@@ -12,8 +12,10 @@
 import gevent
 import gevent.event
 
+from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.internal import web
+from endivepier.platform import ports
 from endivepier.standins import engine
 from endivepier.standins import hosts
 from endivepier.standins import objects
@@ -31,6 +33,12 @@
     parser.add_argument("--listen", required=True)
     parser.add_argument("--name", default="standin")
     parser.add_argument("--models", default="", help="names, with commas")
+    parser.add_argument(
+        "--host",
+        action="append",
+        default=[],
+        help="for a platform: role,address,data centre,target; repeatable",
+    )
     parser.set_defaults(run=run)
 
 
@@ -46,14 +54,32 @@
     return 0
 
 
+def _parse_host(text: str) -> ports.Host:
+    parts = (text + ",,,").split(",")
+    if parts[0] not in ("entry", "sidecar") or not parts[1]:
+        raise errors.SettingsError(
+            f"--host is {text!r}: write role,address,data centre,target"
+        )
+    return ports.Host(
+        address=parts[1],
+        data_centre=parts[2],
+        role=parts[0],
+        target=parts[3],
+        state=ports.HostState.LIVE,
+    )
+
+
 def _make_app(args: argparse.Namespace) -> web.App:
     timers = timers_lib.SystemTimers()
     match args.kind:
         case "platform":
+            listed = hosts.MemoryHostList(timers)
+            for text in args.host:
+                listed.put(_parse_host(text), at_once=True)
             return servers.platform_app(
                 table.MemoryTable(timers),
                 objects.MemoryObjects(timers),
-                hosts.MemoryHostList(timers),
+                listed,
             )
         case "engine":
             models = [name for name in args.models.split(",") if name]
--- a/src/endivepier/cli/status.py
+++ b/src/endivepier/cli/status.py
@@ -38,7 +38,7 @@
             "running",
         )
     )
-    for member in document.members:
+    for member in document.processes:
         print(
             ROW.format(
                 member.address,
--- a/src/endivepier/entry/documents.py
+++ b/src/endivepier/entry/documents.py
@@ -91,4 +91,4 @@
 class StatusDocument:
     """All processes with their states and revisions."""
 
-    members: tuple[members.Member, ...]
+    processes: tuple[members.Member, ...]
