Fuzz the callers' interface

Cause: nothing showed that bad input is refused without a trace or a change.

Change: a small fleet in simulated time that is asked by WSGI; tests for wrong keys, bodies, lengths, foreign and unknown programs, histories, budgets, open routes and keys towards targets; Hypothesis sends any request to any route.

Before: not tested.

--- /dev/null
+++ b/tests/cover/test_callers_interface.py
@@ -0,0 +1,275 @@
+import json
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from endivepier.entry import documents
+from tests.common import api_fleet
+
+CHAT = {
+    "model": "model",
+    "messages": [{"role": "user", "content": "hello"}],
+    "max_tokens": 3,
+}
+ONE, TWO = api_fleet.KEYS["one"], api_fleet.KEYS["two"]
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    return api_fleet.ApiFleet()
+
+
+def _create(fleet, key=ONE, **body):
+    body = {"template": "template", **body}
+    answer = fleet.ask("POST", "/v1/programs", json.dumps(body), key)
+    assert answer.status_code == 201, answer.text
+    return "/v1/programs/" + answer.json["id"]
+
+
+def _check_problem(answer, status, code):
+    assert answer.status_code == status, answer.text
+    assert answer.content_type == "application/problem+json"
+    assert answer.json["code"] == code
+    assert answer.json["ran"] == "no"
+    assert "Traceback" not in answer.text
+
+
+@pytest.mark.parametrize("key", [None, "", "unknown", "ek_" + "x" * 5000])
+@pytest.mark.parametrize(
+    ("method", "path"),
+    [
+        ("POST", "/v1/programs"),
+        ("POST", "/v1/chat/completions"),
+        ("GET", "/v1/programs/pool.1.000000000000000000000000"),
+        ("DELETE", "/v1/programs/pool.1.000000000000000000000000"),
+        ("POST", "/v1/services/ledger/postings"),
+        ("GET", "/v1/effects/ledger/key"),
+        ("POST", "/v1/operators/releases"),
+        ("GET", "/v1/operators/status"),
+    ],
+)
+def test_refuses_wrong_keys_alike_on_every_route(fleet, method, path, key):
+    answer = fleet.ask(method, path, json.dumps(CHAT), key)
+    _check_problem(answer, 401, "unauthenticated")
+
+
+def test_refuses_a_caller_s_key_for_operators_and_the_other_way(fleet):
+    answer = fleet.ask("GET", "/v1/operators/status", b"", ONE)
+    _check_problem(answer, 403, "forbidden")
+    answer = fleet.ask("POST", "/v1/programs", b"{}", api_fleet.OPERATOR_KEY)
+    assert answer.status_code in (401, 403)
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "code"),
+    [
+        (b"", 400, "bad_request"),
+        (b"{", 400, "bad_request"),
+        (b"[]", 400, "bad_request"),
+        (b"\xff\xfe", 400, "bad_request"),
+        (b'{"template": 3}', 400, "bad_request"),
+        (b'{"template": "absent"}', 400, "bad_request"),
+        (b'{"model": "absent"}', 400, "bad_request"),
+        (b'{"template": "template", "tokens": -1}', 400, "bad_request"),
+        (b'{"template": "template", "seconds": NaN}', 400, "bad_request"),
+        (b'{"template": "template", "unknown": 1}', 400, "bad_request"),
+        (b"[" * 50000, 400, "bad_request"),
+        (b" " * (api_fleet.BODY_LIMIT + 1), 413, "body_too_large"),
+    ],
+)
+def test_refuses_wrong_bodies_and_changes_nothing(fleet, data, status, code):
+    before = fleet.rows()
+    answer = fleet.ask("POST", "/v1/programs", data)
+    _check_problem(answer, status, code)
+    assert fleet.rows() == before
+
+
+@pytest.mark.parametrize(
+    "program", ["absent", "pool.1.000000000000000000000000", "..", "%00", "x.y"]
+)
+def test_refuses_unknown_programs(fleet, program):
+    answer = fleet.ask("GET", f"/v1/programs/{program}")
+    _check_problem(answer, 404, "not_found")
+
+
+def test_another_account_s_program_looks_like_an_absent_one(fleet):
+    path = _create(fleet, ONE)
+    absent = path[:-24] + "0" * 24
+    for method, suffix, data in (
+        ("GET", "", b""),
+        ("DELETE", "", b""),
+        ("POST", "/chat/completions", json.dumps(CHAT)),
+        ("POST", "/services/ledger/postings", b"{}"),
+    ):
+        foreign = fleet.ask(method, path + suffix, data, TWO)
+        missing = fleet.ask(method, absent + suffix, data, TWO)
+        _check_problem(foreign, 404, "not_found")
+        assert foreign.text.replace(path, absent) == missing.text.replace(
+            path, absent
+        ) or foreign.json["detail"].replace(path[13:], "") == missing.json[
+            "detail"
+        ].replace(absent[13:], "")
+    assert fleet.ask("GET", path).json["status"] == "active"
+
+
+def test_refuses_ambiguous_lengths(fleet):
+    before = fleet.rows()
+    answer = fleet.ask(
+        "POST", "/v1/programs", b"{}", Transfer_Encoding="chunked"
+    )
+    _check_problem(answer, 400, "bad_request")
+    assert fleet.rows() == before
+
+
+def test_a_whole_call_and_a_stream_give_the_same_shape_of_turn(fleet):
+    path = _create(fleet)
+    whole = fleet.ask("POST", path + "/chat/completions", json.dumps(CHAT))
+    text = whole.json["choices"][0]["message"]["content"]
+    more = [
+        *CHAT["messages"],
+        {"role": "assistant", "content": text},
+        {"role": "user", "content": "more"},
+    ]
+    streamed = fleet.ask(
+        "POST",
+        path + "/chat/completions",
+        json.dumps({**CHAT, "messages": more, "stream": True}),
+    )
+    lines = [line for line in streamed.text.split("\n\n") if line]
+    assert lines[-1] == "data: [DONE]"
+    events = [json.loads(line[6:]) for line in lines[:-1]]
+    parts = [e["choices"][0]["delta"].get("content", "") for e in events]
+    shown = fleet.ask("GET", path).json
+    answer = {"role": "assistant", "content": "".join(parts)}
+    assert shown["messages"] == [*more, answer]
+    assert shown["used_tokens"] == 6
+
+
+def test_refuses_a_history_that_is_not_the_program_s(fleet):
+    path = _create(fleet)
+    fleet.ask("POST", path + "/chat/completions", json.dumps(CHAT))
+    again = fleet.ask("POST", path + "/chat/completions", json.dumps(CHAT))
+    _check_problem(again, 409, "history_mismatch")
+
+
+def test_the_same_call_id_gets_the_same_answer(fleet):
+    path = _create(fleet) + "/chat/completions"
+    data = json.dumps(CHAT)
+    one = fleet.ask("POST", path, data, X_Endivepier_Call_Id="c")
+    two = fleet.ask("POST", path, data, X_Endivepier_Call_Id="c")
+    assert one.json["choices"] == two.json["choices"]
+    assert one.headers["X-Endivepier-Turn"] == "1"
+    assert two.headers["X-Endivepier-Turn"] == "1"
+
+
+def test_refuses_a_call_over_the_budget_and_ends_with_the_program(fleet):
+    path = _create(fleet, tokens=4)
+    chat = path + "/chat/completions"
+    assert fleet.ask("POST", chat, json.dumps(CHAT)).status_code == 200
+    data = json.dumps(CHAT)
+    over = fleet.ask("POST", chat, data, X_Endivepier_History="append")
+    _check_problem(over, 409, "budget_exhausted")
+    assert fleet.ask("DELETE", path).json["status"] == "ended"
+    late = fleet.ask("POST", chat, data, X_Endivepier_History="append")
+    _check_problem(late, 409, "program_ended")
+
+
+def test_an_open_route_needs_no_key_and_a_keyed_one_does(fleet):
+    opened = fleet.ask("GET", "/v1/services/ledger/open/rates", b"", None)
+    assert opened.status_code == 200
+    keyed = fleet.ask("GET", "/v1/services/ledger/rates", b"", None)
+    _check_problem(keyed, 401, "unauthenticated")
+
+
+def test_a_non_idempotent_request_needs_an_idempotency_key(fleet):
+    before = len(fleet.service.effects)
+    answer = fleet.ask("POST", "/v1/services/ledger/postings", b"{}")
+    _check_problem(answer, 400, "bad_request")
+    assert len(fleet.service.effects) == before
+
+
+def test_no_target_sees_a_caller_s_key(fleet):
+    fleet.ask(
+        "POST",
+        "/v1/services/ledger/postings?x=1",
+        b"{}",
+        Idempotency_Key="k",
+        Cookie=ONE,
+        X_Custom=ONE,
+    )
+    seen = repr(fleet.service.effects)
+    assert "postings" in seen
+    assert ONE not in seen
+
+
+TEXT = st.text(max_size=30)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | TEXT,
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(TEXT, inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+FIELDS = st.dictionaries(
+    st.sampled_from(
+        [
+            *documents.NewProgram.model_fields,
+            *documents.ChatRequest.model_fields,
+        ]
+    ),
+    JSON | st.just(CHAT["messages"]) | st.just("model"),
+    max_size=6,
+)
+HEADER = st.text(st.characters(min_codepoint=33, max_codepoint=126), max_size=9)
+PATHS = st.sampled_from(
+    [
+        "/v1/programs",
+        "/v1/chat/completions",
+        "/v1/programs/pool.1.000000000000000000000000/chat/completions",
+        "/v1/programs/%2e%2e/x",
+        "/v1/services/ledger/postings",
+        "/v1/services/%0d%0aX: y/",
+        "/v1/effects/ledger/%00",
+        "/v1/operators/releases",
+        "/internal/v1/EndProgram",
+        "//v1//programs",
+    ]
+)
+
+
+@hypothesis.given(
+    method=st.sampled_from(["GET", "POST", "PUT", "PATCH", "DELETE", "TRACE"]),
+    path=PATHS,
+    data=st.binary(max_size=60)
+    | JSON.map(lambda value: json.dumps(value).encode())
+    | FIELDS.map(lambda value: json.dumps(value).encode()),
+    headers=st.dictionaries(
+        st.sampled_from(
+            [
+                "X-Endivepier-Call-Id",
+                "X-Endivepier-Program",
+                "X-Endivepier-Receipt",
+                "X-Endivepier-History",
+                "X-Endivepier-Change-Id",
+                "X-Endivepier-Fleet",
+                "Idempotency-Key",
+                "traceparent",
+            ]
+        ),
+        HEADER,
+        max_size=3,
+    ),
+)
+@hypothesis.settings(max_examples=250)
+def test_any_request_gets_an_answer_or_a_problem(
+    fleet, method, path, data, headers
+):
+    before = fleet.rows()
+    answer = fleet.ask(method, path, data, **headers)
+    if answer.status_code >= 400:
+        assert answer.status_code < 500, (answer.status_code, answer.text)
+        assert answer.content_type == "application/problem+json"
+        assert answer.json["ran"] == "no"
+        assert "Traceback" not in answer.text
+        assert fleet.rows() == before
