Carry service calls to their sidecar in one place

Cause: entry/callers.py and sidecar/programs.py each had the same choice of a sidecar, the same call and the same wording of its failure; the coming claim protocol would have to stand twice.

Change: effects/client.py sends a CallService and looks outcomes up; both users take it. ProgramServiceCall carries the CallService itself instead of a copy of its fields.

Conclusion: the protocol can now change in one place.

--- a/src/endivepier/entry/callers.py
+++ b/src/endivepier/entry/callers.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
-from typing import Any
 
 import gevent
 import werkzeug.wrappers
@@ -13,6 +12,7 @@
 from endivepier import errors
 from endivepier.configuration import keys as keys_lib
 from endivepier.configuration import state as state_lib
+from endivepier.effects import client as client_lib
 from endivepier.effects import messages as effect_messages
 from endivepier.entry import chat
 from endivepier.entry import documents
@@ -24,7 +24,6 @@
 from endivepier.internal import process
 from endivepier.internal import web
 from endivepier.limits import limiter as limiter_lib
-from endivepier.ownership import placement
 from endivepier.targets import ports as target_ports
 
 CALL_ID_HEADER = "X-Endivepier-Call-Id"
@@ -54,6 +53,7 @@
         self._auth = authenticator
         self._limiter = limiter
         self._owners = owners
+        self._services = client_lib.Client(base.view, base.env.peers)
         self._seconds = call_seconds
         self._timers = base.env.timers
 
@@ -156,9 +156,7 @@
         """Shows what is known of a non-idempotent request."""
         caller = self._caller(req)
         message = effect_messages.LookUp(caller.account, key)
-        outcome = self._at_service(
-            pool, key, message, effect_messages.Outcome, self._seconds
-        )
+        outcome = self._services.look_up(pool, message, seconds=self._seconds)
         return web.json_response(outcome)
 
     def _caller(self, req: web.Request) -> keys_lib.Caller:
@@ -334,27 +332,11 @@
             seconds=self._seconds,
         )
         if not program:
-            answer: effect_messages.ServiceAnswer = self._at_service(
-                route.pool,
-                idempotency_key or call.path,
-                call,
-                effect_messages.ServiceAnswer,
-                self._seconds,
-            )
-            return answer
+            return self._services.send(route.pool, call)
         step = messages.ProgramServiceCall(
-            program_id=program,
-            account=call.account,
-            pool=route.pool,
-            method=call.method,
-            path=call.path,
-            body=call.body,
-            content_type=call.content_type,
-            idempotent=call.idempotent,
-            idempotency_key=call.idempotency_key,
-            seconds=call.seconds,
+            program, call.account, route.pool, call
         )
-        answer = self._owners.call(
+        answer: effect_messages.ServiceAnswer = self._owners.call(
             ids_lib.parse_program(program),
             step,
             effect_messages.ServiceAnswer,
@@ -363,37 +345,6 @@
         )
         return answer
 
-    def _at_service(
-        self,
-        pool: str,
-        name: str,
-        message: effect_messages.CallService | effect_messages.LookUp,
-        reply: type[Any],
-        seconds: float,
-    ) -> Any:
-        candidates = self._base.view.ready("sidecar", pool)
-        order = placement.ranked(name, candidates)
-        if not order:
-            raise errors.Refused(
-                errors.Code.NOT_READY,
-                503,
-                f"no target of pool {pool!r} is ready; retry later",
-                retry_after=1.0,
-            )
-        try:
-            return self._base.env.peers.call(
-                order[0].address, message, reply, seconds=seconds
-            )
-        except errors.PeerUnreachable as exc:
-            self._base.view.suspect(exc.address)
-            raise errors.Refused(
-                errors.Code.TARGET_FAILED,
-                502,
-                "the service's sidecar gave no answer",
-                ran=errors.Ran.UNKNOWN if exc.sent else errors.Ran.NO,
-                retry_after=1.0,
-            ) from None
-
 
 def _outcome_of(
     work: Callable[[], messages.Answer],
--- a/src/endivepier/history/messages.py
+++ b/src/endivepier/history/messages.py
@@ -5,8 +5,7 @@
 import dataclasses
 from typing import Literal
 
-import pydantic
-
+from endivepier.effects import messages as effect_messages
 from endivepier.history import records
 from endivepier.targets import ports as target_ports
 
@@ -93,25 +92,13 @@
         program_id: the program.
         account: the client account that makes the call.
         pool: the pool of the service.
-        method: HTTP method.
-        path: path and query at the service.
-        body: the content.
-        content_type: media type of the body.
-        idempotent: whether the call may be repeated.
-        idempotency_key: the caller's key for it, if it is not idempotent.
-        seconds: how long the caller waits.
+        request: what the service is asked; its kind is the program's.
     """
 
     program_id: str
     account: str
     pool: str
-    method: str
-    path: str
-    body: pydantic.Base64Bytes
-    content_type: str
-    idempotent: bool
-    idempotency_key: str
-    seconds: float
+    request: effect_messages.CallService
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from endivepier.effects import claims as claims_lib
+from endivepier.effects import client as client_lib
 from endivepier.effects import runner as runner_lib
 from endivepier.history import journal as journal_lib
 from endivepier.history import receipts as receipts_lib
@@ -59,8 +60,7 @@
             receipts=receipts_lib.Receipts(env.fleet_secret),
             router=self.router,
             current=self.current,
-            view=self.view,
-            peers=env.peers,
+            services=client_lib.Client(self.view, env.peers),
             timers=env.timers,
             ids=self.ids,
         )
--- a/src/endivepier/sidecar/programs.py
+++ b/src/endivepier/sidecar/programs.py
@@ -11,6 +11,7 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.configuration import current as current_lib
+from endivepier.effects import client as client_lib
 from endivepier.effects import messages as effect_messages
 from endivepier.history import journal as journal_lib
 from endivepier.history import messages
@@ -18,8 +19,6 @@
 from endivepier.history import records
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import peers as peers_lib
-from endivepier.membership import view as view_lib
-from endivepier.ownership import placement
 from endivepier.ownership import shards as shards_lib
 from endivepier.scheduling import router as router_lib
 from endivepier.scheduling import work as work_lib
@@ -52,8 +51,7 @@
         receipts: receipts_lib.Receipts,
         router: router_lib.Router,
         current: current_lib.Current,
-        view: view_lib.View,
-        peers: peers_lib.Peers,
+        services: client_lib.Client,
         timers: timers_lib.Timers,
         ids: ids_lib.Ids,
     ) -> None:
@@ -62,8 +60,7 @@
         self._receipts = receipts
         self._router = router
         self._current = current
-        self._view = view
-        self._peers = peers
+        self._services = services
         self._timers = timers
         self._ids = ids
         self._programs: dict[str, _Program] = {}
@@ -144,7 +141,8 @@
             self._check_open(row, 0)
             row = dataclasses.replace(row, calls=row.calls + 1)
             program.stored = self._journal.append(lease, program.stored, row)
-            return self._call_service(req, row.kind)
+            call = dataclasses.replace(req.request, kind=row.kind)
+            return self._services.send(req.pool, call)
 
     def _run(
         self,
@@ -294,48 +292,6 @@
         if age > budget.seconds:
             raise _over_budget(f"its {budget.seconds:.0f} s are over")
 
-    def _call_service(
-        self, req: messages.ProgramServiceCall, kind: str
-    ) -> effect_messages.ServiceAnswer:
-        candidates = self._view.ready("sidecar", req.pool)
-        order = placement.ranked(req.program_id, candidates)
-        if not order:
-            raise errors.Refused(
-                errors.Code.NOT_READY,
-                503,
-                f"no target of pool {req.pool!r} is ready; retry later",
-                retry_after=1.0,
-            )
-        call = effect_messages.CallService(
-            account=req.account,
-            program_id=req.program_id,
-            kind=kind,
-            method=req.method,
-            path=req.path,
-            body=req.body,
-            content_type=req.content_type,
-            idempotent=req.idempotent,
-            idempotency_key=req.idempotency_key,
-            seconds=req.seconds,
-        )
-        try:
-            answer: effect_messages.ServiceAnswer = self._peers.call(
-                order[0].address,
-                call,
-                effect_messages.ServiceAnswer,
-                seconds=req.seconds,
-            )
-        except errors.PeerUnreachable as exc:
-            self._view.suspect(exc.address)
-            raise errors.Refused(
-                errors.Code.TARGET_FAILED,
-                502,
-                "the service's sidecar gave no answer",
-                ran=errors.Ran.UNKNOWN if exc.sent else errors.Ran.NO,
-                retry_after=RETRY_SECONDS,
-            ) from None
-        return answer
-
     def _find(
         self, program_id: str, account: str
     ) -> tuple[shards_lib.Lease, _Program]:
