Membership without everybody asking everybody; graceful stop

Cause: each process sent a heartbeat to every other one twice a second, which grows with the square of the fleet. One timeout made a peer a suspect. A stop first ended the parts and then the servers, so that requests under way lost what they ran on; a host that the platform's list shows as leaving went on taking work.

Change: a round asks watched members, suspects and six others in turn; a refused connection or two timeouts in a row make a suspect; `watch` tells a waiting call that its peer is gone. A process that is listed as leaving says that it drains, and a draining sidecar refuses model calls itself with ran "no". A stop hands over, listens on for `--drain-seconds`, waits until no request runs, and only then ends the parts.

Conclusion: membership costs the same per process at any size of fleet.

--- a/src/endivepier/daemons/common.py
+++ b/src/endivepier/daemons/common.py
@@ -62,11 +62,16 @@
     """A process with its servers."""
 
     def __init__(
-        self, base: process.Base, servers: list[web.Server], shell: Shell
+        self,
+        base: process.Base,
+        servers: list[web.Server],
+        shell: Shell,
+        cfg: settings.ProcessSettings,
     ) -> None:
         self.base = base
         self.servers = servers
         self._shell = shell
+        self._cfg = cfg
 
     def start(self) -> None:
         """Listens, then starts the parts."""
@@ -76,11 +81,21 @@
         eliot.log_message("daemon:ready", address=self._shell.env.address)
 
     def stop(self) -> None:
-        """Stops gracefully: what runs ends, nothing new begins."""
+        """Stops gracefully: what runs ends, nothing new begins.
+
+        For the first seconds the process still listens, since the balancer
+        and other processes may not have noticed yet; then it waits until no
+        request runs.
+        """
+        timers = self._shell.env.timers
         eliot.log_message("daemon:draining", address=self._shell.env.address)
-        self.base.stop()
+        started = timers.now()
+        self.base.drain()
+        left = started + self._cfg.drain_seconds - timers.now()
+        timers.sleep(max(0.0, left))
         for server in self.servers:
-            server.stop()
+            server.stop(timers, self._cfg.stop_seconds)
+        self.base.stop()
         self._shell.tracer.stop()
 
     def kill(self) -> None:
--- a/src/endivepier/daemons/entry.py
+++ b/src/endivepier/daemons/entry.py
@@ -30,4 +30,4 @@
             private_key=cfg.tls_key,
         ),
     ]
-    return common.Daemon(entry, servers, shell)
+    return common.Daemon(entry, servers, shell, cfg)
--- a/src/endivepier/daemons/sidecar.py
+++ b/src/endivepier/daemons/sidecar.py
@@ -36,4 +36,4 @@
             )
     health.add_to(shell.app, base)
     servers = [web.Server(cfg.listen, shell.app)]
-    return common.Daemon(base, servers, shell)
+    return common.Daemon(base, servers, shell, cfg)
--- a/src/endivepier/internal/process.py
+++ b/src/endivepier/internal/process.py
@@ -10,6 +10,7 @@
 import dataclasses
 import random
 
+from endivepier import errors
 from endivepier import kernel as kernel_lib
 from endivepier import timers as timers_lib
 from endivepier.configuration import current as current_lib
@@ -22,6 +23,8 @@
 from endivepier.platform import commit
 from endivepier.telemetry import metrics as metrics_lib
 
+RETRY_SECONDS = 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Environment:
@@ -88,19 +91,45 @@
         )
 
     def effective_state(self) -> members.MemberState:
-        """Returns the state; READY only with a configuration in force."""
-        ready = self.state is members.MemberState.READY
-        if ready and not self.follower.has_read:
+        """Returns the state that others and the balancer shall see.
+
+        READY is said only with a configuration in force, and no more once
+        the platform's list says that this host leaves.
+        """
+        if self.state is not members.MemberState.READY:
+            return self.state
+        if not self.follower.has_read:
             return members.MemberState.STARTING
+        if self.view.leaving(self.env.address):
+            return members.MemberState.DRAINING
         return self.state
 
+    def check_ready(self) -> None:
+        """Raises unless this process takes new work.
+
+        Raises:
+            errors.Refused: `NOT_READY`; the work has not run.
+        """
+        state = self.effective_state()
+        if state is not members.MemberState.READY:
+            raise errors.Refused(
+                errors.Code.NOT_READY,
+                503,
+                f"this process is {state.value}; ask another one",
+                retry_after=RETRY_SECONDS,
+            )
+
     def start(self) -> None:
         """Starts all parts, then says that the process is ready."""
         self.kernel.start()
         self.state = members.MemberState.READY
 
-    def stop(self) -> None:
-        """Leaves readiness, then stops all parts."""
+    def drain(self) -> None:
+        """Leaves readiness and hands over; what runs goes on."""
         self.state = members.MemberState.DRAINING
+        self.kernel.drain()
+
+    def stop(self) -> None:
+        """Stops all parts; nothing may run here any more."""
         self.kernel.stop()
         self.state = members.MemberState.GONE
--- a/src/endivepier/internal/web.py
+++ b/src/endivepier/internal/web.py
@@ -15,17 +15,19 @@
 import gevent
 from gevent import pywsgi
 from gevent import socket
+import gevent.event
 import werkzeug.exceptions
 import werkzeug.routing
 import werkzeug.wrappers
+import werkzeug.wsgi
 
 from endivepier import errors
+from endivepier import timers as timers_lib
 from endivepier.internal import codec
 from endivepier.internal import problems
 
 SOCKET_KEY = "endivepier.socket"
 JSON_TYPE = "application/json"
-STOP_SECONDS = 30.0
 
 Handler = Callable[..., werkzeug.wrappers.Response]
 
@@ -116,6 +118,10 @@
         self._map = werkzeug.routing.Map(merge_slashes=False)
         self._handlers: dict[str, Handler] = {}
         self._body_limit = body_limit
+        self._active = 0
+        self._idle = gevent.event.Event()
+        self._idle.set()
+        self.closing = False
 
     def route(self, method: str, rule: str, handler: Handler) -> None:
         """Has `handler` answer `method` at paths like `rule`."""
@@ -129,7 +135,27 @@
         self, environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
         """Serves one request (WSGI)."""
-        return self._respond(environ)(environ, start_response)
+        self._active += 1
+        self._idle.clear()
+        try:
+            response = self._respond(environ)
+            if self.closing:
+                # A caller that keeps its connection would come back here.
+                response.headers["Connection"] = "close"
+            body = response(environ, start_response)
+        except BaseException:
+            self._ended()
+            raise
+        return werkzeug.wsgi.ClosingIterator(body, self._ended)
+
+    def wait_idle(self, timers: timers_lib.Timers, seconds: float) -> bool:
+        """Waits until no request runs; returns whether that came about."""
+        return timers.wait(self._idle, seconds)
+
+    def _ended(self) -> None:
+        self._active -= 1
+        if self._active == 0:
+            self._idle.set()
 
     def _respond(self, environ: dict[str, Any]) -> werkzeug.wrappers.Response:
         req = Request(environ)
@@ -203,6 +229,7 @@
             certificate: path of a PEM file, or empty for plain HTTP.
             private_key: path of a PEM file, or empty.
         """
+        self._app = app
         host, _, port = listen.rpartition(":")
         options = {}
         if certificate:
@@ -225,9 +252,15 @@
         """Listens; requests are served from now on."""
         self._server.start()
 
-    def stop(self) -> None:
-        """Stops listening and waits for the requests that run."""
-        self._server.stop(timeout=STOP_SECONDS)
+    def stop(self, timers: timers_lib.Timers, seconds: float) -> None:
+        """Stops listening, then waits for the requests that run.
+
+        Connections that are idle are closed without waiting for them.
+        """
+        self._app.closing = True
+        self._server.close()
+        self._app.wait_idle(timers, seconds)
+        self._server.stop(timeout=0)
 
     def kill(self) -> None:
         """Closes the listener and cuts off all that runs."""
--- a/src/endivepier/kernel.py
+++ b/src/endivepier/kernel.py
@@ -27,6 +27,14 @@
         """Stops the service gracefully; nothing of it runs afterwards."""
 
 
+@runtime_checkable
+class Drainable(Protocol):
+    """A service that has something to hand over before the process stops."""
+
+    def drain(self) -> None:
+        """Hands over; the service still answers while this runs."""
+
+
 class Kernel:
     """A registry of named services."""
 
@@ -72,6 +80,12 @@
             self.stop()
             raise
 
+    def drain(self) -> None:
+        """Has the services hand over, in reverse order."""
+        for service in reversed(self._services.values()):
+            if isinstance(service, Drainable):
+                service.drain()
+
     def stop(self) -> None:
         """Stops the started services in reverse order."""
         while self._started:
--- a/src/endivepier/membership/view.py
+++ b/src/endivepier/membership/view.py
@@ -1,17 +1,27 @@
 """This process's view of the others: host list, heartbeats, failed calls.
 
 The platform's list says who may be there, with a lag. Each process's own
-answers to heartbeats say what state it is in now. A failed call makes the
-peer a suspect until it answers a heartbeat again.
+answers to heartbeats say what state it is in now. A call that failed makes
+the peer a suspect until it answers a heartbeat again.
+
+A process does not send a heartbeat to everybody in each round, since that
+would cost messages in the square of the fleet's size. A round asks the
+suspects, the members that calls wait for, and some of the others in turn; a
+fleet of a few dozen processes is still covered every few seconds. Nothing
+that must hold depends on this view being right: a draining sidecar refuses
+new work itself, and a shard's former owner is fenced by the table.
 """
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Sequence
+import contextlib
 import dataclasses
 
-import gevent
+import gevent.event
 import gevent.pool
 
 from endivepier import errors
@@ -20,9 +30,29 @@
 from endivepier.membership import members
 from endivepier.platform import ports
 
-HEARTBEAT_SECONDS = 0.5
+ROUND_SECONDS = 0.5
 HEARTBEAT_TIMEOUT_SECONDS = 0.5
-CONCURRENT_HEARTBEATS = 32
+MISSES_UNTIL_SUSPECT = 2
+ROUND_ROBIN_HEARTBEATS = 6
+SUSPECT_HEARTBEATS = 4
+FIRST_HEARTBEATS = 64
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    """What is known of one member.
+
+    Attributes:
+        member: what it last said of itself.
+        first_ready: monotonic time when it first said that it is ready.
+        misses: heartbeats in a row that it did not answer.
+        suspect: whether it is to be left alone until it answers one.
+    """
+
+    member: members.Member
+    first_ready: float | None
+    misses: int = 0
+    suspect: bool = False
 
 
 class View:
@@ -48,14 +78,17 @@
         self._timers = timers
         self._describe = describe
         self._hosts: dict[str, ports.Host] = {}
-        self._members: dict[str, members.Member] = {}
-        self._suspects: set[str] = set()
+        self._known: dict[str, _Known] = {}
+        self._turn: collections.deque[str] = collections.deque()
+        self._watched: dict[str, list[gevent.event.Event]] = {}
+        self._listeners: list[Callable[[members.Member], object]] = []
         self._subscription: timers_lib.Subscription | None = None
 
     def start(self) -> None:
-        """Reads the list, asks everybody once, then goes on periodically."""
-        self.refresh()
-        self._subscription = self._timers.every(HEARTBEAT_SECONDS, self.refresh)
+        """Reads the list, asks many at once, then goes on in rounds."""
+        self._read_list()
+        self._ask_all(list(self._turn)[:FIRST_HEARTBEATS])
+        self._subscription = self._timers.every(ROUND_SECONDS, self.refresh)
 
     def stop(self) -> None:
         """Ends the heartbeats."""
@@ -66,6 +99,10 @@
         """Answers the heartbeats of others."""
         inbox.register(members.Heartbeat, members.Member, self._answer)
 
+    def subscribe(self, listener: Callable[[members.Member], object]) -> None:
+        """Calls `listener(member)` whenever a member says its state."""
+        self._listeners.append(listener)
+
     def ready(self, role: str, pool: str = "") -> Sequence[members.Member]:
         """Returns the members that take new work, in order of address.
 
@@ -85,39 +122,102 @@
     def everybody(self) -> Sequence[members.Member]:
         """Returns all members that answer, this process included."""
         me = self._describe()
-        known = {me.address: me}
-        for address, member in self._members.items():
-            if address not in self._suspects and address != me.address:
-                known[address] = member
-        return list(known.values())
+        found = {me.address: me}
+        for address, known in self._known.items():
+            if not known.suspect and address != me.address:
+                found[address] = known.member
+        return list(found.values())
 
     def find(self, address: str) -> members.Member | None:
         """Returns the member at `address` if it answers, else None."""
         me = self._describe()
         if address == me.address:
             return me
-        if address in self._suspects:
+        known = self._known.get(address)
+        if known is None or known.suspect:
             return None
-        return self._members.get(address)
+        return known.member
+
+    def age(self, address: str) -> float:
+        """Returns for how long a member has been ready, in seconds."""
+        known = self._known.get(address)
+        if known is None or known.first_ready is None:
+            return 0.0
+        return self._timers.now() - known.first_ready
+
+    def leaving(self, address: str) -> bool:
+        """Returns whether the platform's list says that a host leaves."""
+        host = self._hosts.get(address)
+        return host is not None and host.state is ports.HostState.LEAVING
 
     def suspect(self, address: str) -> None:
-        """Notes that a call to `address` failed."""
-        self._suspects.add(address)
+        """Notes that a call to `address` failed; the next round asks it."""
+        known = self._known.get(address)
+        if known is not None:
+            known.suspect = True
+        for lost in self._watched.get(address, ()):
+            lost.set()
+
+    def probe(self, address: str) -> members.Member | None:
+        """Asks a member now; returns what it says, or None."""
+        self._ask(address, self._describe())
+        return self.find(address)
+
+    @contextlib.contextmanager
+    def watch(self, address: str) -> Iterator[gevent.event.Event]:
+        """Has each round ask `address` for as long as the block runs.
+
+        Yields:
+            An event that is set once the member has become a suspect, so
+            that a call need not wait out its time for a frozen process.
+        """
+        lost = gevent.event.Event()
+        watchers = self._watched.setdefault(address, [])
+        watchers.append(lost)
+        try:
+            yield lost
+        finally:
+            watchers.remove(lost)
+            if not watchers:
+                self._watched.pop(address, None)
 
     def refresh(self) -> None:
-        """Reads the host list and sends a heartbeat to everybody on it."""
+        """Does a round: reads the host list and sends the heartbeats due."""
+        self._read_list()
+        due = dict.fromkeys(self._watched)
+        suspects = [a for a, known in self._known.items() if known.suspect]
+        due.update(dict.fromkeys(suspects[:SUSPECT_HEARTBEATS]))
+        for _ in range(min(ROUND_ROBIN_HEARTBEATS, len(self._turn))):
+            due[self._turn[0]] = None
+            self._turn.rotate(-1)
+        self._ask_all(list(due))
+
+    def _read_list(self) -> None:
+        """Takes the platform's list over; keeps the last one in an outage."""
         try:
             listed = self._host_list.hosts()
         except errors.Unavailable:
-            listed = list(self._hosts.values())
+            return
+        mine = self._describe().address
         self._hosts = {host.address: host for host in listed}
-        for address in list(self._members):
+        for address in list(self._known):
             if address not in self._hosts:
-                self._members.pop(address)
-                self._suspects.discard(address)
+                self._known.pop(address)
+                self.suspect(address)
+        for address in self._turn.copy():
+            if address not in self._hosts:
+                self._turn.remove(address)
+        present = set(self._turn)
+        self._turn.extendleft(
+            address
+            for address in self._hosts
+            if address != mine and address not in present
+        )
+
+    def _ask_all(self, addresses: Sequence[str]) -> None:
         me = self._describe()
-        pool = gevent.pool.Pool(CONCURRENT_HEARTBEATS)
-        for address in self._hosts:
+        pool = gevent.pool.Pool(FIRST_HEARTBEATS)
+        for address in addresses:
             if address != me.address:
                 pool.spawn(self._ask, address, me)
         pool.join()
@@ -131,17 +231,49 @@
                 members.Member,
                 seconds=HEARTBEAT_TIMEOUT_SECONDS,
             )
-        except (errors.PeerUnreachable, errors.Refused):
-            self._suspects.add(address)
+        except errors.PeerUnreachable as exc:
+            self._missed(address, refused=not exc.sent)
             return
-        host = self._hosts.get(address)
-        if host is not None and host.state is ports.HostState.LEAVING:
+        except errors.Refused:
+            self._missed(address, refused=True)
+            return
+        self._heard(member)
+
+    def _missed(self, address: str, *, refused: bool) -> None:
+        """Counts a heartbeat without an answer.
+
+        A refused connection tells that the process is gone. A timeout may
+        come from a pause, so it takes several in a row.
+        """
+        known = self._known.get(address)
+        if known is None:
+            return
+        known.misses += 1
+        if refused or known.misses >= MISSES_UNTIL_SUSPECT:
+            self.suspect(address)
+
+    def _heard(self, member: members.Member) -> None:
+        """Takes over what a member says of itself."""
+        if self.leaving(member.address):
             member = dataclasses.replace(
                 member, state=members.MemberState.DRAINING
             )
-        self._members[address] = member
-        self._suspects.discard(address)
+        known = self._known.get(member.address)
+        restarted = (
+            known is not None and known.member.incarnation != member.incarnation
+        )
+        if known is None or restarted:
+            known = _Known(member, None)
+            self._known[member.address] = known
+        known.member = member
+        known.misses = 0
+        known.suspect = False
+        ready = member.state is members.MemberState.READY
+        if ready and known.first_ready is None:
+            known.first_ready = self._timers.now()
+        for listener in self._listeners:
+            listener(member)
 
     def _answer(self, beat: members.Heartbeat) -> members.Member:
-        self._suspects.discard(beat.sender)
+        del beat
         return self._describe()
--- a/src/endivepier/scheduling/dispatch.py
+++ b/src/endivepier/scheduling/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 
 from endivepier import errors
@@ -28,10 +29,24 @@
         self._timers = timers
         self._metrics = metrics
 
-    def register(self, inbox: peers_lib.Inbox) -> None:
-        """Takes model calls that other sidecars send here."""
+    def register(
+        self, inbox: peers_lib.Inbox, check_ready: Callable[[], None]
+    ) -> None:
+        """Takes model calls that other sidecars send here.
+
+        Args:
+            inbox: where they arrive.
+            check_ready: raises while this process takes no new work.
+        """
+
+        def handle(
+            req: work_lib.Generate,
+        ) -> Iterator[target_ports.EngineEvent]:
+            check_ready()
+            yield from self.generate(req)
+
         inbox.register_stream(
-            work_lib.Generate, target_ports.EngineEvent, self.generate
+            work_lib.Generate, target_ports.EngineEvent, handle
         )
 
     def generate(
--- a/src/endivepier/settings.py
+++ b/src/endivepier/settings.py
@@ -72,6 +72,17 @@
         description="secret that all processes of the system share; "
         "set it by the environment",
     )
+    drain_seconds: float = pydantic.Field(
+        3.0,
+        ge=0,
+        description="seconds to go on listening after SIGTERM, until the "
+        "balancer and others have noticed",
+    )
+    stop_seconds: float = pydantic.Field(
+        90.0,
+        ge=0,
+        description="longest wait for running requests after that, in seconds",
+    )
     trace_export: spans.Exporter = pydantic.Field(
         spans.Exporter.NONE, description="where spans go: none, console, otlp"
     )
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -64,7 +64,7 @@
             timers=env.timers,
             ids=self.ids,
         )
-        self.dispatcher.register(env.inbox)
+        self.dispatcher.register(env.inbox, self.check_ready)
         self.programs.register(env.inbox)
 
     def describe(self) -> members.Member:
--- a/src/endivepier/standins/fleet.py
+++ b/src/endivepier/standins/fleet.py
@@ -9,7 +9,9 @@
 from collections.abc import Sequence
 import dataclasses
 import secrets
+from typing import Any
 
+import gevent
 from gevent import socket
 
 from endivepier import settings
@@ -29,6 +31,7 @@
 
 LOOPBACK = "127.0.0.1"
 SECRET_BYTES = 24
+DRAIN_SECONDS = 0.3
 
 
 def free_address() -> str:
@@ -125,8 +128,8 @@
 
     def stop(self) -> None:
         """Stops the daemons gracefully, then the stand-ins."""
-        for daemon in (*self.entries, *self.sidecars.values()):
-            daemon.stop()
+        for group in (self.entries, list(self.sidecars.values())):
+            gevent.joinall([gevent.spawn(daemon.stop) for daemon in group])
         for server in self._servers:
             server.kill()
 
@@ -134,7 +137,7 @@
         """Ends a sidecar at once, as a lost host does."""
         self.sidecars.pop(name).kill()
 
-    def _common(self, data_centre: str) -> dict[str, str]:
+    def _common(self, data_centre: str) -> dict[str, Any]:
         return {
             "listen": free_address(),
             "data_centre": data_centre,
@@ -142,6 +145,7 @@
             "objects_url": self._platform_url,
             "hosts_url": self._platform_url,
             "fleet_secret": self._secret,
+            "drain_seconds": DRAIN_SECONDS,
         }
 
     def _list(
--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -35,6 +35,7 @@
             "ENDIVEPIER_BOOTSTRAP_DIGEST": digest,
             "ENDIVEPIER_URL": self.url,
             "ENDIVEPIER_KEY": OPERATOR_KEY,
+            "ENDIVEPIER_DRAIN_SECONDS": "0.5",
         }
 
     def __enter__(self):
--- /dev/null
+++ b/tests/cover/test_membership.py
@@ -0,0 +1,173 @@
+import gevent
+import hypothesis
+from hypothesis import strategies as st
+
+from endivepier.membership import members
+from endivepier.membership import view as view_lib
+from endivepier.platform import ports
+from endivepier.standins import clock
+from endivepier.standins import hosts as hosts_lib
+from endivepier.standins import network as network_lib
+
+LAG = 1.0
+
+
+class _Fleet:
+    """Bare views on hosts in simulated time."""
+
+    def __init__(self, count):
+        self.timers = clock.VirtualTimers()
+        self.network = network_lib.Network(self.timers)
+        self.list = hosts_lib.MemoryHostList(self.timers, lag_seconds=LAG)
+        self.views = {}
+        self.states = {}
+        for number in range(count):
+            self.add(f"10.0.0.{number}:1")
+
+    def add(self, address):
+        self.put(address, ports.HostState.LIVE, at_once=True)
+        self.restart(address)
+
+    def put(self, address, state, **options):
+        host = ports.Host(address, "plateau", "sidecar", "t", state)
+        self.list.put(host, **options)
+
+    def restart(self, address):
+        host = self.network.add(address)
+        self.states[address] = members.MemberState.READY
+        incarnation = f"{address}@{self.timers.now()}"
+
+        def describe():
+            return members.Member(
+                address,
+                "sidecar",
+                "plateau",
+                pool="pool",
+                state=self.states[address],
+                incarnation=incarnation,
+            )
+
+        view = view_lib.View(self.list, host.peers, host.timers, describe)
+        view.register(host.inbox)
+        self.views[address] = view
+
+    def start(self):
+        tasks = [gevent.spawn(view.start) for view in self.views.values()]
+        self.timers.run(lambda: gevent.joinall(tasks))
+        self.timers.advance(5.0)
+
+    def seen(self, address):
+        return [m.address for m in self.views[address].ready("sidecar", "pool")]
+
+
+def test_everybody_is_seen_by_everybody():
+    fleet = _Fleet(20)
+    fleet.start()
+    for address in fleet.views:
+        assert fleet.seen(address) == sorted(fleet.views)
+
+
+def test_a_round_costs_the_same_whatever_the_size_of_the_fleet():
+    sent = []
+    for count in (20, 40):
+        fleet = _Fleet(count)
+        fleet.start()
+        before = fleet.network.messages
+        fleet.timers.advance(10.0)
+        sent.append((fleet.network.messages - before) / count)
+    assert sent[1] <= sent[0] * 1.05
+    most = view_lib.ROUND_ROBIN_HEARTBEATS * 10.0 / view_lib.ROUND_SECONDS
+    assert sent[1] <= 2 * most
+
+
+def test_a_listed_host_that_leaves_is_not_ready_after_the_lag_and_a_turn():
+    fleet = _Fleet(8)
+    fleet.start()
+    leaving = "10.0.0.3:1"
+    fleet.put(leaving, ports.HostState.LEAVING)
+    fleet.timers.advance(LAG + 3.0)
+    assert fleet.views[leaving].leaving(leaving)
+    for address in fleet.views:
+        if address != leaving:
+            assert leaving not in fleet.seen(address)
+
+
+def test_a_frozen_member_is_told_to_who_watches_it_and_comes_back():
+    fleet = _Fleet(12)
+    fleet.start()
+    frozen, watcher = "10.0.0.5:1", "10.0.0.0:1"
+
+    def main():
+        with fleet.views[watcher].watch(frozen) as lost:
+            fleet.network.hosts[frozen].freeze()
+            assert fleet.timers.wait(lost, 3.0)
+        assert fleet.views[watcher].find(frozen) is None
+        fleet.network.hosts[frozen].thaw()
+        fleet.timers.sleep(3.0)
+        assert fleet.views[watcher].find(frozen) is not None
+
+    fleet.timers.run(main)
+
+
+def test_one_missed_heartbeat_is_no_reason_to_suspect():
+    fleet = _Fleet(4)
+    fleet.start()
+    one, other = "10.0.0.0:1", "10.0.0.1:1"
+    fleet.network.hosts[other].freeze()
+    fleet.timers.run(lambda: fleet.views[one].probe(other))
+    assert fleet.views[one].find(other) is not None
+    fleet.timers.run(lambda: fleet.views[one].probe(other))
+    assert fleet.views[one].find(other) is None
+
+
+def test_a_restarted_member_is_young_again():
+    fleet = _Fleet(4)
+    fleet.start()
+    one, other = "10.0.0.0:1", "10.0.0.1:1"
+    old = fleet.views[one].find(other).incarnation
+    fleet.network.hosts[other].kill()
+    fleet.timers.advance(5.0)
+    assert fleet.views[one].find(other) is None
+    fleet.restart(other)
+    fleet.timers.run(fleet.views[other].start)
+    fleet.timers.advance(3.0)
+    assert fleet.views[one].find(other).incarnation != old
+    assert fleet.views[one].age(other) <= 3.0 < fleet.views[one].age(one) + 9
+
+
+@hypothesis.given(
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from(["freeze", "thaw", "kill", "restart", "cut"]),
+            st.integers(0, 4),
+            st.integers(0, 4),
+            st.floats(0.0, 4.0),
+        ),
+        max_size=8,
+    )
+)
+@hypothesis.settings(max_examples=12)
+def test_once_the_faults_are_over_everybody_is_seen_again(steps):
+    fleet = _Fleet(5)
+    fleet.start()
+    names = list(fleet.views)
+    for action, number, other, seconds in steps:
+        address = names[number]
+        host = fleet.network.hosts.get(address)
+        if action == "cut" and number != other:
+            fleet.network.cut(address, names[other])
+        elif action == "restart" and host is None:
+            fleet.restart(address)
+            gevent.spawn(fleet.views[address].start)
+        elif host is not None and action in ("freeze", "thaw", "kill"):
+            getattr(host, action)()
+        fleet.timers.advance(seconds)
+    fleet.network.mend_all()
+    for address in names:
+        if address not in fleet.network.hosts:
+            fleet.restart(address)
+            gevent.spawn(fleet.views[address].start)
+        fleet.network.hosts[address].thaw()
+    fleet.timers.advance(15.0)
+    for address in names:
+        assert fleet.seen(address) == names
