Release notes as deltas, with every fault named and freshness proven

Cause: the thin version wrote the whole state at each revision (4 MB a change at 14,000 accounts), knew a change id only while it was the head, told faults without place or fix, and went on serving for ever without store and peers.

--- a/src/endivepier/cli/main.py
+++ b/src/endivepier/cli/main.py
@@ -22,6 +22,7 @@
 from endivepier import errors
 from endivepier.cli import demo
 from endivepier.cli import entry
+from endivepier.cli import key
 from endivepier.cli import program
 from endivepier.cli import release
 from endivepier.cli import sidecar
@@ -47,7 +48,16 @@
     commands = parser.add_subparsers(
         title="commands", dest="command", required=True
     )
-    for module in (entry, sidecar, release, program, status, demo, standin):
+    for module in (
+        entry,
+        sidecar,
+        release,
+        key,
+        program,
+        status,
+        demo,
+        standin,
+    ):
         module.add_to(commands)
     return parser
 
--- /dev/null
+++ b/src/endivepier/configuration/changes.py
@@ -0,0 +1,143 @@
+"""What one release note changes: the delta from one revision to the next."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import dataclasses
+import hashlib
+from typing import Any
+
+from endivepier.configuration import state as state_lib
+from endivepier.internal import codec
+
+CHAIN_DIGITS = 32
+
+SECTIONS: Mapping[str, type[Any]] = {
+    "accounts": state_lib.Account,
+    "keys": state_lib.Key,
+    "pools": state_lib.Pool,
+    "targets": state_lib.Target,
+    "models": state_lib.Model,
+    "routes": state_lib.Route,
+    "kinds": state_lib.Kind,
+    "templates": state_lib.Template,
+}
+NAME_FIELDS: Mapping[str, str] = {"keys": "digest", "routes": "prefix"}
+
+
+def name_field(section: str) -> str:
+    """Returns the field that names the objects of a section."""
+    return NAME_FIELDS.get(section, "name")
+
+
+def name_of(section: str, item: Any) -> str:
+    """Returns the unique name of an object of a section."""
+    return str(getattr(item, name_field(section)))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Objects:
+    """Objects by section, in the order of the release note."""
+
+    accounts: tuple[state_lib.Account, ...] = ()
+    keys: tuple[state_lib.Key, ...] = ()
+    pools: tuple[state_lib.Pool, ...] = ()
+    targets: tuple[state_lib.Target, ...] = ()
+    models: tuple[state_lib.Model, ...] = ()
+    routes: tuple[state_lib.Route, ...] = ()
+    kinds: tuple[state_lib.Kind, ...] = ()
+    templates: tuple[state_lib.Template, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Names:
+    """Names of objects by section."""
+
+    accounts: tuple[str, ...] = ()
+    keys: tuple[str, ...] = ()
+    pools: tuple[str, ...] = ()
+    targets: tuple[str, ...] = ()
+    models: tuple[str, ...] = ()
+    routes: tuple[str, ...] = ()
+    kinds: tuple[str, ...] = ()
+    templates: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What a note does to a state.
+
+    Attributes:
+        put: objects that are added or changed, as they are afterwards.
+        withdrawn: names of the objects that are gone afterwards.
+    """
+
+    put: Objects
+    withdrawn: Names
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delta:
+    """The step from one revision to the next.
+
+    Attributes:
+        revision: the revision that it makes.
+        change_id: unique for the release note.
+        parent: chain of the state that it applies to.
+        title: the note's title.
+        accepted: Unix time of the acceptance, in seconds.
+        changes: what is different afterwards.
+    """
+
+    revision: int
+    change_id: str
+    parent: str
+    title: str
+    accepted: float
+    changes: Changes
+
+
+def follows(delta: Delta, state: state_lib.State) -> bool:
+    """Returns whether `delta` is the next step from `state`."""
+    return (delta.revision, delta.parent) == (state.revision + 1, state.chain)
+
+
+def applied(delta: Delta, state: state_lib.State) -> state_lib.State:
+    """Returns the state after a delta.
+
+    Raises:
+        ValueError: the delta does not follow the state.
+    """
+    if not follows(delta, state):
+        raise ValueError(
+            f"delta {delta.revision} does not follow revision {state.revision}"
+        )
+    result = with_changes(delta.changes, state)
+    return dataclasses.replace(
+        result, revision=delta.revision, chain=_chain(delta)
+    )
+
+
+def with_changes(changes: Changes, state: state_lib.State) -> state_lib.State:
+    """Returns the state with its objects changed, at the same revision."""
+    maps: dict[str, Any] = {}
+    for section in SECTIONS:
+        put = getattr(changes.put, section)
+        withdrawn = getattr(changes.withdrawn, section)
+        if not put and not withdrawn:
+            continue
+        objects = dict(getattr(state, section))
+        for item in put:
+            objects[name_of(section, item)] = item
+        for name in withdrawn:
+            objects.pop(name, None)
+        maps[section] = objects
+    began = state.operators_began or any(
+        key.role is state_lib.Role.OPERATOR for key in changes.put.keys
+    )
+    return dataclasses.replace(state, operators_began=began, **maps)
+
+
+def _chain(delta: Delta) -> str:
+    """Returns the digest over a delta and, by its parent, all before it."""
+    return hashlib.sha256(codec.encode(delta)).hexdigest()[:CHAIN_DIGITS]
--- a/src/endivepier/configuration/keys.py
+++ b/src/endivepier/configuration/keys.py
@@ -8,6 +8,7 @@
 
 from endivepier import errors
 from endivepier.configuration import current as current_lib
+from endivepier.configuration import freshness as freshness_lib
 from endivepier.configuration import state as state_lib
 
 KEY_BYTES = 32
@@ -43,27 +44,51 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+def bearer(authorization: str | None) -> str:
+    """Returns the key that a header carries; empty if it carries none."""
+    given = authorization or ""
+    if given[: len(SCHEME)].lower() != SCHEME:
+        return ""
+    return given[len(SCHEME) :].strip()
+
+
 class Authenticator:
     """Tells from the header of a request who makes it."""
 
-    def __init__(self, current: current_lib.Current) -> None:
+    def __init__(
+        self,
+        current: current_lib.Current,
+        freshness: freshness_lib.Freshness,
+    ) -> None:
         self._current = current
+        self._freshness = freshness
 
     def caller(self, authorization: str | None) -> Caller:
         """Returns who the header speaks for.
 
         Raises:
-            errors.Refused: `UNAUTHENTICATED`, for all wrong keys alike.
+            errors.Refused: `UNAUTHENTICATED`, for all wrong keys alike;
+                `NOT_READY` while this process must not serve.
         """
-        given = authorization or ""
-        if given[: len(SCHEME)].lower() != SCHEME:
-            raise _unauthenticated()
-        digest = digest_of(given[len(SCHEME) :].strip())
+        self._freshness.check()
+        given = bearer(authorization)
+        # The look-up is by digest: how long it takes tells at most something
+        # about the digest of a guess, and nobody can choose a guess whose
+        # digest comes closer to a stored one.
+        digest = digest_of(given)
         key = self._current.state.keys.get(digest)
         if key is None:
             raise _unauthenticated()
         return Caller(key.account, digest, key.role)
 
+    def check_serving(self, ran: errors.Ran = errors.Ran.NO) -> None:
+        """Refuses a request while this process must not serve.
+
+        Raises:
+            errors.Refused: `NOT_READY`.
+        """
+        self._freshness.check(ran)
+
     def holds(self, caller: Caller) -> bool:
         """Returns whether the caller's key is still in force."""
         if not caller.digest:
--- a/src/endivepier/configuration/state.py
+++ b/src/endivepier/configuration/state.py
@@ -5,8 +5,26 @@
 from collections.abc import Mapping
 import dataclasses
 import enum
+from typing import Annotated
+
+import pydantic
 
 DEFAULT_SHARDS = 64
+MAX_SHARDS = 999_999
+
+# The bounds stand with the types, and are checked wherever JSON or TOML
+# comes in: at release notes, rows of the table and messages of peers.
+Name = Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:/@-]{0,99}$")
+]
+PoolName = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9-]{1,40}$")]
+Digest = Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
+Prefix = Annotated[str, pydantic.Field(pattern=r"^/[^?#\s]{0,199}$")]
+Label = Annotated[str, pydantic.Field(max_length=200)]
+Positive = Annotated[float, pydantic.Field(gt=0, le=1e9, allow_inf_nan=False)]
+Burst = Annotated[float, pydantic.Field(ge=1, le=1e9, allow_inf_nan=False)]
+Count = Annotated[int, pydantic.Field(ge=0, le=10**12)]
+Shards = Annotated[int, pydantic.Field(ge=1, le=MAX_SHARDS)]
 
 
 class Role(enum.StrEnum):
@@ -34,10 +52,10 @@
         weight: share of the targets relative to other accounts.
     """
 
-    name: str
-    rate: float
-    burst: float
-    weight: float = 1.0
+    name: Name
+    rate: Positive
+    burst: Burst
+    weight: Positive = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,10 +69,10 @@
         label: what people call it.
     """
 
-    digest: str
-    account: str
+    digest: Digest
+    account: Label = ""
     role: Role = Role.CALLER
-    label: str = ""
+    label: Label = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,9 +85,9 @@
         shards: into how many parts its programs are divided, for engines.
     """
 
-    name: str
+    name: PoolName
     kind: PoolKind
-    shards: int = DEFAULT_SHARDS
+    shards: Shards = DEFAULT_SHARDS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,8 +101,8 @@
         tells_outcome: whether it answers status queries by idempotency key.
     """
 
-    name: str
-    pool: str
+    name: Name
+    pool: Label
     checks_fence: bool = False
     tells_outcome: bool = False
 
@@ -100,10 +118,10 @@
         adapter: adapter on top of the weights, or empty.
     """
 
-    name: str
-    pool: str
-    version: str = "1"
-    adapter: str = ""
+    name: Name
+    pool: Label
+    version: Label = "1"
+    adapter: Label = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,8 +135,8 @@
         idempotent: whether calls may be repeated.
     """
 
-    prefix: str
-    pool: str
+    prefix: Prefix
+    pool: Label
     open: bool = False
     idempotent: bool = False
 
@@ -132,8 +150,8 @@
         weight: worth of one completed request.
     """
 
-    name: str
-    weight: float = 1.0
+    name: Name
+    weight: Positive = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,12 +167,12 @@
         seconds: budget of wall time, in seconds.
     """
 
-    name: str
-    model: str
-    kind: str = "standard"
-    tokens: int = 20000
-    calls: int = 100
-    seconds: float = 3600.0
+    name: Name
+    model: Label
+    kind: Label = "standard"
+    tokens: Count = 20000
+    calls: Count = 100
+    seconds: Positive = 3600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,9 +180,26 @@
     """Everything that release notes declare, as of one revision.
 
     The maps are keyed by each object's unique name and are never changed.
+
+    Attributes:
+        revision: counts accepted release notes.
+        chain: digest over all changes up to this revision; two processes
+            with the same chain have the same state.
+        operators_began: whether an operator's key was ever granted, which
+            ends the bootstrap key for good.
+        accounts: the client accounts.
+        keys: the keys, by digest.
+        pools: the target pools.
+        targets: the targets.
+        models: the models and adapters.
+        routes: the routes, by prefix.
+        kinds: the kinds of requests.
+        templates: the templates of programs.
     """
 
     revision: int = 0
+    chain: str = ""
+    operators_began: bool = False
     accounts: Mapping[str, Account] = dataclasses.field(default_factory=dict)
     keys: Mapping[str, Key] = dataclasses.field(default_factory=dict)
     pools: Mapping[str, Pool] = dataclasses.field(default_factory=dict)
--- a/src/endivepier/configuration/store.py
+++ b/src/endivepier/configuration/store.py
@@ -1,22 +1,39 @@
-"""The revisions in the table: accepted by compare-and-set, then followed."""
+"""The revisions in the table: accepted by compare-and-set, read back.
+
+The head row names the newest revision. Each revision has a row with its
+delta, and each change id a row with the revision that it made; all three are
+written in one transaction, so that a change is there whole or not at all.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
+import hashlib
+import re
 
 from endivepier import errors
 from endivepier import timers as timers_lib
+from endivepier.configuration import changes as changes_lib
+from endivepier.configuration import checking
 from endivepier.configuration import current as current_lib
 from endivepier.configuration import notes
+from endivepier.configuration import snapshots as snapshots_lib
 from endivepier.configuration import state as state_lib
 from endivepier.internal import codec
 from endivepier.platform import commit
 from endivepier.platform import ports
 
 HEAD_KEY = "config/head"
-REVISION_PREFIX = "config/revision/"
-FOLLOW_SECONDS = 0.5
+DELTA_PREFIX = "config/delta/"
+CHANGE_PREFIX = "config/change/"
 APPLY_SECONDS = 10.0
+PAGE_ROWS = 500
+RETAINED_REVISIONS = 100_000
+SNAPSHOT_TRIES = 8
+MAX_BEHIND = snapshots_lib.SNAPSHOT_EVERY
+CHANGE_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,100}")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,116 +51,293 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accepted:
-    """The answer to a note that was accepted."""
+    """The answer to a note that was accepted.
+
+    Attributes:
+        revision: the revision that it made.
+        change_id: unique for the note.
+    """
 
     revision: int
     change_id: str
 
 
-def revision_key(revision: int) -> str:
-    """Returns the key of a revision's row."""
-    return f"{REVISION_PREFIX}{revision:09d}"
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """The table's row about one change id.
+
+    Attributes:
+        revision: the revision that it made.
+        digest: digest of the note's text.
+    """
+
+    revision: int
+    digest: str
+
+
+def delta_key(revision: int) -> str:
+    """Returns the key of a delta's row."""
+    return f"{DELTA_PREFIX}{revision:09d}"
 
 
 class Store:
     """Reads and writes revisions."""
 
-    def __init__(self, table: ports.Table, committer: commit.Committer) -> None:
+    def __init__(
+        self,
+        table: ports.Table,
+        objects: ports.Objects,
+        committer: commit.Committer,
+        timers: timers_lib.Timers,
+    ) -> None:
         self._table = table
+        self._snapshots = snapshots_lib.Snapshots(table, objects)
         self._committer = committer
+        self._timers = timers
 
-    def read(self, revision: int | None = None) -> state_lib.State:
-        """Returns the state at a revision, or at the head.
+    def head(self) -> int:
+        """Returns the newest revision.
 
         Raises:
             errors.Unavailable: the table did not answer.
-            errors.Refused: `NOT_FOUND`, if there is no such revision.
         """
-        if revision is None:
-            row = self._table.get(HEAD_KEY)
-            if row is None:
-                return state_lib.State()
-            revision = codec.decode(Head, row.value).revision
-        if revision == 0:
-            return state_lib.State()
-        row = self._table.get(revision_key(revision))
-        if row is None:
+        row = self._table.get(HEAD_KEY)
+        return 0 if row is None else codec.decode(Head, row.value).revision
+
+    def read(
+        self,
+        revision: int | None = None,
+        start: state_lib.State | None = None,
+    ) -> state_lib.State:
+        """Returns the state at a revision, or at the head.
+
+        Args:
+            revision: which one; None for the head.
+            start: a state that is known, to read on from if it is older.
+
+        Raises:
+            errors.Unavailable: the platform did not answer.
+            errors.Refused: `NOT_FOUND`, if there is no such revision, or
+                it is no longer kept.
+        """
+        wanted = self.head() if revision is None else revision
+        state = start or state_lib.State()
+        if state.revision > wanted or wanted - state.revision > MAX_BEHIND:
+            state = self._snapshots.newest(wanted)
+        for delta in self.deltas(state.revision, wanted):
+            state = changes_lib.applied(delta, state)
+        if state.revision != wanted:
             raise errors.Refused(
-                errors.Code.NOT_FOUND, 404, f"there is no revision {revision}"
+                errors.Code.NOT_FOUND,
+                404,
+                f"there is no revision {wanted}; the newest "
+                f"{RETAINED_REVISIONS} are kept",
             )
-        state: state_lib.State = codec.decode(state_lib.State, row.value)
         return state
 
-    def apply(self, note: notes.Note, change_id: str) -> Accepted:
+    def catch_up(self, current: current_lib.Current) -> ports.Row | None:
+        """Brings a process's configuration up to the head.
+
+        Returns:
+            The row of the head, or None before the first note.
+
+        Raises:
+            errors.Unavailable: the platform did not answer, or a revision
+                is missing.
+        """
+        row = self._table.get(HEAD_KEY)
+        head = 0 if row is None else codec.decode(Head, row.value).revision
+        known = current.state
+        if head - known.revision > MAX_BEHIND:
+            current.advance(self.read(head, known))
+        elif head > known.revision:
+            current.extend(self.deltas(known.revision, head))
+        if current.state.revision < head:
+            raise errors.Unavailable(
+                f"revisions after {current.state.revision} can't be read"
+            )
+        return row
+
+    def deltas(self, after: int, upto: int) -> Sequence[changes_lib.Delta]:
+        """Returns the deltas after one revision, up to another.
+
+        Raises:
+            errors.Unavailable: the table did not answer.
+        """
+        found: list[changes_lib.Delta] = []
+        while after < upto:
+            rows = self._table.scan(
+                DELTA_PREFIX,
+                after=delta_key(after),
+                limit=min(PAGE_ROWS, upto - after),
+            )
+            if not rows:
+                break
+            page = [codec.decode(changes_lib.Delta, row.value) for row in rows]
+            if page[0].revision != after + 1:
+                break
+            found.extend(page)
+            after = page[-1].revision
+        return found
+
+    def apply(
+        self,
+        text: str,
+        change_id: str,
+        current: current_lib.Current,
+        permit: Callable[[], object],
+    ) -> Accepted:
         """Accepts a note whole, or not at all.
 
+        When this returns, the note is in force on this process.
+
+        Args:
+            text: the note.
+            change_id: the same at each try of the same change.
+            current: the configuration of this process.
+            permit: raises if the operator may not do this at the revision
+                that is in force when it is called.
+
         Raises:
             errors.Refused: `CONFLICT` if another note came first,
-                `BAD_REQUEST` if the note is wrong.
-            errors.Unavailable: it certainly was not accepted.
+                `BAD_REQUEST` if the note is wrong, `KEY_REUSED` if another
+                note has the change id.
+            errors.Unavailable: this try certainly had no effect.
             errors.OutcomeUnknown: it may have been accepted; repeat it with
                 the same change id.
         """
-        row = self._table.get(HEAD_KEY)
-        condition: ports.Condition = ports.Absent(HEAD_KEY)
-        state = state_lib.State()
-        if row is not None:
-            head = codec.decode(Head, row.value)
-            if head.change_id == change_id:
-                return Accepted(head.revision, change_id)
-            condition = ports.VersionIs(HEAD_KEY, row.version)
-            state = self.read(head.revision)
-        result = notes.apply(note, state)
-        value = codec.encode(Head(result.revision, change_id))
-        txn = ports.Transaction(
-            (condition,),
-            (
-                ports.Put(HEAD_KEY, value),
-                ports.Put(revision_key(result.revision), codec.encode(result)),
-            ),
+        _check_change_id(change_id)
+        digest = hashlib.sha256(text.encode()).hexdigest()
+        known = self._accepted(change_id, digest)
+        head = self.catch_up(current)
+        permit()
+        if known is not None:
+            return known
+        note = notes.parse(text)
+        state = current.state
+        revision = 0
+        if head is not None:
+            revision = codec.decode(Head, head.value).revision
+        if state.revision != revision:
+            raise _conflict("another release note was accepted just now")
+        if note.based_on not in (None, revision):
+            raise _conflict(
+                f"the note is based on revision {note.based_on}, but the "
+                f"head is {revision}"
+            )
+        delta = changes_lib.Delta(
+            revision=revision + 1,
+            change_id=change_id,
+            parent=state.chain,
+            title=note.title,
+            accepted=self._timers.wall(),
+            changes=checking.resolve(note, state),
         )
-        proof = commit.Proof(HEAD_KEY, lambda found: found == value)
+        accepted = self._commit(delta, digest, head)
+        if not current.extend((delta,)):
+            self._catch_up_to(accepted, current)
+        return accepted
+
+    def keep_snapshot(self, state: state_lib.State) -> None:
+        """Writes a snapshot if one is due at this revision."""
+        past = state.revision % snapshots_lib.SNAPSHOT_EVERY
+        if state.revision == past or past >= SNAPSHOT_TRIES:
+            return
         try:
-            self._committer.commit(txn, proof, seconds=APPLY_SECONDS)
-        except errors.ConditionFailed:
+            if not self._snapshots.has_any(state.revision - past):
+                self._snapshots.write(state)
+        except (errors.Unavailable, errors.OutcomeUnknown):
+            return
+
+    def _accepted(self, change_id: str, digest: str) -> Accepted | None:
+        """Returns what the change id made earlier, or None."""
+        row = self._table.get(CHANGE_PREFIX + change_id)
+        if row is None:
+            return None
+        change = codec.decode(Change, row.value)
+        if change.digest != digest:
             raise errors.Refused(
-                errors.Code.CONFLICT,
+                errors.Code.KEY_REUSED,
                 409,
-                "another release note was accepted first; check yours "
-                "against the new revision and apply it again",
-            ) from None
-        return Accepted(result.revision, change_id)
+                f"change id {change_id!r} is that of another release note, "
+                f"which made revision {change.revision}; take a new one",
+            )
+        return Accepted(change.revision, change_id)
 
+    def _catch_up_to(
+        self, accepted: Accepted, current: current_lib.Current
+    ) -> None:
+        """Puts what was accepted in force here, too.
 
-class Follower:
-    """Keeps this process's configuration at the head."""
+        Raises:
+            errors.OutcomeUnknown: it is accepted, but can't be read here.
+        """
+        try:
+            self.catch_up(current)
+        except errors.Unavailable as exc:
+            raise errors.OutcomeUnknown(str(exc)) from None
+        if current.state.revision < accepted.revision:
+            raise errors.OutcomeUnknown("the head is behind what it was")
 
-    def __init__(
-        self,
-        store: Store,
-        current: current_lib.Current,
-        timers: timers_lib.Timers,
-    ) -> None:
-        self._store = store
-        self._current = current
-        self._timers = timers
-        self._subscription: timers_lib.Subscription | None = None
-        self.has_read = False
+    def _commit(
+        self, delta: changes_lib.Delta, digest: str, head: ports.Row | None
+    ) -> Accepted:
+        key = CHANGE_PREFIX + delta.change_id
+        value = codec.encode(Change(delta.revision, digest))
+        condition: ports.Condition = ports.Absent(HEAD_KEY)
+        if head is not None:
+            condition = ports.VersionIs(HEAD_KEY, head.version)
+        writes: list[ports.Write] = [
+            ports.Put(
+                HEAD_KEY, codec.encode(Head(delta.revision, delta.change_id))
+            ),
+            ports.Put(delta_key(delta.revision), codec.encode(delta)),
+            ports.Put(key, value),
+        ]
+        writes.extend(self._outdated(delta.revision))
+        txn = ports.Transaction((ports.Absent(key), condition), tuple(writes))
+        # The proof is the change's own row, which nobody overwrites. The head
+        # may have moved on by the time that it is read back.
+        proof = commit.Proof(key, lambda found: found == value)
+        try:
+            self._committer.commit(txn, proof, seconds=APPLY_SECONDS)
+        except errors.ConditionFailed:
+            # The same change may have come in by another entry host.
+            known = self._accepted(delta.change_id, digest)
+            if known is not None:
+                return known
+            raise _conflict("another release note was accepted first") from None
+        return Accepted(delta.revision, delta.change_id)
 
-    def start(self) -> None:
-        """Reads the head, then follows it."""
-        self.poll()
-        self._subscription = self._timers.every(FOLLOW_SECONDS, self.poll)
+    def _outdated(self, revision: int) -> Sequence[ports.Write]:
+        """Returns the writes that forget the revision that is too old."""
+        old = revision - RETAINED_REVISIONS
+        if old <= 0:
+            return ()
+        row = self._table.get(delta_key(old))
+        if row is None:
+            return ()
+        delta = codec.decode(changes_lib.Delta, row.value)
+        return (
+            ports.Delete(row.key),
+            ports.Delete(CHANGE_PREFIX + delta.change_id),
+        )
 
-    def stop(self) -> None:
-        """Stops following."""
-        if self._subscription is not None:
-            self._subscription.cancel()
 
-    def poll(self) -> None:
-        """Reads the head once; keeps what is there if it can't be read."""
-        try:
-            self._current.advance(self._store.read())
-        except (errors.Unavailable, errors.Refused):
-            return
-        self.has_read = True
+def _check_change_id(change_id: str) -> None:
+    if CHANGE_ID_PATTERN.fullmatch(change_id) is None:
+        raise errors.Refused(
+            errors.Code.BAD_REQUEST,
+            400,
+            "send a change id of 1 to 100 letters, digits and '._-', the "
+            "same at each try of the same change",
+        )
+
+
+def _conflict(detail: str) -> errors.Refused:
+    return errors.Refused(
+        errors.Code.CONFLICT,
+        409,
+        detail + "; nothing of yours is in force: check it against the new "
+        "revision and apply it again",
+    )
--- a/src/endivepier/entry/documents.py
+++ b/src/endivepier/entry/documents.py
@@ -7,6 +7,7 @@
 
 import pydantic
 
+from endivepier.configuration import notes
 from endivepier.history import records
 from endivepier.membership import members
 
@@ -92,3 +93,52 @@
     """All processes with their states and revisions."""
 
     members: tuple[members.Member, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckDocument:
+    """What a check of a release note against the head has found.
+
+    Attributes:
+        revision: the revision that it was checked against.
+        faults: everything that is wrong with it.
+    """
+
+    revision: int
+    faults: tuple[notes.Fault, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProcessRevision:
+    """The revision in force on one process.
+
+    Attributes:
+        address: "ip:port" of the process.
+        role: "entry" or "sidecar"; empty if it does not answer.
+        data_centre: the data centre's name; empty if it does not answer.
+        state: what it says of itself; empty if it does not answer.
+        revision: the revision; None if it does not answer.
+        lags: whether that is older than the head.
+    """
+
+    address: str
+    role: str
+    data_centre: str
+    state: str
+    revision: int | None
+    lags: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseStatus:
+    """The head, and the revision in force on each process.
+
+    Attributes:
+        head: the newest revision that the entry host knows.
+        from_table: whether the table service was read for it just now.
+        processes: all processes, also those that don't answer.
+    """
+
+    head: int
+    from_table: bool
+    processes: tuple[ProcessRevision, ...]
--- a/src/endivepier/entry/operators.py
+++ b/src/endivepier/entry/operators.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import hmac
+
 import werkzeug.wrappers
 
 from endivepier import errors
+from endivepier.configuration import checking
 from endivepier.configuration import keys as keys_lib
 from endivepier.configuration import notes
 from endivepier.configuration import state as state_lib
+from endivepier.configuration import store as store_lib
 from endivepier.entry import documents
 from endivepier.internal import process
 from endivepier.internal import web
 
 CHANGE_ID_HEADER = "X-Endivepier-Change-Id"
+RETRY_SECONDS = 1.0
 
 
 class Operators:
@@ -34,39 +39,87 @@
         app.route("POST", "/v1/operators/releases/check", self.check)
         app.route("GET", "/v1/operators/releases/<int:revision>", self.show)
         app.route("GET", "/v1/operators/releases/head", self.show)
+        app.route("GET", "/v1/operators/releases/status", self.revisions)
         app.route("GET", "/v1/operators/status", self.status)
 
     def apply(self, req: web.Request) -> werkzeug.wrappers.Response:
         """Accepts a release note whole, or not at all."""
         self._check_operator(req)
-        note = notes.parse(_text(req))
-        change_id = req.headers.get(CHANGE_ID_HEADER, "")
-        if not change_id:
-            raise errors.Refused(
-                errors.Code.BAD_REQUEST,
-                400,
-                f"send a unique {CHANGE_ID_HEADER}, the same at each retry",
-            )
         try:
-            accepted = self._base.store.apply(note, change_id)
+            accepted = self._base.store.apply(
+                _text(req),
+                req.headers.get(CHANGE_ID_HEADER, ""),
+                self._base.current,
+                lambda: self._check_operator(req),
+            )
         except errors.Unavailable:
             raise _store_down(errors.Ran.NO) from None
         except errors.OutcomeUnknown:
             raise _store_down(errors.Ran.UNKNOWN) from None
+        self._spread(accepted)
         return web.json_response(accepted, 201)
 
     def check(self, req: web.Request) -> werkzeug.wrappers.Response:
         """Tells all faults of a note without accepting it."""
         self._check_operator(req)
-        note = notes.parse(_text(req))
-        return web.json_response(notes.apply(note, self._read(None)))
+        self._catch_up()
+        state = self._base.current.state
+        faults: tuple[notes.Fault, ...] = ()
+        try:
+            checking.resolve(notes.parse(_text(req)), state)
+        except notes.Faulty as exc:
+            faults = exc.faults
+        return web.json_response(
+            documents.CheckDocument(state.revision, faults)
+        )
 
     def show(
         self, req: web.Request, revision: int | None = None
     ) -> werkzeug.wrappers.Response:
         """Shows the state at a revision or at the head."""
         self._check_operator(req)
-        return web.json_response(self._read(revision))
+        if revision is None:
+            self._catch_up()
+            return web.json_response(self._base.current.state)
+        try:
+            state = self._base.store.read(revision, self._base.current.state)
+        except errors.Unavailable:
+            raise _store_down(errors.Ran.NO) from None
+        return web.json_response(state)
+
+    def revisions(self, req: web.Request) -> werkzeug.wrappers.Response:
+        """Shows the revision in force on each process."""
+        self._check_operator(req)
+        try:
+            self._base.store.catch_up(self._base.current)
+            from_table = True
+        except errors.Unavailable:
+            from_table = False
+        members = {
+            member.address: member for member in self._base.view.everybody()
+        }
+        newest = max(member.revision for member in members.values())
+        head = max(self._base.current.state.revision, newest)
+        rows = [
+            documents.ProcessRevision(
+                member.address,
+                member.role,
+                member.data_centre,
+                member.state.value,
+                member.revision,
+                member.revision < head,
+            )
+            for member in members.values()
+        ]
+        rows.extend(
+            documents.ProcessRevision(address, "", "", "", None, True)
+            for address in self._base.view.listed()
+            if address not in members
+        )
+        rows.sort(key=lambda row: row.address)
+        return web.json_response(
+            documents.ReleaseStatus(head, from_table, tuple(rows))
+        )
 
     def status(self, req: web.Request) -> werkzeug.wrappers.Response:
         """Shows all processes with the revision in force on each."""
@@ -76,14 +129,29 @@
         )
         return web.json_response(documents.StatusDocument(tuple(members)))
 
-    def _read(self, revision: int | None) -> state_lib.State:
+    def _spread(self, accepted: store_lib.Accepted) -> None:
+        """Tells the others; keeps a snapshot in a task of its own."""
+        self._base.follower.announce(accepted.revision)
+        state = self._base.current.state
+        if state.revision == accepted.revision:
+            self._base.env.timers.after(
+                0.0, lambda: self._base.store.keep_snapshot(state)
+            )
+
+    def _catch_up(self) -> None:
         try:
-            return self._base.store.read(revision)
+            self._base.store.catch_up(self._base.current)
         except errors.Unavailable:
             raise _store_down(errors.Ran.NO) from None
 
     def _check_operator(self, req: web.Request) -> None:
+        """Refuses whoever gives no operator's key that is in force.
+
+        Raises:
+            errors.Refused: `UNAUTHENTICATED`, `FORBIDDEN`, or `NOT_READY`.
+        """
         authorization = req.headers.get("Authorization", "")
+        self._auth.check_serving()
         if self._is_bootstrap(authorization):
             return
         caller = self._auth.caller(authorization)
@@ -93,15 +161,15 @@
             )
 
     def _is_bootstrap(self, authorization: str) -> bool:
-        """Returns whether the bootstrap key was given and is in force."""
-        granted = any(
-            key.role is state_lib.Role.OPERATOR
-            for key in self._base.current.state.keys.values()
-        )
-        if granted or not self._bootstrap:
+        """Returns whether the bootstrap key was given and is in force.
+
+        It is in force only until an operator's key was granted for the first
+        time, whatever became of that key since.
+        """
+        if not self._bootstrap or self._base.current.state.operators_began:
             return False
-        given = authorization[len(keys_lib.SCHEME) :].strip()
-        return keys_lib.digest_of(given) == self._bootstrap
+        digest = keys_lib.digest_of(keys_lib.bearer(authorization))
+        return hmac.compare_digest(digest, self._bootstrap)
 
 
 def _text(req: web.Request) -> str:
@@ -119,5 +187,5 @@
         503,
         "the table service gives no answer; retry with the same change id",
         ran=ran,
-        retry_after=1.0,
+        retry_after=RETRY_SECONDS,
     )
--- a/src/endivepier/entry/parts.py
+++ b/src/endivepier/entry/parts.py
@@ -22,7 +22,9 @@
         bootstrap_digest: str = "",
     ) -> None:
         super().__init__(env, "entry")
-        self.authenticator = keys_lib.Authenticator(self.current)
+        self.authenticator = keys_lib.Authenticator(
+            self.current, self.follower.freshness
+        )
         self.limiter = limiter_lib.Limiter(
             self.current, env.timers, lambda: len(self.view.ready("entry"))
         )
--- a/src/endivepier/internal/process.py
+++ b/src/endivepier/internal/process.py
@@ -13,6 +13,7 @@
 from endivepier import kernel as kernel_lib
 from endivepier import timers as timers_lib
 from endivepier.configuration import current as current_lib
+from endivepier.configuration import follower as follower_lib
 from endivepier.configuration import store as store_lib
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import peers as peers_lib
@@ -62,14 +63,28 @@
         self.committer = commit.Committer(
             env.platform.table, env.timers, env.rng
         )
-        self.store = store_lib.Store(env.platform.table, self.committer)
-        self.follower = store_lib.Follower(self.store, self.current, env.timers)
+        self.store = store_lib.Store(
+            env.platform.table,
+            env.platform.objects,
+            self.committer,
+            env.timers,
+        )
         self._role = role
         self._target = target
         self.view = view_lib.View(
             env.platform.hosts, env.peers, env.timers, self.describe
         )
         self.view.register(env.inbox)
+        self.follower = follower_lib.Follower(
+            self.store,
+            self.current,
+            self.view,
+            env.peers,
+            env.timers,
+            self.metrics,
+            env.rng,
+        )
+        self.follower.register(env.inbox)
         self.kernel.register("configuration", self.follower)
         self.kernel.register("membership", self.view)
 
@@ -88,9 +103,9 @@
         )
 
     def effective_state(self) -> members.MemberState:
-        """Returns the state; READY only with a configuration in force."""
+        """Returns the state; READY only with a fresh configuration."""
         ready = self.state is members.MemberState.READY
-        if ready and not self.follower.has_read:
+        if ready and not self.follower.freshness.is_fresh():
             return members.MemberState.STARTING
         return self.state
 
--- a/src/endivepier/membership/view.py
+++ b/src/endivepier/membership/view.py
@@ -51,6 +51,7 @@
         self._members: dict[str, members.Member] = {}
         self._suspects: set[str] = set()
         self._subscription: timers_lib.Subscription | None = None
+        self._revision_listeners: list[Callable[[str, int], object]] = []
 
     def start(self) -> None:
         """Reads the list, asks everybody once, then goes on periodically."""
@@ -66,6 +67,28 @@
         """Answers the heartbeats of others."""
         inbox.register(members.Heartbeat, members.Member, self._answer)
 
+    def subscribe_revisions(
+        self, listener: Callable[[str, int], object]
+    ) -> None:
+        """Calls `listener(address, revision)` for each heartbeat."""
+        self._revision_listeners.append(listener)
+
+    def me(self) -> members.Member:
+        """Returns what this process says of itself."""
+        return self._describe()
+
+    def listed(self, role: str = "") -> Sequence[str]:
+        """Returns the addresses on the platform's list.
+
+        Args:
+            role: "entry" or "sidecar"; empty for all.
+        """
+        return sorted(
+            host.address
+            for host in self._hosts.values()
+            if not role or host.role == role
+        )
+
     def ready(self, role: str, pool: str = "") -> Sequence[members.Member]:
         """Returns the members that take new work, in order of address.
 
@@ -141,7 +164,13 @@
             )
         self._members[address] = member
         self._suspects.discard(address)
+        self._hear(address, member.revision)
 
     def _answer(self, beat: members.Heartbeat) -> members.Member:
         self._suspects.discard(beat.sender)
+        self._hear(beat.sender, beat.revision)
         return self._describe()
+
+    def _hear(self, address: str, revision: int) -> None:
+        for listener in self._revision_listeners:
+            listener(address, revision)
