--- a/src/endivepier/entry/documents.py
+++ b/src/endivepier/entry/documents.py
@@ -92,7 +92,7 @@
 class StatusDocument:
     """All processes with their states and revisions."""
 
-    members: tuple[members.Member, ...]
+    processes: tuple[members.Member, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
