--- a/src/endivepier/membership/view.py
+++ b/src/endivepier/membership/view.py
@@ -81,8 +81,8 @@
         self._known: dict[str, _Known] = {}
         self._turn: collections.deque[str] = collections.deque()
         self._watched: dict[str, list[gevent.event.Event]] = {}
-        self._listeners: list[Callable[[members.Member], object]] = []
         self._subscription: timers_lib.Subscription | None = None
+        self._revision_listeners: list[Callable[[str, int], object]] = []
 
     def start(self) -> None:
         """Reads the list, asks many at once, then goes on in rounds."""
@@ -99,9 +99,27 @@
         """Answers the heartbeats of others."""
         inbox.register(members.Heartbeat, members.Member, self._answer)
 
-    def subscribe(self, listener: Callable[[members.Member], object]) -> None:
-        """Calls `listener(member)` whenever a member says its state."""
-        self._listeners.append(listener)
+    def subscribe_revisions(
+        self, listener: Callable[[str, int], object]
+    ) -> None:
+        """Calls `listener(address, revision)` for each heartbeat."""
+        self._revision_listeners.append(listener)
+
+    def me(self) -> members.Member:
+        """Returns what this process says of itself."""
+        return self._describe()
+
+    def listed(self, role: str = "") -> Sequence[str]:
+        """Returns the addresses on the platform's list.
+
+        Args:
+            role: "entry" or "sidecar"; empty for all.
+        """
+        return sorted(
+            host.address
+            for host in self._hosts.values()
+            if not role or host.role == role
+        )
 
     def ready(self, role: str, pool: str = "") -> Sequence[members.Member]:
         """Returns the members that take new work, in order of address.
@@ -271,9 +289,12 @@
         ready = member.state is members.MemberState.READY
         if ready and known.first_ready is None:
             known.first_ready = self._timers.now()
-        for listener in self._listeners:
-            listener(member)
+        self._hear(member.address, member.revision)
 
     def _answer(self, beat: members.Heartbeat) -> members.Member:
-        del beat
+        self._hear(beat.sender, beat.revision)
         return self._describe()
+
+    def _hear(self, address: str, revision: int) -> None:
+        for listener in self._revision_listeners:
+            listener(address, revision)
