--- a/src/endivepier/daemons/common.py
+++ b/src/endivepier/daemons/common.py
@@ -44,11 +44,12 @@
     secret = cfg.fleet_secret.get_secret_value()
     inbox = peers_lib.Inbox()
     app = web.App(body_limit=INTERNAL_BODY_BYTES)
-    http_peers.InboxRoute(inbox, secret, tracer).add_to(app)
+    timers = timers_lib.SystemTimers()
+    http_peers.InboxRoute(inbox, secret, tracer, timers).add_to(app)
     env = process.Environment(
         address=address,
         data_centre=cfg.data_centre,
-        timers=timers_lib.SystemTimers(),
+        timers=timers,
         peers=http_peers.HttpPeers(secret, tracer),
         inbox=inbox,
         platform=platform_clients.over_http(cfg, tracer),
--- a/src/endivepier/entry/callers.py
+++ b/src/endivepier/entry/callers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 
@@ -16,6 +15,7 @@
 from endivepier.effects import messages as effect_messages
 from endivepier.entry import chat
 from endivepier.entry import documents
+from endivepier.entry import guard as guard_lib
 from endivepier.entry import owners as owners_lib
 from endivepier.history import messages
 from endivepier.history import records
@@ -35,7 +35,6 @@
 APPEND = "append"
 DEFAULT_MAX_TOKENS = 64
 SINGLE_CALL_SECONDS = 3600.0
-WATCH_SECONDS = 0.25
 
 
 class Callers:
@@ -47,12 +46,14 @@
         authenticator: keys_lib.Authenticator,
         limiter: limiter_lib.Limiter,
         owners: owners_lib.Owners,
+        guard: guard_lib.Guard,
         call_seconds: float,
     ) -> None:
         self._base = base
         self._auth = authenticator
         self._limiter = limiter
         self._owners = owners
+        self._guard = guard
         self._services = client_lib.Client(base.view, base.env.peers)
         self._seconds = call_seconds
         self._timers = base.env.timers
@@ -75,10 +76,7 @@
         caller = self._caller(req)
         body = codec.decode(documents.NewProgram, req.get_data())
         message = self._new_program(caller, body)
-        program = ids_lib.parse_program(message.program_id)
-        view = self._owners.call(
-            program, message, messages.ProgramView, seconds=self._seconds
-        )
+        view = self._ask_owner(req, caller, message, errors.Ran.UNKNOWN)
         return web.json_response(_program_document(view), 201)
 
     def show(
@@ -87,13 +85,15 @@
         """Shows a program, its history and its budget."""
         caller = self._caller(req)
         message = messages.ShowProgram(program, caller.account)
-        return self._about(program, message)
+        view = self._ask_owner(req, caller, message, errors.Ran.NO)
+        return web.json_response(_program_document(view))
 
     def end(self, req: web.Request, program: str) -> werkzeug.wrappers.Response:
         """Ends a program."""
         caller = self._caller(req)
         message = messages.EndProgram(program, caller.account)
-        return self._about(program, message)
+        view = self._ask_owner(req, caller, message, errors.Ran.UNKNOWN)
+        return web.json_response(_program_document(view))
 
     def chat(
         self, req: web.Request, program: str = ""
@@ -102,27 +102,23 @@
         caller = self._caller(req)
         body = codec.decode(documents.ChatRequest, req.get_data())
         program = program or req.headers.get(PROGRAM_HEADER, "")
-        self._limiter.admit(caller.account)
+        progress = guard_lib.Progress()
         single = not program
-        if single:
-            program = self._create_single(caller, body)
-        call = self._model_call(req, caller, body, program)
-        events = self._events(caller, call, single)
         created = self._timers.wall()
-        if body.stream:
+        with self._guard.watching(req, caller, progress):
+            self._limiter.admit(caller.account)
+            progress.ran = errors.Ran.UNKNOWN
+            if single:
+                program = self._create_single(caller, body)
+            call = self._model_call(req, caller, body, program)
+            events = self._events(call, single)
+            if not body.stream:
+                return _whole_response(self._whole(events), body.model, created)
             first = self._first(events)
-            return web.stream_response(
-                chat.stream(first, call.call_id, body.model, created),
-                chat.STREAM_TYPE,
-            )
-        answer = self._watched(req, lambda: self._whole(events))
-        return werkzeug.wrappers.Response(
-            chat.whole(answer, body.model, created),
-            headers={
-                RECEIPT_HEADER: answer.receipt,
-                TURN_HEADER: str(answer.turn),
-            },
-            content_type=web.JSON_TYPE,
+        guarded = self._guard.stream(req, caller, first)
+        return web.stream_response(
+            chat.stream(guarded, call.call_id, body.model, created),
+            chat.STREAM_TYPE,
         )
 
     def service(
@@ -134,15 +130,20 @@
             raise errors.Refused(
                 errors.Code.NOT_FOUND, 404, f"no route serves {'/' + path!r}"
             )
+        program = program or req.headers.get(PROGRAM_HEADER, "")
         if route.open and not program:
+            self._auth.check_serving()
             caller = keys_lib.Caller("", "", state_lib.Role.CALLER)
         else:
             caller = self._caller(req)
-            self._limiter.admit(caller.account)
-        program = program or req.headers.get(PROGRAM_HEADER, "")
         query = req.query_string.decode("latin-1")
         full = "/" + path + ("?" + query if query else "")
-        answer = self._call_service(req, route, caller, program, full)
+        progress = guard_lib.Progress()
+        with self._guard.watching(req, caller, progress):
+            if caller.account:
+                self._limiter.admit(caller.account)
+            progress.ran = errors.Ran.UNKNOWN
+            answer = self._call_service(req, route, caller, program, full)
         return werkzeug.wrappers.Response(
             answer.body,
             status=answer.status,
@@ -156,7 +157,11 @@
         """Shows what is known of a non-idempotent request."""
         caller = self._caller(req)
         message = effect_messages.LookUp(caller.account, key)
-        outcome = self._services.look_up(pool, message, seconds=self._seconds)
+        progress = guard_lib.Progress()
+        with self._guard.watching(req, caller, progress):
+            outcome = self._services.look_up(
+                pool, message, seconds=self._seconds
+            )
         return web.json_response(outcome)
 
     def _caller(self, req: web.Request) -> keys_lib.Caller:
@@ -167,18 +172,27 @@
                 403,
                 "this is an operator's key; use a client account's key",
             )
+        self._guard.note(req, caller)
         return caller
 
-    def _about(
-        self, program: str, message: messages.ShowProgram | messages.EndProgram
-    ) -> werkzeug.wrappers.Response:
-        view = self._owners.call(
-            ids_lib.parse_program(program),
-            message,
-            messages.ProgramView,
-            seconds=self._seconds,
-        )
-        return web.json_response(_program_document(view))
+    def _ask_owner(
+        self,
+        req: web.Request,
+        caller: keys_lib.Caller,
+        message: messages.CreateProgram
+        | messages.ShowProgram
+        | messages.EndProgram,
+        ran: errors.Ran,
+    ) -> messages.ProgramView:
+        """Sends a message to the owner of its program, under guard."""
+        with self._guard.watching(req, caller, guard_lib.Progress(ran)):
+            view: messages.ProgramView = self._owners.call(
+                ids_lib.parse_program(message.program_id),
+                message,
+                messages.ProgramView,
+                seconds=self._seconds,
+            )
+        return view
 
     def _new_program(
         self, caller: keys_lib.Caller, body: documents.NewProgram
@@ -250,21 +264,13 @@
         )
 
     def _events(
-        self, caller: keys_lib.Caller, call: messages.ModelCall, single: bool
+        self, call: messages.ModelCall, single: bool
     ) -> Iterator[messages.CallEvent]:
         """Yields the events of a call; ends a single call's program."""
         program = ids_lib.parse_program(call.program_id)
-        for event in self._owners.stream(
+        yield from self._owners.stream(
             program, call, messages.CallEvent, seconds=call.seconds
-        ):
-            if not self._auth.holds(caller):
-                raise errors.Refused(
-                    errors.Code.UNAUTHENTICATED,
-                    401,
-                    "the key was withdrawn",
-                    ran=errors.Ran.UNKNOWN,
-                )
-            yield event
+        )
         if single:
             end = messages.EndProgram(call.program_id, call.account)
             gevent.spawn(
@@ -294,21 +300,6 @@
                     answer = event
         return answer
 
-    def _watched(
-        self, req: web.Request, work: Callable[[], messages.Answer]
-    ) -> messages.Answer:
-        """Does `work`; cancels it when the caller hangs up."""
-        task = gevent.spawn(_outcome_of, work)
-        while not task.ready():
-            task.join(WATCH_SECONDS)
-            if req.hung_up():
-                task.kill()
-                raise gevent.GreenletExit
-        result = task.get()
-        if isinstance(result, BaseException):
-            raise result
-        return result
-
     def _call_service(
         self,
         req: web.Request,
@@ -346,14 +337,17 @@
         return answer
 
 
-def _outcome_of(
-    work: Callable[[], messages.Answer],
-) -> messages.Answer | errors.EndivepierError:
-    """Returns what `work` returns or raises, so that nothing is printed."""
-    try:
-        return work()
-    except errors.EndivepierError as exc:
-        return exc
+def _whole_response(
+    answer: messages.Answer, model: str, created: float
+) -> werkzeug.wrappers.Response:
+    return werkzeug.wrappers.Response(
+        chat.whole(answer, model, created),
+        headers={
+            RECEIPT_HEADER: answer.receipt,
+            TURN_HEADER: str(answer.turn),
+        },
+        content_type=web.JSON_TYPE,
+    )
 
 
 def _max_tokens(body: documents.ChatRequest) -> int:
--- a/src/endivepier/entry/parts.py
+++ b/src/endivepier/entry/parts.py
@@ -4,6 +4,7 @@
 
 from endivepier.configuration import keys as keys_lib
 from endivepier.entry import callers as callers_lib
+from endivepier.entry import guard as guard_lib
 from endivepier.entry import operators as operators_lib
 from endivepier.entry import owners as owners_lib
 from endivepier.internal import process
@@ -29,8 +30,16 @@
             self.current, env.timers, lambda: len(self.view.ready("entry"))
         )
         self.owners = owners_lib.Owners(self.view, env.peers, env.timers)
+        self.guard = guard_lib.Guard(
+            self.authenticator, self.current, env.timers, self.metrics
+        )
         self.callers = callers_lib.Callers(
-            self, self.authenticator, self.limiter, self.owners, call_seconds
+            self,
+            self.authenticator,
+            self.limiter,
+            self.owners,
+            self.guard,
+            call_seconds,
         )
         self.operators = operators_lib.Operators(
             self, self.authenticator, bootstrap_digest
--- a/src/endivepier/internal/http_peers.py
+++ b/src/endivepier/internal/http_peers.py
@@ -18,10 +18,12 @@
 import werkzeug.wrappers
 
 from endivepier import errors
+from endivepier import timers as timers_lib
 from endivepier.internal import codec
 from endivepier.internal import http_client
 from endivepier.internal import peers
 from endivepier.internal import problems
+from endivepier.internal import watches as watches_lib
 from endivepier.internal import web
 from endivepier.telemetry import spans
 
@@ -64,6 +66,9 @@
         except http_client.ExchangeFailed as exc:
             answer.close()
             raise errors.PeerUnreachable(address, str(exc), sent=True) from exc
+        except gevent.GreenletExit:
+            answer.close()
+            raise
         answer.release()
         if answer.status >= 400:
             raise _refusal(address, answer, body)
@@ -143,8 +148,13 @@
     """Serves an `Inbox` on an application."""
 
     def __init__(
-        self, inbox: peers.Inbox, secret: str, tracer: spans.Tracer
+        self,
+        inbox: peers.Inbox,
+        secret: str,
+        tracer: spans.Tracer,
+        timers: timers_lib.Timers,
     ) -> None:
+        self._watches = watches_lib.Watches(timers)
         self._inbox = inbox
         self._secret = secret.encode()
         self._tracer = tracer
@@ -165,17 +175,28 @@
         message = codec.decode(endpoint.request, req.get_data())
         context = self._tracer.incoming(req.headers)
         if endpoint.streams:
-            lines = self._lines(endpoint, message, context)
+            lines = self._lines(req, endpoint, message, context)
             return web.stream_response(lines, LINES_TYPE)
         with self._tracer.span(name, context):
             return web.json_response(endpoint.handler(message))
 
     def _lines(
-        self, endpoint: peers.Endpoint, message: Any, context: Any
+        self,
+        req: web.Request,
+        endpoint: peers.Endpoint,
+        message: Any,
+        context: Any,
     ) -> Iterator[bytes]:
         name = peers.name_of(endpoint.request)
+
+        def check() -> watches_lib.Ended | None:
+            return watches_lib.Ended() if req.hung_up() else None
+
         try:
-            with self._tracer.span(name, context):
+            with (
+                self._watches.watching(check),
+                self._tracer.span(name, context),
+            ):
                 for event in endpoint.handler(message):
                     yield codec.encode(event, endpoint.reply) + b"\n"
             yield codec.encode(StreamEnd()) + b"\n"
