--- a/src/endivepier/cli/release.py
+++ b/src/endivepier/cli/release.py
@@ -141,8 +141,8 @@
         print(
             ROW.format(
                 row.address,
-                row.role or "?",
-                row.data_centre or "?",
+                row.role,
+                row.data_centre,
                 row.state or "?",
                 revision,
                 mark,
