--- a/src/endivepier/entry/documents.py
+++ b/src/endivepier/entry/documents.py
@@ -114,8 +114,8 @@
 
     Attributes:
         address: "ip:port" of the process.
-        role: "entry" or "sidecar"; empty if it does not answer.
-        data_centre: the data centre's name; empty if it does not answer.
+        role: "entry" or "sidecar".
+        data_centre: the data centre's name.
         state: what it says of itself; empty if it does not answer.
         revision: the revision; None if it does not answer.
         lags: whether that is older than the head.
