--- a/src/endivepier/membership/view.py
+++ b/src/endivepier/membership/view.py
@@ -30,11 +30,12 @@
 from endivepier.membership import members
 from endivepier.platform import ports
 
-ROUND_SECONDS = 0.5
+ROUND_SECONDS = 1.0
 HEARTBEAT_TIMEOUT_SECONDS = 0.5
 MISSES_UNTIL_SUSPECT = 2
-ROUND_ROBIN_HEARTBEATS = 6
-SUSPECT_HEARTBEATS = 4
+ROUND_ROBIN_HEARTBEATS = 2
+SUSPECT_HEARTBEATS = 2
+WATCHED_HEARTBEATS = 8
 FIRST_HEARTBEATS = 64
 
 
@@ -126,6 +127,7 @@
             if member.role == role
             and member.state is members.MemberState.READY
             and (not pool or member.pool == pool)
+            and not self.leaving(member.address)
         ]
         return sorted(found, key=lambda member: member.address)
 
@@ -194,7 +196,7 @@
     def refresh(self) -> None:
         """Does a round: reads the host list and sends the heartbeats due."""
         self._read_list()
-        due = dict.fromkeys(self._watched)
+        due = dict.fromkeys(self._next_watched())
         suspects = [a for a, known in self._known.items() if known.suspect]
         due.update(dict.fromkeys(suspects[:SUSPECT_HEARTBEATS]))
         for _ in range(min(ROUND_ROBIN_HEARTBEATS, len(self._turn))):
@@ -202,6 +204,14 @@
             self._turn.rotate(-1)
         self._ask_all(list(due))
 
+    def _next_watched(self) -> Sequence[str]:
+        """Returns the watched members whose turn it is."""
+        found = list(self._watched)[:WATCHED_HEARTBEATS]
+        for address in found:
+            # What was asked goes to the end of the order.
+            self._watched[address] = self._watched.pop(address)
+        return found
+
     def _read_list(self) -> None:
         """Takes the platform's list over; keeps the last one in an outage."""
         try:
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -63,6 +63,7 @@
 def test_everybody_is_seen_by_everybody():
     fleet = _Fleet(20)
     fleet.start()
+    fleet.timers.advance(10.0)
     for address in fleet.views:
         assert fleet.seen(address) == sorted(fleet.views)
 
--- a/tests/nocover/test_graceful_stop.py
+++ b/tests/nocover/test_graceful_stop.py
@@ -5,7 +5,7 @@
 import openai
 import pytest
 
-from tests.common import processes
+from bench import processes
 
 TOKENS = 300
 
--- a/tests/nocover/test_separate_processes.py
+++ b/tests/nocover/test_separate_processes.py
@@ -4,7 +4,7 @@
 import openai
 import pytest
 
-from tests.common import processes
+from bench import processes
 
 
 @pytest.fixture(scope="module")
