Programs: group commit, fenced takeover, handover, replicas, budgets

Cause: the thin path wrote one transaction a turn, had no reservations, kept no turn during a store outage, moved no shard at a stop and hung on a frozen owner for the caller's whole patience.

--- a/src/endivepier/entry/callers.py
+++ b/src/endivepier/entry/callers.py
@@ -36,6 +36,7 @@
 APPEND = "append"
 DEFAULT_MAX_TOKENS = 64
 SINGLE_CALL_SECONDS = 3600.0
+SINGLE_CALL_TRIES = 3
 WATCH_SECONDS = 0.25
 
 
@@ -107,7 +108,7 @@
         if single:
             program = self._create_single(caller, body)
         call = self._model_call(req, caller, body, program)
-        events = self._events(caller, call, single)
+        events = self._events(caller, call, single, restarts=not body.stream)
         created = self._timers.wall()
         if body.stream:
             first = self._first(events)
@@ -216,8 +217,8 @@
         """Creates a program for one call and returns its id."""
         new = documents.NewProgram(
             model=body.model,
-            tokens=_max_tokens(body),
-            calls=1,
+            tokens=SINGLE_CALL_TRIES * _max_tokens(body),
+            calls=SINGLE_CALL_TRIES,
             seconds=SINGLE_CALL_SECONDS,
         )
         message = self._new_program(caller, new)
@@ -252,12 +253,20 @@
         )
 
     def _events(
-        self, caller: keys_lib.Caller, call: messages.ModelCall, single: bool
+        self,
+        caller: keys_lib.Caller,
+        call: messages.ModelCall,
+        single: bool,
+        restarts: bool,
     ) -> Iterator[messages.CallEvent]:
         """Yields the events of a call; ends a single call's program."""
         program = ids_lib.parse_program(call.program_id)
         for event in self._owners.stream(
-            program, call, messages.CallEvent, seconds=call.seconds
+            program,
+            call,
+            messages.CallEvent,
+            seconds=call.seconds,
+            restarts=restarts,
         ):
             if not self._auth.holds(caller):
                 raise errors.Refused(
--- a/src/endivepier/entry/owners.py
+++ b/src/endivepier/entry/owners.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
+import dataclasses
+import functools
 from typing import Any
 
+import gevent
+import gevent.event
+import gevent.queue
+
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.internal import ids as ids_lib
@@ -13,7 +20,20 @@
 from endivepier.ownership import placement
 
 RETRY_SECONDS = 0.1
-CALL_SECONDS = 10.0
+WATCH_SECONDS = 0.25
+GONE_SECONDS = 0.75
+MAX_WAITING_EVENTS = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _End:
+    """The last item of a stream.
+
+    Attributes:
+        failure: how the stream broke off; None if it is whole.
+    """
+
+    failure: errors.EndivepierError | None
 
 
 class Owners:
@@ -52,19 +72,26 @@
             errors.Refused: the owner's refusal, or none could be reached.
         """
         deadline = self._timers.now() + seconds
+        ran = errors.Ran.NO
         while True:
             address = self._guess(program)
             try:
                 if address is not None:
                     left = deadline - self._timers.now()
-                    return self._peers.call(address, req, reply, seconds=left)
+                    ask = functools.partial(
+                        self._ask, address, req, reply, left
+                    )
+                    for answer in self._while_alive(address, ask):
+                        return answer
             except errors.PeerUnreachable as exc:
                 self._lost(program, exc)
+                if exc.sent:
+                    ran = errors.Ran.UNKNOWN
                 if exc.sent and not repeatable:
-                    raise _no_answer(errors.Ran.UNKNOWN) from None
+                    raise _no_answer(ran) from None
             except errors.Refused as exc:
                 self._redirected(program, exc)
-            self._pause(deadline, errors.Ran.NO)
+            self._pause(deadline, ran)
 
     def stream(
         self,
@@ -73,10 +100,17 @@
         event: Any,
         *,
         seconds: float,
+        restarts: bool = False,
     ) -> Iterator[Any]:
-        """Sends `req` to the owner and yields events from one try.
+        """Sends `req` to the owner and yields the events of the answer.
 
-        Another try is made only while nothing was yielded.
+        Args:
+            program: whose owner is meant.
+            req: the message; sent again, it must have the same answer.
+            event: the union of the event types.
+            seconds: how long to go on trying.
+            restarts: whether events may begin anew after some were yielded,
+                because the first owner was lost. If not, that is an error.
 
         Raises:
             errors.Refused: the owner's refusal, or none could be reached.
@@ -89,9 +123,10 @@
             try:
                 if address is not None:
                     left = deadline - self._timers.now()
-                    for item in self._peers.stream(
-                        address, req, event, seconds=left
-                    ):
+                    ask = functools.partial(
+                        self._peers.stream, address, req, event, seconds=left
+                    )
+                    for item in self._while_alive(address, ask):
                         yielded = True
                         yield item
                     return
@@ -99,14 +134,64 @@
                 self._lost(program, exc)
                 if exc.sent:
                     ran = errors.Ran.UNKNOWN
-                if yielded:
+                if yielded and not restarts:
                     raise _no_answer(errors.Ran.UNKNOWN) from None
             except errors.Refused as exc:
-                if yielded:
+                if yielded and not restarts:
                     raise
                 self._redirected(program, exc)
+                if exc.ran is not errors.Ran.NO:
+                    ran = exc.ran
             self._pause(deadline, ran)
 
+    def _ask(
+        self, address: str, req: Any, reply: type[Any], seconds: float
+    ) -> Iterator[Any]:
+        yield self._peers.call(address, req, reply, seconds=seconds)
+
+    def _while_alive(
+        self, address: str, ask: Callable[[], Iterator[Any]]
+    ) -> Iterator[Any]:
+        """Yields what `ask` yields; gives up once the peer seems dead.
+
+        A frozen peer keeps its connections open. Its missing heartbeats show
+        that it is not merely slow.
+
+        Raises:
+            errors.PeerUnreachable: as `ask` does, or the peer seems dead.
+        """
+        items: gevent.queue.Queue = gevent.queue.Queue(MAX_WAITING_EVENTS)
+        arrived = gevent.event.Event()
+        task = gevent.spawn(_pull, ask, items, arrived)
+        missing_since: float | None = None
+        try:
+            while True:
+                while not items.empty():
+                    item = items.get_nowait()
+                    match item:
+                        case _End():
+                            if item.failure is not None:
+                                raise item.failure
+                            return
+                        case _:
+                            yield item
+                arrived.clear()
+                if not items.empty() or self._timers.wait(
+                    arrived, WATCH_SECONDS
+                ):
+                    continue
+                now = self._timers.now()
+                if self._view.find(address) is not None:
+                    missing_since = None
+                elif missing_since is None:
+                    missing_since = now
+                elif now - missing_since >= GONE_SECONDS:
+                    raise errors.PeerUnreachable(
+                        address, "it answers no heartbeats", sent=True
+                    )
+        finally:
+            task.kill(block=False)
+
     def _guess(self, program: ids_lib.ProgramId) -> str | None:
         """Returns the address of the likely owner, or None."""
         known = self._known.get(program.shard_name)
@@ -139,6 +224,23 @@
         self._timers.sleep(RETRY_SECONDS)
 
 
+def _pull(
+    ask: Callable[[], Iterator[Any]],
+    items: gevent.queue.Queue,
+    arrived: gevent.event.Event,
+) -> None:
+    """Puts what `ask` yields into a queue, then how it ended."""
+    end = _End(None)
+    try:
+        for item in ask():
+            items.put(item)
+            arrived.set()
+    except errors.EndivepierError as exc:
+        end = _End(exc)
+    items.put(end)
+    arrived.set()
+
+
 def _no_answer(ran: errors.Ran) -> errors.Refused:
     return errors.Refused(
         errors.Code.NOT_READY,
--- a/src/endivepier/history/journal.py
+++ b/src/endivepier/history/journal.py
@@ -1,122 +1,408 @@
-"""The durable record of programs and turns, fenced by the shard's lease."""
+"""The record of programs and turns, fenced by the shards' leases.
+
+A change is made in memory first and joins the next group commit. It is safe,
+and may be answered, once the table has it; while the table can't be written,
+once a replica in another data centre holds it besides this process.
+"""
 
 from __future__ import annotations
 
 import dataclasses
 
+import gevent.event
+
 from endivepier import errors
+from endivepier import timers as timers_lib
+from endivepier.history import commits
 from endivepier.history import records
+from endivepier.history import replicas as replicas_lib
+from endivepier.history import turns as turns_lib
 from endivepier.internal import codec
 from endivepier.internal import ids as ids_lib
-from endivepier.ownership import shards
-from endivepier.platform import commit
+from endivepier.ownership import leases
+from endivepier.ownership import shards as shards_lib
 from endivepier.platform import ports
+from endivepier.telemetry import metrics as metrics_lib
 
-COMMIT_SECONDS = 10.0
-SCAN_ROWS = 500
+SAFE_SECONDS = 10.0
+OUTAGE_AFTER_SECONDS = 0.5
+OUTAGE_SECONDS = 900.0
+POLL_SECONDS = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
+class GroupLimits:
+    """When a group commit is due, and how large it gets.
+
+    Attributes:
+        seconds: how long the first change waits for others.
+        programs: most programs in one transaction.
+        size: most bytes of turns in one transaction, unless it is one turn.
+        unflushed: most bytes that may wait for the table in an outage.
+    """
+
+    seconds: float = 0.02
+    programs: int = 100
+    size: int = 512 * 1024
+    unflushed: int = 16 * 1024 * 1024
+
+
+@dataclasses.dataclass(slots=True, eq=False)
 class Stored:
     """A program as the journal has it.
 
     Attributes:
         row: the program's row.
-        version: the row's version.
+        version: the row's version in the table; 0 if it is not there yet.
         turns: all turns, in order.
+        epoch: the epoch under which it was loaded.
+        size: bytes of the turns' text.
+        durable: the serial that the table has.
+        safe: the serial that can't get lost.
+        waiting: turns that the table does not have.
+        waiters: set when one of the above has changed.
+        failure: why nothing more can be written.
+        drawn: what a child is known to have drawn from its parent.
     """
 
     row: records.ProgramRow
     version: int
     turns: tuple[records.TurnRow, ...]
+    epoch: int
+    size: int = 0
+    durable: int = 0
+    safe: int = 0
+    waiting: tuple[records.TurnRow, ...] = ()
+    waiters: list[gevent.event.Event] = dataclasses.field(default_factory=list)
+    failure: errors.EndivepierError | None = None
+    drawn: records.Draw | None = None
+
+    def notify(self) -> None:
+        """Wakes who waits for a change."""
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            waiter.set()
 
 
 class Journal:
-    """Reads and appends; an append is durable when it returns."""
+    """Reads programs and appends to them."""
 
     def __init__(
         self,
-        table: ports.Table,
-        committer: commit.Committer,
+        platform_table: ports.Table,
+        platform_objects: ports.Objects,
+        shards: shards_lib.Shards,
+        replicas: replicas_lib.Replicas,
+        timers: timers_lib.Timers,
         ids: ids_lib.Ids,
+        metrics: metrics_lib.Metrics,
+        limits: GroupLimits | None = None,
     ) -> None:
-        self._table = table
-        self._committer = committer
+        self._table = platform_table
+        self._shards = shards
+        self._replicas = replicas
+        self._timers = timers
         self._ids = ids
+        self._metrics = metrics
+        self._limits = limits or GroupLimits()
+        self._committer = commits.GroupCommitter(
+            platform_table, platform_objects, timers, ids
+        )
+        self._reader = turns_lib.Reader(
+            platform_table, platform_objects, timers
+        )
+        self._open: dict[str, Stored] = {}
+        self._in_flight: dict[str, Stored] = {}
+        self._flushing = False
+        self._holders: dict[str, set[str]] = {}
 
-    def load(self, program_id: str) -> Stored | None:
-        """Returns a program with its turns, or None.
+    def read_row(self, program_id: str) -> ports.Row | None:
+        """Returns a program's row as the table has it.
 
         Raises:
             errors.Unavailable: the table did not answer.
         """
-        row = self._table.get(records.program_key(program_id))
-        if row is None:
+        return self._table.get(records.program_key(program_id))
+
+    def load(self, program_id: str, epoch: int) -> Stored | None:
+        """Returns a program with its turns, or None.
+
+        Raises:
+            errors.Unavailable: the table did not answer, or its rows do not
+                fit together.
+        """
+        found = self.read_row(program_id)
+        if found is None:
             return None
-        program = codec.decode(records.ProgramRow, row.value)
-        return Stored(program, row.version, self._turns(program))
+        row = codec.decode(records.ProgramRow, found.value)
+        turns = self._reader.turns(row)
+        return Stored(
+            row=row,
+            version=found.version,
+            turns=turns,
+            epoch=epoch,
+            size=sum(turns_lib.size_of(turn) for turn in turns),
+            durable=row.serial,
+            safe=row.serial,
+        )
+
+    def merge(
+        self,
+        stored: Stored,
+        extra: replicas_lib.Unflushed,
+        holders: tuple[str, ...],
+    ) -> bool:
+        """Adds what a former owner had not flushed, if it follows.
+
+        Args:
+            stored: what the table has of the program.
+            extra: what `holders` hold of it.
+            holders: addresses of replicas, which are told once it is flushed.
+
+        Returns:
+            Whether there was something to add.
+        """
+        if extra.row.serial <= stored.row.serial:
+            return False
+        digests = [turn.digest for turn in extra.turns]
+        start = len(extra.turns)
+        if stored.row.digest in digests:
+            start = digests.index(stored.row.digest) + 1
+        elif stored.row.turn + len(extra.turns) == extra.row.turn:
+            start = 0
+        missing = extra.turns[start:]
+        if not turns_lib.follow(stored.row.digest, missing, extra.row.digest):
+            self._metrics.count("foreign_records")
+            return False
+        stored.waiting = (*stored.waiting, *missing)
+        stored.turns = (*stored.turns, *missing)
+        stored.size += sum(turns_lib.size_of(turn) for turn in missing)
+        stored.row = dataclasses.replace(
+            extra.row, write_id=self._ids.unique(), serial=extra.row.serial + 1
+        )
+        self._holders.setdefault(extra.row.program_id, set()).update(holders)
+        self._submit(stored)
+        return True
 
     def append(
         self,
-        lease: shards.Lease,
-        stored: Stored | None,
+        stored: Stored,
         row: records.ProgramRow,
         turn: records.TurnRow | None = None,
-    ) -> Stored:
-        """Writes a program's row and, if given, its next turn.
+    ) -> None:
+        """Changes a program's row and, if given, adds its next turn.
 
-        Args:
-            lease: the ownership that the write depends on.
-            stored: what the journal has of the program; None if it is new.
-            row: the program's row as it shall be.
-            turn: the turn to add, or None.
+        Nothing waits in here; call `settle` before anybody is answered.
+        """
+        stored.row = dataclasses.replace(
+            row, write_id=self._ids.unique(), serial=stored.row.serial + 1
+        )
+        if turn is not None:
+            stored.turns = (*stored.turns, turn)
+            stored.waiting = (*stored.waiting, turn)
+            stored.size += turns_lib.size_of(turn)
+        self._submit(stored)
 
-        Returns:
-            What the journal has now.
+    def settle(self, stored: Stored) -> None:
+        """Waits until all that a program has can't get lost.
 
         Raises:
-            errors.Fenced: somebody else owns the shard; nothing was written.
-            errors.Unavailable: nothing was written.
-            errors.OutcomeUnknown: it may have been written.
+            errors.Fenced: somebody else owns the shard.
+            errors.OutcomeUnknown: it may have been written, and may be yet.
         """
-        row = dataclasses.replace(row, write_id=self._ids.unique())
-        txn = self._transaction(lease, stored, row, turn)
-        key = records.program_key(row.program_id)
-        proof = commit.Proof(key, lambda value: value == codec.encode(row))
+        target = stored.row.serial
+        deadline = self._timers.now() + SAFE_SECONDS
+        while stored.safe < target:
+            if stored.failure is not None:
+                raise stored.failure
+            if self.in_outage():
+                self._replicate(stored)
+                if stored.safe >= target:
+                    return
+            if self._timers.now() >= deadline:
+                raise errors.OutcomeUnknown(
+                    f"program {stored.row.program_id} can't be written now"
+                )
+            waiter = gevent.event.Event()
+            stored.waiters.append(waiter)
+            self._timers.wait(waiter, POLL_SECONDS)
+        if stored.failure is not None:
+            raise stored.failure
+
+    def in_outage(self) -> bool:
+        """Returns whether the table has failed for a while."""
+        since = self._committer.failing_since
+        if since is None or not self._open:
+            return False
+        return self._timers.now() - since >= OUTAGE_AFTER_SECONDS
+
+    def check_writable(self, lease: leases.Lease | None) -> None:
+        """Makes sure, before work is sent off, that its turn can be kept.
+
+        Raises:
+            errors.Fenced: the shard is no longer ours.
+            errors.Unavailable: the table is out, and no replica can hold the
+                turn either.
+        """
+        if lease is None:
+            raise errors.Fenced("the shard is no longer ours")
+        if not self.in_outage():
+            return
+        reachable = self._replicas.reachable(lease)
+        if not reachable or not self.can_hold_more():
+            raise errors.Unavailable(
+                "the table is out and no replica has room; retry later"
+            )
+
+    def can_hold_more(self) -> bool:
+        """Returns whether an outage leaves room and time for more turns."""
+        since = self._committer.failing_since
+        if since is not None and self._timers.now() - since > OUTAGE_SECONDS:
+            return False
+        waiting = sum(
+            turns_lib.size_of(turn)
+            for stored in self._open.values()
+            for turn in stored.waiting
+        )
+        return waiting < self._limits.unflushed
+
+    def is_open(self, stored: Stored) -> bool:
+        """Returns whether the program has what the table does not."""
+        return stored.durable < stored.row.serial and stored.failure is None
+
+    def fail(self, shard: str) -> None:
+        """Gives up on what is open of a shard that is lost."""
+        prefix = shard + "."
+        for program_id in list(self._open):
+            if program_id.startswith(prefix):
+                self._fail(self._open[program_id])
+
+    def flush(self, seconds: float) -> bool:
+        """Waits until the table has everything; returns whether it has."""
+        deadline = self._timers.now() + seconds
+        while self._open and self._timers.now() < deadline:
+            self._timers.sleep(self._limits.seconds)
+        return not self._open
+
+    def _submit(self, stored: Stored) -> None:
+        self._open[stored.row.program_id] = stored
+        if not self._flushing:
+            self._flushing = True
+            self._timers.after(self._limits.seconds, self._flush)
+
+    def _flush(self) -> None:
+        """Commits groups until nothing is open."""
         try:
-            version = self._committer.commit(txn, proof, seconds=COMMIT_SECONDS)
-        except errors.ConditionFailed as exc:
-            raise errors.Fenced(f"{exc}; give up {lease.shard}") from exc
-        turns = stored.turns if stored is not None else ()
-        if turn is not None:
-            turns = (*turns, turn)
-        return Stored(row, version, turns)
+            while self._open:
+                changes = self._next_group()
+                if changes:
+                    self._apply(self._committer.commit(changes))
+                if self._open:
+                    self._timers.sleep(self._limits.seconds)
+        finally:
+            self._flushing = False
 
-    def _transaction(
-        self,
-        lease: shards.Lease,
-        stored: Stored | None,
-        row: records.ProgramRow,
-        turn: records.TurnRow | None,
-    ) -> ports.Transaction:
-        key = records.program_key(row.program_id)
-        before: ports.Condition = ports.Absent(key)
-        if stored is not None:
-            before = ports.VersionIs(key, stored.version)
-        writes: list[ports.Write] = [ports.Put(key, codec.encode(row))]
-        if turn is not None:
-            turn_key = records.turn_key(row.program_id, turn.turn)
-            writes.append(ports.Put(turn_key, codec.encode(turn)))
-        return ports.Transaction((lease.condition(), before), tuple(writes))
-
-    def _turns(self, row: records.ProgramRow) -> tuple[records.TurnRow, ...]:
-        prefix = f"{records.TURN_PREFIX}{row.program_id}/"
-        turns: list[records.TurnRow] = []
-        after = ""
-        while len(turns) < row.turn:
-            found = self._table.scan(prefix, after=after, limit=SCAN_ROWS)
-            if not found:
+    def _next_group(self) -> list[commits.Change]:
+        group: list[commits.Change] = []
+        size = 0
+        for stored in list(self._open.values()):
+            shard = _shard_of(stored)
+            lease = self._shards.for_writing(shard, stored.epoch)
+            if lease is None:
+                self._fail(stored)
+                continue
+            grown = sum(turns_lib.size_of(turn) for turn in stored.waiting)
+            full = len(group) >= self._limits.programs
+            if full or (group and size + grown > self._limits.size):
                 break
-            turns.extend(codec.decode(records.TurnRow, r.value) for r in found)
-            after = found[-1].key
-        return tuple(turns[: row.turn])
+            size += grown
+            change = commits.Change(
+                lease, stored.version, stored.row, stored.waiting
+            )
+            group.append(change)
+            self._in_flight[stored.row.program_id] = stored
+        return group
+
+    def _apply(self, result: commits.Result) -> None:
+        self._metrics.count("group_commits")
+        self._metrics.count("group_commit_programs", len(result.written))
+        in_flight, self._in_flight = self._in_flight, {}
+        for change in result.written:
+            self._written(in_flight[change.row.program_id], change, result)
+        for change in result.fenced:
+            self._fenced(in_flight[change.row.program_id], change)
+        for change in result.lost:
+            self._lost(in_flight[change.row.program_id], change)
+        self._release_replicas(result)
+
+    def _written(
+        self, stored: Stored, change: commits.Change, result: commits.Result
+    ) -> None:
+        stored.version = result.version
+        stored.durable = change.row.serial
+        stored.safe = max(stored.safe, change.row.serial)
+        stored.waiting = stored.waiting[len(change.turns) :]
+        self._shards.confirmed(change.lease, result.started)
+        if stored.durable == stored.row.serial:
+            self._close(stored)
+        stored.notify()
+
+    def _fenced(self, stored: Stored, change: commits.Change) -> None:
+        """Gives up a program that somebody else has written."""
+        self._metrics.count("fenced_programs")
+        if stored.failure is None:
+            self._fail(stored)
+
+    def _lost(self, stored: Stored, change: commits.Change) -> None:
+        """Gives up a program whose shard's row has changed."""
+        shard = change.lease.shard
+        lease = self._shards.for_writing(shard, stored.epoch)
+        if lease is not None and lease != change.lease:
+            # The lease was renewed or handed over meanwhile: try with that.
+            return
+        self._metrics.count("lost_programs")
+        if stored.failure is None:
+            self._fail(stored)
+        self._shards.drop(shard, change.lease.epoch)
+
+    def _close(self, stored: Stored) -> None:
+        program_id = stored.row.program_id
+        if self._open.get(program_id) is stored:
+            self._open.pop(program_id)
+
+    def _fail(self, stored: Stored) -> None:
+        self._close(stored)
+        stored.failure = errors.Fenced(
+            f"{_shard_of(stored)} is no longer ours; ask its new owner"
+        )
+        stored.notify()
+
+    def _replicate(self, stored: Stored) -> None:
+        """Has a replica hold what the program has unflushed."""
+        lease = self._shards.for_writing(_shard_of(stored), stored.epoch)
+        if lease is None or not self.can_hold_more():
+            return
+        serial = stored.row.serial
+        unflushed = replicas_lib.Unflushed(stored.row, stored.waiting)
+        address = self._replicas.send(lease, unflushed)
+        if address:
+            stored.safe = max(stored.safe, serial)
+            holders = self._holders.setdefault(stored.row.program_id, set())
+            holders.add(address)
+
+    def _release_replicas(self, result: commits.Result) -> None:
+        """Tells replicas what the table has now."""
+        done: dict[tuple[str, str], dict[str, int]] = {}
+        known: dict[str, leases.Lease] = {}
+        for change in result.written:
+            name = change.row.program_id
+            for address in self._holders.pop(name, ()):
+                place = (address, change.lease.shard)
+                done.setdefault(place, {})[name] = change.row.serial
+                known[change.lease.shard] = change.lease
+        for (address, shard), serials in done.items():
+            self._replicas.tell_flushed(address, known[shard], serials)
+
+
+def _shard_of(stored: Stored) -> str:
+    return ids_lib.parse_program(stored.row.program_id).shard_name
--- a/src/endivepier/history/messages.py
+++ b/src/endivepier/history/messages.py
@@ -137,3 +137,52 @@
     program: records.ProgramRow
     turns: tuple[records.TurnRow, ...]
     receipt: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrawBudget:
+    """Asks a parent's owner for the budget of a child.
+
+    Attributes:
+        program_id: the parent.
+        account: the client account of both.
+        draw: what the child takes.
+    """
+
+    program_id: str
+    account: str
+    draw: records.Draw
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drawn:
+    """Answer: the child has it.
+
+    Attributes:
+        seconds: wall time that the parent has left.
+    """
+
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReturnBudget:
+    """Tells a parent's owner what a child that ended has used."""
+
+    program_id: str
+    account: str
+    used: records.Draw
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FindOver:
+    """Asks an owner which programs of one of its shards need no memory."""
+
+    program_ids: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Over:
+    """Answer: these have ended, have expired or were not used for long."""
+
+    program_ids: tuple[str, ...]
--- a/src/endivepier/history/records.py
+++ b/src/endivepier/history/records.py
@@ -37,6 +37,21 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Draw:
+    """What a child program took out of its parent's budget.
+
+    Attributes:
+        child: id of the child program.
+        tokens: generated tokens that it may use.
+        calls: calls that it may make.
+    """
+
+    child: str
+    tokens: int
+    calls: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProgramRow:
     """The table's row of a program.
@@ -55,6 +70,12 @@
         tokens: generated tokens used so far.
         calls: calls used so far.
         write_id: unique for each write of the row.
+        serial: counts the changes of the row.
+        reserved_tokens: tokens that a call may be using now.
+        reserved_calls: calls that may be under way now.
+        reserved_epoch: the epoch of the owner that made the reservation.
+        draws: what children that have not ended took.
+        ended: Unix time of its end, in seconds; 0 while it is active.
     """
 
     program_id: str
@@ -70,6 +91,12 @@
     tokens: int = 0
     calls: int = 0
     write_id: str = ""
+    serial: int = 0
+    reserved_tokens: int = 0
+    reserved_calls: int = 0
+    reserved_epoch: int = 0
+    draws: tuple[Draw, ...] = ()
+    ended: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,6 +112,8 @@
         completion_tokens: generated tokens.
         reason: why the engine stopped: "stop" or "length".
         digest: digest of the history up to and including this turn.
+        body: name of the object that has `added` and `answer`; empty if they
+            stand here.
     """
 
     turn: int
@@ -95,6 +124,29 @@
     completion_tokens: int
     reason: str
     digest: str
+    body: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TurnBody:
+    """The large part of a turn, as it stands in a batch object.
+
+    Attributes:
+        key: key of the turn's row.
+        added: the messages that the call added.
+        answer: the answer's text.
+    """
+
+    key: str
+    added: tuple[target_ports.ChatMessage, ...]
+    answer: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BatchObject:
+    """The object with the large bodies of one group commit."""
+
+    bodies: tuple[TurnBody, ...]
 
 
 def chain(
--- a/src/endivepier/membership/view.py
+++ b/src/endivepier/membership/view.py
@@ -100,6 +100,10 @@
             return None
         return self._members.get(address)
 
+    def suspects(self) -> Sequence[str]:
+        """Returns the addresses on the list that do not answer."""
+        return sorted(self._suspects.intersection(self._hosts))
+
     def suspect(self, address: str) -> None:
         """Notes that a call to `address` failed."""
         self._suspects.add(address)
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -6,15 +6,21 @@
 
 from endivepier.effects import claims as claims_lib
 from endivepier.effects import runner as runner_lib
+from endivepier.entry import owners as owners_lib
 from endivepier.history import journal as journal_lib
 from endivepier.history import receipts as receipts_lib
+from endivepier.history import replicas as replicas_lib
 from endivepier.internal import process
 from endivepier.membership import members
 from endivepier.ownership import shards as shards_lib
 from endivepier.scheduling import dispatch
 from endivepier.scheduling import queue as queue_lib
 from endivepier.scheduling import router as router_lib
+from endivepier.sidecar import families as families_lib
+from endivepier.sidecar import handover as handover_lib
 from endivepier.sidecar import programs as programs_lib
+from endivepier.sidecar import reaper as reaper_lib
+from endivepier.sidecar import registry as registry_lib
 from endivepier.targets import ports as target_ports
 
 
@@ -51,11 +57,43 @@
         )
         self.router = router_lib.Router(self.dispatcher, env.peers, self.view)
         self.shards = shards_lib.Shards(
-            table, self.committer, self.view, self.ids, self.describe()
+            table,
+            self.committer,
+            self.view,
+            self.ids,
+            self.describe(),
+            env.timers,
+            self.metrics,
+        )
+        self.owners = owners_lib.Owners(self.view, env.peers, env.timers)
+        self.replicas = replicas_lib.Replicas(
+            env.peers, self.view, env.timers, self.metrics
+        )
+        self.journal = journal_lib.Journal(
+            table,
+            env.platform.objects,
+            self.shards,
+            self.replicas,
+            env.timers,
+            self.ids,
+            self.metrics,
+        )
+        self.registry = registry_lib.Registry(
+            self.shards,
+            self.journal,
+            self.replicas,
+            self.view,
+            env.timers,
+            self.metrics,
+        )
+        self.families = families_lib.Families(
+            self.registry, self.journal, self.owners, env.timers, self.metrics
         )
         self.programs = programs_lib.Programs(
+            registry=self.registry,
             shards=self.shards,
-            journal=journal_lib.Journal(table, self.committer, self.ids),
+            journal=self.journal,
+            families=self.families,
             receipts=receipts_lib.Receipts(env.fleet_secret),
             router=self.router,
             current=self.current,
@@ -64,6 +102,30 @@
             timers=env.timers,
             ids=self.ids,
         )
+        self.handover = handover_lib.Handover(
+            self.shards,
+            self.registry,
+            self.journal,
+            self.replicas,
+            self.owners,
+            env.peers,
+            env.timers,
+            self.describe(),
+        )
+        self.reaper = reaper_lib.Reaper(
+            engine,
+            self.shards,
+            self.registry,
+            self.owners,
+            table,
+            env.timers,
+            self.metrics,
+        )
+        for part in (self.replicas, self.families, self.handover, self.reaper):
+            part.register(env.inbox)
+        self.kernel.register("ownership", self.shards)
+        self.kernel.register("reaper", self.reaper)
+        self.kernel.register("handover", self.handover)
         self.dispatcher.register(env.inbox)
         self.programs.register(env.inbox)
 
--- a/src/endivepier/sidecar/programs.py
+++ b/src/endivepier/sidecar/programs.py
@@ -3,19 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-import contextlib
 import dataclasses
 
-import gevent.lock
-
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.configuration import current as current_lib
 from endivepier.effects import messages as effect_messages
+from endivepier.history import budgets
 from endivepier.history import journal as journal_lib
 from endivepier.history import messages
 from endivepier.history import receipts as receipts_lib
 from endivepier.history import records
+from endivepier.history import turns as turns_lib
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import peers as peers_lib
 from endivepier.membership import view as view_lib
@@ -23,23 +22,13 @@
 from endivepier.ownership import shards as shards_lib
 from endivepier.scheduling import router as router_lib
 from endivepier.scheduling import work as work_lib
+from endivepier.sidecar import families as families_lib
+from endivepier.sidecar import registry as registry_lib
 from endivepier.targets import ports as target_ports
 from endivepier.targets import tokens
 
 RETRY_SECONDS = 0.5
-
-
-class _Program:
-    """A program in memory.
-
-    Attributes:
-        stored: what the journal has of it.
-        lock: held by the call that runs; calls wait in order of arrival.
-    """
-
-    def __init__(self, stored: journal_lib.Stored) -> None:
-        self.stored = stored
-        self.lock = gevent.lock.BoundedSemaphore()
+MIN_SECONDS = 0.001
 
 
 class Programs:
@@ -47,8 +36,10 @@
 
     def __init__(
         self,
+        registry: registry_lib.Registry,
         shards: shards_lib.Shards,
         journal: journal_lib.Journal,
+        families: families_lib.Families,
         receipts: receipts_lib.Receipts,
         router: router_lib.Router,
         current: current_lib.Current,
@@ -57,8 +48,10 @@
         timers: timers_lib.Timers,
         ids: ids_lib.Ids,
     ) -> None:
+        self._registry = registry
         self._shards = shards
         self._journal = journal
+        self._families = families
         self._receipts = receipts
         self._router = router
         self._current = current
@@ -66,8 +59,6 @@
         self._peers = peers
         self._timers = timers
         self._ids = ids
-        self._programs: dict[str, _Program] = {}
-        self._loading: dict[str, gevent.lock.BoundedSemaphore] = {}
 
     def register(self, inbox: peers_lib.Inbox) -> None:
         """Takes the messages about programs."""
@@ -86,101 +77,213 @@
 
     def create(self, req: messages.CreateProgram) -> messages.ProgramView:
         """Creates a program; the same request again changes nothing."""
-        lease = self._shards.lease(ids_lib.parse_program(req.program_id))
-        with self._owning(lease):
-            stored = self._journal.load(req.program_id)
-            if stored is None:
-                row = records.ProgramRow(
-                    program_id=req.program_id,
-                    account=req.account,
-                    model=req.model,
-                    kind=req.kind,
-                    budget=req.budget,
-                    created=self._timers.wall(),
-                    parent=req.parent,
-                )
-                stored = self._journal.append(lease, None, row)
-        program = self._programs.setdefault(req.program_id, _Program(stored))
+        row = records.ProgramRow(
+            program_id=req.program_id,
+            account=req.account,
+            model=req.model,
+            kind=req.kind,
+            budget=req.budget,
+            created=self._timers.wall(),
+            parent=req.parent,
+        )
+        if req.parent and not self._registry.is_there(req.program_id):
+            row = self._families.on_budget_of_parent(row)
+        program = self._registry.create(row)
+        if program.stored.row.account != req.account:
+            raise ids_lib.program_not_found(req.program_id)
+        with registry_lib.writing(self._registry, program):
+            self._journal.settle(program.stored)
         return self._view_of(program.stored)
 
     def show(self, req: messages.ShowProgram) -> messages.ProgramView:
         """Returns a program with its history."""
-        _, program = self._find(req.program_id, req.account)
+        program = self._registry.find(req.program_id, req.account)
+        self._confirm(program)
+        with registry_lib.writing(self._registry, program):
+            self._journal.settle(program.stored)
         return self._view_of(program.stored)
 
     def end(self, req: messages.EndProgram) -> messages.ProgramView:
         """Ends a program once the call that runs is over."""
-        lease, program = self._find(req.program_id, req.account)
-        with program.lock, self._owning(lease):
-            row = program.stored.row
-            if row.status is not records.Status.ENDED:
-                row = dataclasses.replace(row, status=records.Status.ENDED)
-                program.stored = self._journal.append(
-                    lease, program.stored, row
-                )
-        return self._view_of(program.stored)
+        with self._registry.exclusive(req.program_id, req.account) as program:
+            stored = program.stored
+            with registry_lib.writing(self._registry, program):
+                if stored.row.status is not records.Status.ENDED:
+                    row = dataclasses.replace(
+                        stored.row,
+                        status=records.Status.ENDED,
+                        ended=self._timers.wall(),
+                    )
+                    self._journal.append(stored, row)
+                self._journal.settle(stored)
+            self._families.child_ended(stored.row)
+        return self._view_of(stored)
 
     def model_call(
         self, req: messages.ModelCall
     ) -> Iterator[messages.CallEvent]:
-        """Runs the next model call; the answer comes once it is durable."""
-        lease, program = self._find(req.program_id, req.account)
-        with program.lock, self._owning(lease):
-            earlier = self._earlier(program.stored, req)
-            if earlier is not None:
-                yield from self._replay(program.stored, earlier)
-                return
-            added = self._added(program.stored, req)
-            self._check_open(program.stored.row, req.max_tokens)
-            yield from self._run(lease, program, req, added)
+        """Runs the next model call; the answer comes once it is safe."""
+        with self._registry.exclusive(req.program_id, req.account) as program:
+            self._confirm(program)
+            with registry_lib.writing(self._registry, program):
+                # An earlier call may have left a turn that is not safe yet.
+                self._journal.settle(program.stored)
+                earlier = _earlier(program.stored, req)
+                if earlier is not None:
+                    yield from self._replay(program.stored, earlier)
+                    return
+                added = self._added(program.stored, req)
+                seconds = self._reserve(program.stored, req)
+                yield from self._run(program.stored, req, added, seconds)
 
     def service_call(
         self, req: messages.ProgramServiceCall
     ) -> effect_messages.ServiceAnswer:
         """Calls a plain service as the program's next step."""
-        lease, program = self._find(req.program_id, req.account)
-        with program.lock, self._owning(lease):
-            row = program.stored.row
-            self._check_open(row, 0)
-            row = dataclasses.replace(row, calls=row.calls + 1)
-            program.stored = self._journal.append(lease, program.stored, row)
-            return self._call_service(req, row.kind)
+        with self._registry.exclusive(req.program_id, req.account) as program:
+            self._confirm(program)
+            stored = program.stored
+            seconds = self._open_seconds(stored.row, req.seconds)
+            epoch = stored.epoch
+            with registry_lib.writing(self._registry, program):
+                self._cover(stored, 0)
+                row = budgets.reserve(stored.row, 0, epoch)
+                self._journal.append(stored, budgets.settle(row, 0, 0, epoch))
+                self._settle_before_dispatch(stored)
+            req = dataclasses.replace(req, seconds=seconds)
+            return self._call_service(req, stored.row.kind)
 
     def _run(
         self,
-        lease: shards_lib.Lease,
-        program: _Program,
+        stored: journal_lib.Stored,
         req: messages.ModelCall,
         added: tuple[target_ports.ChatMessage, ...],
+        seconds: float,
     ) -> Iterator[messages.CallEvent]:
-        generate = self._generate(program.stored, req, added)
+        """Generates the answer; what was reserved is settled in any case."""
+        generate = self._generate(stored, req, added, seconds)
         text: list[str] = []
-        for event in self._router.generate(generate):
-            match event:
-                case target_ports.Token():
-                    text.append(event.text)
-                    yield messages.Chunk(event.text)
-                case target_ports.Finished():
-                    answer = "".join(text)
-                    turn = self._turn(program.stored, req, added, answer, event)
-                    row = _with_turn(program.stored.row, turn)
-                    program.stored = self._journal.append(
-                        lease, program.stored, row, turn
-                    )
-                    yield self._answer(
-                        program.stored, turn, event.cached_tokens
-                    )
+        used: int | None = req.max_tokens
+        try:
+            for event in self._events(generate, seconds):
+                match event:
+                    case target_ports.Token():
+                        text.append(event.text)
+                        yield messages.Chunk(event.text)
+                    case target_ports.Finished():
+                        used = None
+                        answer = "".join(text)
+                        turn = self._turn(stored, req, added, answer, event)
+                        self._finish(stored, req, turn)
+                        yield self._answer(stored, turn, event.cached_tokens)
+        except errors.Refused as exc:
+            if exc.ran is errors.Ran.NO:
+                used = None
+            raise
+        finally:
+            if used is not None:
+                # The engine may have generated more than arrived here.
+                self._charge(stored, used)
+
+    def _events(
+        self, generate: work_lib.Generate, seconds: float
+    ) -> Iterator[target_ports.EngineEvent]:
+        """Yields the engine's events until the deadline."""
+        deadline = self._timers.now() + seconds
+        events = self._router.generate(generate)
+        try:
+            while True:
+                left = deadline - self._timers.now()
+                with self._timers.limit(max(left, MIN_SECONDS)):
+                    event = next(events, None)
+                if event is None:
+                    return
+                yield event
+        except errors.DeadlineExceeded:
+            raise errors.Refused(
+                errors.Code.DEADLINE_EXCEEDED,
+                504,
+                "the deadline or the program's time passed during the call",
+                ran=errors.Ran.UNKNOWN,
+            ) from None
+        finally:
+            close = getattr(events, "close", None)
+            if close is not None:
+                close()
+
+    def _finish(
+        self,
+        stored: journal_lib.Stored,
+        req: messages.ModelCall,
+        turn: records.TurnRow,
+    ) -> None:
+        """Makes a turn and what it used safe."""
+        row = budgets.settle(
+            stored.row, turn.completion_tokens, req.max_tokens, stored.epoch
+        )
+        row = dataclasses.replace(row, turn=turn.turn, digest=turn.digest)
+        self._journal.append(stored, row, turn)
+        self._journal.settle(stored)
+
+    def _charge(self, stored: journal_lib.Stored, used: int) -> None:
+        """Counts what a call that failed may have used."""
+        if stored.failure is None:
+            row = budgets.settle(stored.row, used, 0, stored.epoch)
+            self._journal.append(stored, row)
+
+    def _reserve(
+        self, stored: journal_lib.Stored, req: messages.ModelCall
+    ) -> float:
+        """Reserves a call's budget; returns the seconds that it may take."""
+        seconds = self._open_seconds(stored.row, req.seconds)
+        if not budgets.covers(stored.row, req.max_tokens, stored.epoch):
+            self._cover(stored, req.max_tokens)
+            row = budgets.reserve(stored.row, req.max_tokens, stored.epoch)
+            self._journal.append(stored, row)
+        self._settle_before_dispatch(stored)
+        return seconds
+
+    def _cover(self, stored: journal_lib.Stored, tokens: int) -> None:
+        """Draws what a child's call needs from its parent."""
+        if stored.row.parent:
+            budgets.reserve(stored.row, tokens, stored.epoch)
+            wanted = budgets.needed(stored.row, tokens, 1)
+            self._families.cover(stored, wanted)
+
+    def _settle_before_dispatch(self, stored: journal_lib.Stored) -> None:
+        """Waits for what must be safe first; nothing has been sent yet."""
+        shard = ids_lib.parse_program(stored.row.program_id).shard_name
+        lease = self._shards.for_writing(shard, stored.epoch)
+        try:
+            self._journal.check_writable(lease)
+            self._journal.settle(stored)
+        except (errors.Unavailable, errors.OutcomeUnknown):
+            raise registry_lib.store_unavailable(errors.Ran.NO) from None
+
+    def _open_seconds(self, row: records.ProgramRow, asked: float) -> float:
+        """Returns how long a call may take; refuses if the program is over."""
+        now = self._timers.wall()
+        budgets.check_open(row, now)
+        return min(asked, budgets.left_seconds(row, now))
+
+    def _confirm(self, program: registry_lib.Program) -> None:
+        """Makes sure that the program's shard is still ours."""
+        shard = ids_lib.parse_program(program.stored.row.program_id).shard_name
+        lease = self._shards.current(shard)
+        if lease is None or lease.epoch != program.stored.epoch:
+            raise shards_lib.wrong_owner("", "it was lost just now")
+        self._shards.confirm(lease)
 
     def _generate(
         self,
         stored: journal_lib.Stored,
         req: messages.ModelCall,
         added: tuple[target_ports.ChatMessage, ...],
+        seconds: float,
     ) -> work_lib.Generate:
         row = stored.row
         state = self._current.state
         account = state.accounts.get(row.account)
-        conversation = (*_conversation(stored), *added)
         work = work_lib.Work(
             account=row.account,
             weight=1.0 if account is None else account.weight,
@@ -188,13 +291,13 @@
             attained=row.tokens,
             cost=tokens.count_messages(added) + req.max_tokens,
             worth=state.weight_of_kind(row.kind),
-            seconds=req.seconds,
+            seconds=seconds,
         )
         request = target_ports.Generate(
             request_id=self._ids.unique(),
             session=row.program_id,
             model=row.model,
-            messages=conversation,
+            messages=(*turns_lib.conversation(stored.turns), *added),
             max_tokens=req.max_tokens,
         )
         return work_lib.Generate(work, request)
@@ -241,15 +344,6 @@
         yield messages.Chunk(turn.answer)
         yield self._answer(stored, turn, 0)
 
-    def _earlier(
-        self, stored: journal_lib.Stored, req: messages.ModelCall
-    ) -> records.TurnRow | None:
-        """Returns the turn that the same call made before, or None."""
-        for turn in stored.turns:
-            if turn.call_id == req.call_id:
-                return turn
-        return None
-
     def _added(
         self, stored: journal_lib.Stored, req: messages.ModelCall
     ) -> tuple[target_ports.ChatMessage, ...]:
@@ -258,7 +352,7 @@
             self._check_receipt(stored, req)
         if not req.whole:
             return req.messages
-        known = _conversation(stored)
+        known = turns_lib.conversation(stored.turns)
         if req.messages[: len(known)] != known:
             raise _mismatch("the messages don't start with the history")
         return req.messages[len(known) :]
@@ -266,33 +360,26 @@
     def _check_receipt(
         self, stored: journal_lib.Stored, req: messages.ModelCall
     ) -> None:
+        """Refuses to run on a history that the caller has not seen.
+
+        If the receipt is ahead of the history here, some other process has
+        written it: the shard is given up, and who asks next reads the table.
+        """
         receipt = self._receipts.check(req.receipt)
         if receipt.program_id != req.program_id:
             raise _mismatch("the receipt is of another program")
-        if (receipt.turn, receipt.digest) != (
-            stored.row.turn,
-            stored.row.digest,
-        ):
-            raise _mismatch(
-                f"the receipt is of turn {receipt.turn}, the history is at "
-                f"turn {stored.row.turn}"
-            )
-
-    def _check_open(self, row: records.ProgramRow, max_tokens: int) -> None:
-        """Refuses a call that an ended program or its budget forbids."""
-        if row.status is records.Status.ENDED:
-            raise errors.Refused(
-                errors.Code.PROGRAM_ENDED, 409, "the program has ended"
-            )
-        budget = row.budget
-        age = self._timers.wall() - row.created
-        if row.calls + 1 > budget.calls:
-            raise _over_budget(f"all {budget.calls} calls are used")
-        if row.tokens + max_tokens > budget.tokens:
-            left = budget.tokens - row.tokens
-            raise _over_budget(f"{left} tokens are left of {budget.tokens}")
-        if age > budget.seconds:
-            raise _over_budget(f"its {budget.seconds:.0f} s are over")
+        row = stored.row
+        if (receipt.turn, receipt.digest) == (row.turn, row.digest):
+            return
+        if receipt.turn > row.turn and not self._journal.is_open(stored):
+            self._registry.reload(req.program_id, stored)
+            row = stored.row
+            if (receipt.turn, receipt.digest) == (row.turn, row.digest):
+                return
+        raise _mismatch(
+            f"the receipt is of turn {receipt.turn}, the history is at "
+            f"turn {row.turn}"
+        )
 
     def _call_service(
         self, req: messages.ProgramServiceCall, kind: str
@@ -336,60 +423,6 @@
             ) from None
         return answer
 
-    def _find(
-        self, program_id: str, account: str
-    ) -> tuple[shards_lib.Lease, _Program]:
-        """Returns a program of `account` and the lease of its shard."""
-        lease = self._shards.lease(ids_lib.parse_program(program_id))
-        lock = self._loading.setdefault(
-            program_id, gevent.lock.BoundedSemaphore()
-        )
-        with lock:
-            program = self._programs.get(program_id)
-            if program is None:
-                program = self._load(program_id)
-        if program.stored.row.account != account:
-            raise ids_lib.program_not_found(program_id)
-        return lease, program
-
-    def _load(self, program_id: str) -> _Program:
-        try:
-            stored = self._journal.load(program_id)
-        except errors.Unavailable:
-            raise _store_unavailable(errors.Ran.NO) from None
-        if stored is None:
-            raise ids_lib.program_not_found(program_id)
-        program = _Program(stored)
-        self._programs[program_id] = program
-        return program
-
-    @contextlib.contextmanager
-    def _owning(self, lease: shards_lib.Lease) -> Iterator[None]:
-        """Turns the loss of the shard or of the store into refusals."""
-        try:
-            yield
-        except errors.Fenced:
-            self._forget(lease)
-            raise errors.Refused(
-                errors.Code.WRONG_OWNER,
-                421,
-                "another process took the shard over",
-                retry_after=RETRY_SECONDS,
-            ) from None
-        except errors.Unavailable:
-            raise _store_unavailable(errors.Ran.NO) from None
-        except errors.OutcomeUnknown:
-            self._forget(lease)
-            raise _store_unavailable(errors.Ran.UNKNOWN) from None
-
-    def _forget(self, lease: shards_lib.Lease) -> None:
-        """Drops a shard and what memory has of its programs."""
-        self._shards.drop(lease)
-        for program_id in list(self._programs):
-            name = ids_lib.parse_program(program_id).shard_name
-            if name == lease.shard:
-                self._programs.pop(program_id)
-
     def _view_of(self, stored: journal_lib.Stored) -> messages.ProgramView:
         row = stored.row
         receipt = receipts_lib.Receipt(row.program_id, row.turn, row.digest)
@@ -398,28 +431,14 @@
         )
 
 
-def _conversation(
-    stored: journal_lib.Stored,
-) -> tuple[target_ports.ChatMessage, ...]:
-    """Returns the messages of all turns, answers included."""
-    found: list[target_ports.ChatMessage] = []
+def _earlier(
+    stored: journal_lib.Stored, req: messages.ModelCall
+) -> records.TurnRow | None:
+    """Returns the turn that the same call made before, or None."""
     for turn in stored.turns:
-        found.extend(turn.added)
-        found.append(target_ports.ChatMessage("assistant", turn.answer))
-    return tuple(found)
-
-
-def _with_turn(
-    row: records.ProgramRow, turn: records.TurnRow
-) -> records.ProgramRow:
-    """Returns the program's row after a turn."""
-    return dataclasses.replace(
-        row,
-        turn=turn.turn,
-        digest=turn.digest,
-        tokens=row.tokens + turn.completion_tokens,
-        calls=row.calls + 1,
-    )
+        if turn.call_id == req.call_id:
+            return turn
+    return None
 
 
 def _mismatch(detail: str) -> errors.Refused:
@@ -428,21 +447,3 @@
         409,
         f"{detail}; read the history and send the call again",
     )
-
-
-def _over_budget(detail: str) -> errors.Refused:
-    return errors.Refused(
-        errors.Code.BUDGET_EXHAUSTED,
-        409,
-        f"the program's budget does not allow the call: {detail}",
-    )
-
-
-def _store_unavailable(ran: errors.Ran) -> errors.Refused:
-    return errors.Refused(
-        errors.Code.STORE_UNAVAILABLE,
-        503,
-        "the program's history can't be written now; retry later",
-        ran=ran,
-        retry_after=1.0,
-    )
--- /dev/null
+++ b/tests/common/histories.py
@@ -0,0 +1,63 @@
+"""Runs a history of callers under faults and judges it."""
+
+import gevent
+
+from endivepier.standins import local
+from tests.common import callers
+from tests.common import checker
+from tests.common import faults as faults_lib
+from tests.common import recorder as recorder_lib
+
+QUIET_SECONDS = 30.0
+
+
+class History:
+    """One fleet, its callers and what was recorded.
+
+    Attributes:
+        fleet: the fleet; change it before `run`.
+        recorder: what was recorded.
+        faults: the judge's findings.
+    """
+
+    def __init__(self, seed, plan=None, script=None, programs=3):
+        self.fleet = local.LocalFleet(seed, plan, self._wrap)
+        self.recorder = recorder_lib.Recorder(self.fleet.timers)
+        self.script = script or callers.Script()
+        self.callers = [
+            callers.Caller(
+                self.fleet, self.recorder, seed * 100 + n, self.script, f"c{n}"
+            )
+            for n in range(programs)
+        ]
+        self.found = []
+
+    def run(self, drawn=(), quiet=QUIET_SECONDS):
+        """Runs all callers under faults; returns the judge's findings."""
+        self.fleet.start()
+        return self.fleet.timers.run(lambda: self._run(drawn, quiet))
+
+    def _run(self, drawn, quiet):
+        injector = faults_lib.Injector(self.fleet, drawn)
+        trouble = gevent.spawn(injector.run)
+        tasks = [gevent.spawn(caller.run) for caller in self.callers]
+        gevent.joinall([trouble, *tasks], raise_error=True)
+        injector.mend()
+        self.fleet.timers.sleep(quiet)
+        for caller in self.callers:
+            if caller.created:
+                caller.show()
+        return checker.judge(
+            self.recorder, self.held(), self.fleet.timers.now()
+        )
+
+    def held(self):
+        """Returns the sessions that any engine holds."""
+        return {
+            prefix.session
+            for engine in self.fleet.engines.values()
+            for prefix in engine.held()
+        }
+
+    def _wrap(self, engine):
+        return self.recorder.wrap(engine)
--- /dev/null
+++ b/tests/histories/test_programs.py
@@ -0,0 +1,19 @@
+import hypothesis
+from hypothesis import strategies as st
+
+from tests.common import faults
+from tests.common import histories
+
+
+def test_a_quiet_fleet_keeps_every_promise():
+    history = histories.History(1)
+    assert history.run() == []
+    assert history.recorder.refused == []
+    assert all(call.answers for call in history.recorder.calls)
+
+
+@hypothesis.given(seed=st.integers(0, 10**6), drawn=faults.faults())
+@hypothesis.settings(max_examples=40)
+def test_keeps_every_promise_under_two_faults(seed, drawn):
+    history = histories.History(seed)
+    assert history.run(drawn) == []
