--- a/src/endivepier/entry/owners.py
+++ b/src/endivepier/entry/owners.py
@@ -16,12 +16,11 @@
 from endivepier import timers as timers_lib
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import peers as peers_lib
+from endivepier.membership import members
 from endivepier.membership import view as view_lib
 from endivepier.ownership import placement
 
 RETRY_SECONDS = 0.1
-WATCH_SECONDS = 0.25
-GONE_SECONDS = 0.75
 MAX_WAITING_EVENTS = 64
 
 
@@ -162,35 +161,38 @@
         """
         items: gevent.queue.Queue = gevent.queue.Queue(MAX_WAITING_EVENTS)
         arrived = gevent.event.Event()
-        task = gevent.spawn(_pull, ask, items, arrived)
-        missing_since: float | None = None
-        try:
-            while True:
-                while not items.empty():
-                    item = items.get_nowait()
-                    match item:
-                        case _End():
-                            if item.failure is not None:
-                                raise item.failure
-                            return
-                        case _:
-                            yield item
-                arrived.clear()
-                if not items.empty() or self._timers.wait(
-                    arrived, WATCH_SECONDS
-                ):
-                    continue
-                now = self._timers.now()
-                if self._view.find(address) is not None:
-                    missing_since = None
-                elif missing_since is None:
-                    missing_since = now
-                elif now - missing_since >= GONE_SECONDS:
-                    raise errors.PeerUnreachable(
-                        address, "it answers no heartbeats", sent=True
-                    )
-        finally:
-            task.kill(block=False)
+        with self._view.watch(address) as lost:
+            lost.rawlink(lambda _: arrived.set())
+            task = gevent.spawn(_pull, ask, items, arrived)
+            try:
+                while True:
+                    arrived.wait()
+                    arrived.clear()
+                    while not items.empty():
+                        item = items.get_nowait()
+                        match item:
+                            case _End():
+                                if item.failure is not None:
+                                    raise item.failure
+                                return
+                            case _:
+                                yield item
+                    if lost.is_set() and not self._is_draining(address):
+                        raise errors.PeerUnreachable(
+                            address, "it answers no heartbeats", sent=True
+                        )
+            finally:
+                task.kill(block=False)
+
+    def _is_draining(self, address: str) -> bool:
+        """Returns whether a peer is stopping gracefully.
+
+        It takes no new connections then, and so no heartbeats, while it
+        finishes what runs; the connection that is open tells if it ends.
+        """
+        member = self._view.last_said(address)
+        draining = members.MemberState.DRAINING
+        return member is not None and member.state is draining
 
     def _guess(self, program: ids_lib.ProgramId) -> str | None:
         """Returns the address of the likely owner, or None."""
--- a/src/endivepier/ownership/shards.py
+++ b/src/endivepier/ownership/shards.py
@@ -30,6 +30,8 @@
 WATCH_SECONDS = 0.1
 GAP_SECONDS = 0.3
 CONFIRMED_SECONDS = 1.0
+CONFIRM_READS_PER_SECOND = 1000.0
+SHARDS_PER_MEMBER = 10.0
 
 T = TypeVar("T")
 Recover = Callable[[leases.Lease, tuple[str, ...]], None]
@@ -91,18 +93,21 @@
     def confirm(self, lease: leases.Lease) -> None:
         """Makes sure that a lease still held a moment ago.
 
-        Nothing needs to be asked while others can't have taken this process
-        for dead: it did not pause, and it reaches everybody. Otherwise the
-        shard's row is read, at most once in `CONFIRMED_SECONDS`.
+        A commit that went through proves it for the shard. Without one the
+        shard's row is read, as often as the whole fleet can afford; and in
+        any case after a pause of this process, which others may have taken
+        for its death.
 
         Raises:
             errors.Refused: `WRONG_OWNER` if the lease was lost.
         """
         self._note_awake()
         epoch, since = self._confirmed.get(lease.shard, (0, 0.0))
-        known = epoch == lease.epoch and since > self._gap
-        recent = self._timers.now() - since < CONFIRMED_SECONDS
-        if known and (recent or not self._view.suspects()):
+        age = self._timers.now() - since
+        awake = epoch == lease.epoch and since > self._gap
+        if awake and age < CONFIRMED_SECONDS:
+            return
+        if awake and age < self._affordable() and not self._view.suspects():
             return
         started = self._timers.now()
         try:
@@ -311,6 +316,11 @@
         self.confirmed(lease, now)
         return lease
 
+    def _affordable(self) -> float:
+        """Returns how long to trust a lease, so that reads stay bounded."""
+        shards = SHARDS_PER_MEMBER * len(self._view.everybody())
+        return shards / CONFIRM_READS_PER_SECOND
+
     def _note_awake(self) -> None:
         """Notes whether this process has paused since the last time."""
         now = self._timers.now()
--- a/src/endivepier/sidecar/handover.py
+++ b/src/endivepier/sidecar/handover.py
@@ -28,7 +28,7 @@
 PATIENCE_SECONDS = 60.0
 IDLE_SECONDS = 5.0
 ADOPT_SECONDS = 2.0
-STOP_SECONDS = 60.0
+STOP_SECONDS = 5.0
 POLL_SECONDS = 0.05
 CONCURRENT_HANDOVERS = 8
 
@@ -109,6 +109,7 @@
         self._timers = timers
         self._me = me
         self._wanted: dict[str, tuple[str, float]] = {}
+        self._finishing = 0
         self._subscription: timers_lib.Subscription | None = None
 
     def register(self, inbox: peers_lib.Inbox) -> None:
@@ -121,18 +122,21 @@
         """Starts to look for shards that belong elsewhere."""
         self._subscription = self._timers.every(TICK_SECONDS, self.tick)
 
-    def stop(self) -> None:
-        """Hands all shards over, then waits for the calls that run."""
-        if self._subscription is not None:
-            self._subscription.cancel()
+    def drain(self) -> None:
+        """Hands all shards over; calls that run go on."""
         pool = gevent.pool.Pool(CONCURRENT_HANDOVERS)
         for lease in self._shards.held():
             to = self._shards.preferred(lease.shard)
             if to is not None and to.address != self._me.address:
                 pool.spawn(self.hand_over, lease, to)
         pool.join()
+
+    def stop(self) -> None:
+        """Waits for the calls that still run and for the last commits."""
+        if self._subscription is not None:
+            self._subscription.cancel()
         deadline = self._timers.now() + STOP_SECONDS
-        while self._registry.any_in_use() and self._timers.now() < deadline:
+        while self._finishing and self._timers.now() < deadline:
             self._timers.sleep(POLL_SECONDS)
         self._journal.flush(max(0.0, deadline - self._timers.now()))
 
@@ -173,6 +177,7 @@
             return False
         finally:
             self._registry.left(lease.shard)
+        self._finishing += 1
         gevent.spawn(self._finish, lease.shard, to.address, in_use)
         return True
 
@@ -252,6 +257,7 @@
             self._timers.sleep(POLL_SECONDS)
         if self._shards.passed_on_to(shard):
             self._registry.forget(shard)
+        self._finishing -= 1
 
     def _tell(self, to: str, message: Finished) -> None:
         try:
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from endivepier.effects import claims as claims_lib
+from endivepier.effects import client as client_lib
 from endivepier.effects import runner as runner_lib
 from endivepier.entry import owners as owners_lib
 from endivepier.history import journal as journal_lib
@@ -97,8 +98,7 @@
             receipts=receipts_lib.Receipts(env.fleet_secret),
             router=self.router,
             current=self.current,
-            view=self.view,
-            peers=env.peers,
+            services=client_lib.Client(self.view, env.peers),
             timers=env.timers,
             ids=self.ids,
         )
@@ -126,7 +126,7 @@
         self.kernel.register("ownership", self.shards)
         self.kernel.register("reaper", self.reaper)
         self.kernel.register("handover", self.handover)
-        self.dispatcher.register(env.inbox)
+        self.dispatcher.register(env.inbox, self.check_ready)
         self.programs.register(env.inbox)
 
     def describe(self) -> members.Member:
--- a/src/endivepier/sidecar/programs.py
+++ b/src/endivepier/sidecar/programs.py
@@ -8,6 +8,7 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.configuration import current as current_lib
+from endivepier.effects import client as client_lib
 from endivepier.effects import messages as effect_messages
 from endivepier.history import budgets
 from endivepier.history import journal as journal_lib
@@ -17,8 +18,6 @@
 from endivepier.history import turns as turns_lib
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import peers as peers_lib
-from endivepier.membership import view as view_lib
-from endivepier.ownership import placement
 from endivepier.ownership import shards as shards_lib
 from endivepier.scheduling import router as router_lib
 from endivepier.scheduling import work as work_lib
@@ -43,8 +42,7 @@
         receipts: receipts_lib.Receipts,
         router: router_lib.Router,
         current: current_lib.Current,
-        view: view_lib.View,
-        peers: peers_lib.Peers,
+        services: client_lib.Client,
         timers: timers_lib.Timers,
         ids: ids_lib.Ids,
     ) -> None:
@@ -55,8 +53,7 @@
         self._receipts = receipts
         self._router = router
         self._current = current
-        self._view = view
-        self._peers = peers
+        self._services = services
         self._timers = timers
         self._ids = ids
 
@@ -143,15 +140,17 @@
         with self._registry.exclusive(req.program_id, req.account) as program:
             self._confirm(program)
             stored = program.stored
-            seconds = self._open_seconds(stored.row, req.seconds)
+            seconds = self._open_seconds(stored.row, req.request.seconds)
             epoch = stored.epoch
             with registry_lib.writing(self._registry, program):
                 self._cover(stored, 0)
                 row = budgets.reserve(stored.row, 0, epoch)
                 self._journal.append(stored, budgets.settle(row, 0, 0, epoch))
                 self._settle_before_dispatch(stored)
-            req = dataclasses.replace(req, seconds=seconds)
-            return self._call_service(req, stored.row.kind)
+            call = dataclasses.replace(
+                req.request, kind=stored.row.kind, seconds=seconds
+            )
+            return self._services.send(req.pool, call)
 
     def _run(
         self,
@@ -381,48 +380,6 @@
             f"turn {row.turn}"
         )
 
-    def _call_service(
-        self, req: messages.ProgramServiceCall, kind: str
-    ) -> effect_messages.ServiceAnswer:
-        candidates = self._view.ready("sidecar", req.pool)
-        order = placement.ranked(req.program_id, candidates)
-        if not order:
-            raise errors.Refused(
-                errors.Code.NOT_READY,
-                503,
-                f"no target of pool {req.pool!r} is ready; retry later",
-                retry_after=1.0,
-            )
-        call = effect_messages.CallService(
-            account=req.account,
-            program_id=req.program_id,
-            kind=kind,
-            method=req.method,
-            path=req.path,
-            body=req.body,
-            content_type=req.content_type,
-            idempotent=req.idempotent,
-            idempotency_key=req.idempotency_key,
-            seconds=req.seconds,
-        )
-        try:
-            answer: effect_messages.ServiceAnswer = self._peers.call(
-                order[0].address,
-                call,
-                effect_messages.ServiceAnswer,
-                seconds=req.seconds,
-            )
-        except errors.PeerUnreachable as exc:
-            self._view.suspect(exc.address)
-            raise errors.Refused(
-                errors.Code.TARGET_FAILED,
-                502,
-                "the service's sidecar gave no answer",
-                ran=errors.Ran.UNKNOWN if exc.sent else errors.Ran.NO,
-                retry_after=RETRY_SECONDS,
-            ) from None
-        return answer
-
     def _view_of(self, stored: journal_lib.Stored) -> messages.ProgramView:
         row = stored.row
         receipt = receipts_lib.Receipt(row.program_id, row.turn, row.digest)
--- a/src/endivepier/sidecar/registry.py
+++ b/src/endivepier/sidecar/registry.py
@@ -223,10 +223,6 @@
         """Returns whether a call runs or something is unflushed."""
         return program.running or self._journal.is_open(program.stored)
 
-    def any_in_use(self) -> bool:
-        """Returns whether any program is in use."""
-        return any(self.in_use(program) for program in self._programs.values())
-
     def await_finishing(self, programs: list[str], finisher: Finisher) -> None:
         """Has calls of `programs` wait until `finisher` is done with them."""
         for name in programs:
