--- a/src/endivepier/internal/process.py
+++ b/src/endivepier/internal/process.py
@@ -14,6 +14,7 @@
 from endivepier import kernel as kernel_lib
 from endivepier import timers as timers_lib
 from endivepier.configuration import current as current_lib
+from endivepier.configuration import follower as follower_lib
 from endivepier.configuration import store as store_lib
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import peers as peers_lib
@@ -65,14 +66,28 @@
         self.committer = commit.Committer(
             env.platform.table, env.timers, env.rng
         )
-        self.store = store_lib.Store(env.platform.table, self.committer)
-        self.follower = store_lib.Follower(self.store, self.current, env.timers)
+        self.store = store_lib.Store(
+            env.platform.table,
+            env.platform.objects,
+            self.committer,
+            env.timers,
+        )
         self._role = role
         self._target = target
         self.view = view_lib.View(
             env.platform.hosts, env.peers, env.timers, self.describe
         )
         self.view.register(env.inbox)
+        self.follower = follower_lib.Follower(
+            self.store,
+            self.current,
+            self.view,
+            env.peers,
+            env.timers,
+            self.metrics,
+            env.rng,
+        )
+        self.follower.register(env.inbox)
         self.kernel.register("configuration", self.follower)
         self.kernel.register("membership", self.view)
 
@@ -93,12 +108,12 @@
     def effective_state(self) -> members.MemberState:
         """Returns the state that others and the balancer shall see.
 
-        READY is said only with a configuration in force, and no more once
+        READY is said only with a fresh configuration, and no more once
         the platform's list says that this host leaves.
         """
         if self.state is not members.MemberState.READY:
             return self.state
-        if not self.follower.has_read:
+        if not self.follower.freshness.is_fresh():
             return members.MemberState.STARTING
         if self.view.leaving(self.env.address):
             return members.MemberState.DRAINING
