--- a/src/endivepier/entry/owners.py
+++ b/src/endivepier/entry/owners.py
@@ -8,7 +8,6 @@
 import functools
 from typing import Any
 
-import gevent
 import gevent.event
 import gevent.queue
 
@@ -19,6 +18,7 @@
 from endivepier.membership import members
 from endivepier.membership import view as view_lib
 from endivepier.ownership import placement
+from endivepier.telemetry import spans
 
 RETRY_SECONDS = 0.1
 MAX_WAITING_EVENTS = 64
@@ -163,7 +163,7 @@
         arrived = gevent.event.Event()
         with self._view.watch(address) as lost:
             lost.rawlink(lambda _: arrived.set())
-            task = gevent.spawn(_pull, ask, items, arrived)
+            task = spans.spawn(_pull, ask, items, arrived)
             try:
                 while True:
                     arrived.wait()
--- a/src/endivepier/standins/local.py
+++ b/src/endivepier/standins/local.py
@@ -13,8 +13,7 @@
 
 import gevent
 
-from endivepier.configuration import notes
-from endivepier.configuration import state as state_lib
+from endivepier.configuration import current as current_lib
 from endivepier.configuration import store as store_lib
 from endivepier.entry import parts as entry_parts
 from endivepier.internal import platform_clients
@@ -35,10 +34,41 @@
 ENGINE_POOL = "engines"
 SERVICE_POOL = "services"
 ACCOUNT = "clairance"
-ROUTE = "/ledger"
 SECRET = "a secret for local fleets"
 DATA_CENTRES = ("plateau", "almadies", "rufisque")
 
+NOTE = """
+title = "a local fleet"
+
+[[added.accounts]]
+name = "clairance"
+rate = 1000000.0
+burst = 1000000.0
+
+[[added.pools]]
+name = "engines"
+kind = "engine"
+shards = {shards}
+
+[[added.pools]]
+name = "services"
+kind = "service"
+
+[[added.models]]
+name = "local"
+pool = "engines"
+
+[[added.routes]]
+prefix = "/ledger"
+pool = "services"
+"""
+TARGET = """
+[[added.targets]]
+name = "{}"
+pool = "{}"
+tells_outcome = true
+"""
+
 WrapEngine = Callable[[target_ports.ModelEngine], target_ports.ModelEngine]
 
 
@@ -169,8 +199,11 @@
 
     def _start(self) -> None:
         committer = commit.Committer(self.table, self.timers, self.rng)
-        store = store_lib.Store(self.table, committer)
-        store.apply(self._note(), "start")
+        store = store_lib.Store(
+            self.table, self.objects, committer, self.timers
+        )
+        current = current_lib.Current()
+        store.apply(self._note(), "start", current, lambda: None)
         starters = [
             *((self.start_entry, n) for n in range(self.plan.entries)),
             *((self.start_engine, n) for n in range(self.plan.engines)),
@@ -180,31 +213,14 @@
         gevent.joinall(tasks, raise_error=True)
         self.timers.sleep(2.0)
 
-    def _note(self) -> notes.Note:
+    def _note(self) -> str:
         """Returns the release note that declares the fleet."""
-        engines = state_lib.Pool(
-            ENGINE_POOL, state_lib.PoolKind.ENGINE, self.plan.shards
-        )
-        services = state_lib.Pool(SERVICE_POOL, state_lib.PoolKind.SERVICE)
-        targets = [
-            *(
-                state_lib.Target(f"engine-{n}", ENGINE_POOL)
-                for n in range(self.plan.engines)
-            ),
-            *(
-                state_lib.Target(
-                    f"service-{n}", SERVICE_POOL, tells_outcome=True
-                )
-                for n in range(self.plan.services)
-            ),
-        ]
-        note = notes.Note()
-        note.added.accounts.append(state_lib.Account(ACCOUNT, 1e6, 1e6))
-        note.added.pools.extend((engines, services))
-        note.added.targets.extend(targets)
-        note.added.models.append(state_lib.Model(MODEL, ENGINE_POOL))
-        note.added.routes.append(state_lib.Route(ROUTE, SERVICE_POOL))
-        return note
+        parts = [NOTE.format(shards=self.plan.shards)]
+        for number in range(self.plan.engines):
+            parts.append(TARGET.format(f"engine-{number}", ENGINE_POOL))
+        for number in range(self.plan.services):
+            parts.append(TARGET.format(f"service-{number}", SERVICE_POOL))
+        return "\n".join(parts)
 
     def _environment(self, address: str, number: int) -> process.Environment:
         host = self.network.add(address)
