--- a/src/endivepier/membership/view.py
+++ b/src/endivepier/membership/view.py
@@ -150,6 +150,11 @@
             return None
         return known.member
 
+    def last_said(self, address: str) -> members.Member | None:
+        """Returns what a member said last, whether it answers now or not."""
+        known = self._known.get(address)
+        return None if known is None else known.member
+
     def age(self, address: str) -> float:
         """Returns for how long a member has been ready, in seconds."""
         known = self._known.get(address)
@@ -162,6 +167,10 @@
         host = self._hosts.get(address)
         return host is not None and host.state is ports.HostState.LEAVING
 
+    def suspects(self) -> Sequence[str]:
+        """Returns the addresses on the list that do not answer."""
+        return sorted(a for a, known in self._known.items() if known.suspect)
+
     def suspect(self, address: str) -> None:
         """Notes that a call to `address` failed; the next round asks it."""
         known = self._known.get(address)
