A stopping process answers heartbeats until its last request is done

The entry host now gives up on an owner that answers no heartbeats, and a stopping process closed its listener while requests still ran.

Change: the server for other processes listens on until no request runs; only the callers' server closes its listener first.

Conclusion: heartbeats and work have the same life.

--- a/src/endivepier/daemons/common.py
+++ b/src/endivepier/daemons/common.py
@@ -60,23 +60,31 @@
 
 
 class Daemon:
-    """A process with its servers."""
+    """A process with its servers.
+
+    Attributes:
+        base: the process.
+        peers: the server for other processes.
+        callers: the servers for callers, if it has any.
+    """
 
     def __init__(
         self,
         base: process.Base,
-        servers: list[web.Server],
+        peers: web.Server,
+        callers: list[web.Server],
         shell: Shell,
         cfg: settings.ProcessSettings,
     ) -> None:
         self.base = base
-        self.servers = servers
+        self.peers = peers
+        self.callers = callers
         self._shell = shell
         self._cfg = cfg
 
     def start(self) -> None:
         """Listens, then starts the parts."""
-        for server in self.servers:
+        for server in (self.peers, *self.callers):
             server.start()
         self.base.start()
         eliot.log_message("daemon:ready", address=self._shell.env.address)
@@ -94,14 +102,18 @@
         self.base.drain()
         left = started + self._cfg.drain_seconds - timers.now()
         timers.sleep(max(0.0, left))
-        for server in self.servers:
-            server.stop(timers, self._cfg.stop_seconds)
+        seconds = self._cfg.stop_seconds
+        for server in self.callers:
+            server.stop(timers, seconds)
+        # Others ask for heartbeats until the last request is done; without
+        # an answer they would take this process for lost, and its requests.
+        self.peers.stop(timers, seconds, listen_on=True)
         self.base.stop()
         self._shell.tracer.stop()
 
     def kill(self) -> None:
         """Ends at once, as a lost host does; for the demo and tests."""
-        for server in self.servers:
+        for server in (self.peers, *self.callers):
             server.kill()
         self.base.kernel.stop()
 
--- a/src/endivepier/daemons/entry.py
+++ b/src/endivepier/daemons/entry.py
@@ -21,13 +21,11 @@
     entry.add_to(app)
     health.add_to(app, entry)
     health.add_to(shell.app, entry)
-    servers = [
-        web.Server(cfg.listen, shell.app),
-        web.Server(
-            cfg.caller_listen,
-            app,
-            certificate=cfg.tls_certificate,
-            private_key=cfg.tls_key,
-        ),
-    ]
-    return common.Daemon(entry, servers, shell, cfg)
+    callers = web.Server(
+        cfg.caller_listen,
+        app,
+        certificate=cfg.tls_certificate,
+        private_key=cfg.tls_key,
+    )
+    peers = web.Server(cfg.listen, shell.app)
+    return common.Daemon(entry, peers, [callers], shell, cfg)
--- a/src/endivepier/daemons/sidecar.py
+++ b/src/endivepier/daemons/sidecar.py
@@ -35,5 +35,5 @@
                 ),
             )
     health.add_to(shell.app, base)
-    servers = [web.Server(cfg.listen, shell.app)]
-    return common.Daemon(base, servers, shell, cfg)
+    peers = web.Server(cfg.listen, shell.app)
+    return common.Daemon(base, peers, [], shell, cfg)
--- a/src/endivepier/internal/web.py
+++ b/src/endivepier/internal/web.py
@@ -285,13 +285,25 @@
         """Listens; requests are served from now on."""
         self._server.start()
 
-    def stop(self, timers: timers_lib.Timers, seconds: float) -> None:
-        """Stops listening, then waits for the requests that run.
+    def stop(
+        self,
+        timers: timers_lib.Timers,
+        seconds: float,
+        *,
+        listen_on: bool = False,
+    ) -> None:
+        """Waits for the requests that run, then closes all connections.
 
         Connections that are idle are closed without waiting for them.
+
+        Args:
+            timers: the timer service.
+            seconds: the longest wait.
+            listen_on: whether new connections are taken meanwhile.
         """
         self._app.closing = True
-        self._server.close()
+        if not listen_on:
+            self._server.close()
         self._app.wait_idle(timers, seconds)
         self._server.stop(timeout=0)
 
