Make the claim row the only mutex, with group commit

Cause: a lost table reply at the claim was told as "store down, not run" and left a row that made every retry "unknown" for ever; a lost peer reply was always "unknown"; a holder paused between claim and send could send any time later; each claim and outcome was a transaction of its own.

--- a/src/endivepier/effects/claims.py
+++ b/src/endivepier/effects/claims.py
@@ -1,8 +1,14 @@
-"""At most once: a claim in the table before a request is sent.
+"""At most once: the claim row is the only mutex.
 
-Exactly the process whose write inserted the claim sends the request, once. A
-claim is never taken over for another dispatch. While the outcome of a claimed
-request is not recorded, it is unknown.
+A request is sent only by the process whose write of the "dispatched" row is
+known to it to have taken effect, once, and soon after that write. A claim is
+never taken over for another dispatch.
+
+Each attempt names the version of the row on which it builds (or that there
+is no row). Whoever wants to say "not run" must win the row at that version
+by writing "not run" into it; then no message of that attempt can claim the
+request any more, wherever it still travels or waits. A later attempt builds
+on the version of that "not run" row.
 """
 
 from __future__ import annotations
@@ -12,14 +18,18 @@
 import hashlib
 
 from endivepier import errors
+from endivepier import timers as timers_lib
+from endivepier.effects import answers as answers_lib
+from endivepier.effects import group as group_lib
 from endivepier.effects import messages
 from endivepier.internal import codec
 from endivepier.internal import ids as ids_lib
-from endivepier.platform import commit
 from endivepier.platform import ports
 
 PREFIX = "claim/"
+MAX_KEY = 200
 CLAIM_SECONDS = 2.0
+WIN_SECONDS = 2.0
 RECORD_SECONDS = 10.0
 
 
@@ -29,6 +39,7 @@
     DISPATCHED = "dispatched"
     NOT_RUN = "not_run"
     DONE = "done"
+    RAN = "ran"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,26 +47,39 @@
     """The table's row of a claim.
 
     Attributes:
-        state: how far the request has come.
-        request_digest: digest of method, path and body.
-        attempt_id: unique for the attempt that wrote it.
+        state: how far the request has come; `RAN` is a request whose answer
+            is lost.
+        account: the client account that made the request.
+        idempotency_key: the caller's key.
+        digest: digest of method, path and body; empty while none came.
+        writer: unique for each write of the row.
+        target: the target that it was claimed for, or empty.
+        round: how often the target itself has ruled an attempt out.
+        written: Unix time of the write, in seconds.
         answer: the stored answer, once done.
+        note: what an operator said who resolved it.
     """
 
     state: ClaimState
-    request_digest: str
-    attempt_id: str
-    answer: messages.ServiceAnswer | None = None
+    account: str
+    idempotency_key: str
+    digest: str
+    writer: str
+    target: str
+    round: int
+    written: float
+    answer: answers_lib.StoredAnswer | None = None
+    note: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
-    """Permission to send a request once.
+    """A claim's row as it stands in the table.
 
     Attributes:
-        key: key of the claim's row.
+        key: key of the row.
         version: version of the row.
-        row: the row as written.
+        row: its content.
     """
 
     key: str
@@ -78,133 +102,170 @@
     return f"{PREFIX}{account}/{name}"
 
 
+def target_key(row: ClaimRow) -> str:
+    """Returns the key by which the target knows the request.
+
+    It names the account, since two accounts may choose the same key. A
+    target that has ruled a request out refuses its key ever after, so that
+    the next attempt takes another one.
+    """
+    key = f"{row.account}/{row.idempotency_key}"
+    return f"{key}/{row.round}" if row.round else key
+
+
 class Claims:
-    """Inserts claims and records outcomes."""
+    """Reads and writes the rows of claims."""
 
     def __init__(
         self,
         table: ports.Table,
-        committer: commit.Committer,
+        objects: ports.Objects,
+        timers: timers_lib.Timers,
         ids: ids_lib.Ids,
+        group: group_lib.Group | None = None,
     ) -> None:
+        self.answers = answers_lib.Answers(objects)
         self._table = table
-        self._committer = committer
+        self._timers = timers
         self._ids = ids
+        self._group = group or group_lib.Group(table, timers)
 
-    def claim(
-        self, req: messages.CallService
-    ) -> Claim | messages.ServiceAnswer:
-        """Claims a request, or returns the answer that it had before.
+    def read(self, account: str, idempotency_key: str) -> Claim | None:
+        """Returns the claim of a request, or None.
 
         Raises:
-            errors.Refused: the request must not be sent now; `ran` says
-                what is known about it.
+            errors.Unavailable: the table did not answer.
         """
-        key = claim_key(req.account, req.idempotency_key)
-        row = ClaimRow(
-            ClaimState.DISPATCHED, request_digest(req), self._ids.unique()
+        key = claim_key(account, idempotency_key)
+        row = self._table.get(key)
+        if row is None:
+            return None
+        return Claim(key, row.version, codec.decode(ClaimRow, row.value))
+
+    def dispatched(self, req: messages.CallService, target: str) -> ClaimRow:
+        """Returns the row with which an attempt claims its request."""
+        return ClaimRow(
+            state=ClaimState.DISPATCHED,
+            account=req.account,
+            idempotency_key=req.idempotency_key,
+            digest=request_digest(req),
+            writer=self._ids.unique(),
+            target=target,
+            round=req.round,
+            written=self._timers.wall(),
         )
+
+    def write(
+        self, row: ClaimRow, after: int | None, *, seconds: float
+    ) -> Claim:
+        """Writes a row if the one before it still stands.
+
+        Args:
+            row: the content, with a writer of its own.
+            after: version of the row before it; None if there must be none.
+            seconds: how long to try.
+
+        Raises:
+            errors.ConditionFailed: the row has moved on.
+            errors.Unavailable: it was not written.
+            errors.OutcomeUnknown: it may have been written.
+        """
+        key = claim_key(row.account, row.idempotency_key)
         condition: ports.Condition = ports.Absent(key)
-        try:
-            known = self._table.get(key)
-            if known is not None:
-                earlier = codec.decode(ClaimRow, known.value)
-                answer = _check_earlier(earlier, row)
-                if answer is not None:
-                    return answer
-                condition = ports.VersionIs(key, known.version)
-            return self._write(key, row, condition, CLAIM_SECONDS)
-        except errors.ConditionFailed:
-            raise _unknown("another request with this key runs now") from None
-        except errors.Unavailable:
-            raise _store_down() from None
-        except errors.OutcomeUnknown:
-            # Our insert may stand in the table, but only this process may
-            # act on it, and it will not.
-            raise _store_down() from None
+        if after is not None:
+            condition = ports.VersionIs(key, after)
+        value = codec.encode(row)
+        version = self._group.put(condition, value, seconds=seconds)
+        return Claim(key, version, row)
 
     def record(
         self,
         claim: Claim,
         state: ClaimState,
         answer: messages.ServiceAnswer | None = None,
-    ) -> None:
+        *,
+        ruled_out: bool = False,
+        note: str = "",
+    ) -> Claim:
         """Records the outcome of a claimed request.
 
+        Args:
+            claim: the claim as it stands.
+            state: the outcome.
+            answer: the whole answer, if it is known.
+            ruled_out: whether the target itself said that it never runs.
+            note: what an operator said.
+
         Raises:
+            errors.ConditionFailed: it has been resolved otherwise.
             errors.Unavailable: it could not be recorded.
             errors.OutcomeUnknown: it may have been recorded.
         """
-        row = dataclasses.replace(claim.row, state=state, answer=answer)
-        condition = ports.VersionIs(claim.key, claim.version)
-        self._write(claim.key, row, condition, RECORD_SECONDS)
+        stored = None
+        if answer is not None:
+            stored = self.answers.store(claim.row.writer, answer)
+        row = dataclasses.replace(
+            claim.row,
+            state=state,
+            writer=self._ids.unique(),
+            written=self._timers.wall(),
+            round=claim.row.round + ruled_out,
+            answer=stored,
+            note=note,
+        )
+        return self.write(row, claim.version, seconds=RECORD_SECONDS)
+
+    def win(
+        self,
+        account: str,
+        idempotency_key: str,
+        known: Claim | None,
+        digest: str = "",
+    ) -> Claim:
+        """Writes "not run", so that nothing built on `known` can run.
+
+        Args:
+            account: the client account that made the request.
+            idempotency_key: the caller's key.
+            known: the "not run" row that must still stand; None if there
+                must be no row.
+            digest: digest of the request, where it is known.
+
+        Raises:
+            errors.ConditionFailed: the row has moved on.
+            errors.Unavailable: it was not written.
+            errors.OutcomeUnknown: it may have been written.
+        """
+        row = ClaimRow(
+            state=ClaimState.NOT_RUN,
+            account=account,
+            idempotency_key=idempotency_key,
+            digest=digest,
+            writer=self._ids.unique(),
+            target="",
+            round=0,
+            written=self._timers.wall(),
+        )
+        if known is None:
+            return self.write(row, None, seconds=WIN_SECONDS)
+        again = dataclasses.replace(
+            known.row, writer=row.writer, written=row.written
+        )
+        return self.write(again, known.version, seconds=WIN_SECONDS)
 
-    def look_up(self, req: messages.LookUp) -> messages.Outcome:
-        """Returns what is known of a request.
+    def outcome(self, row: ClaimRow) -> messages.Outcome:
+        """Returns what a row tells.
 
         Raises:
-            errors.Unavailable: the table did not answer.
+            errors.Refused: it ran, and its stored answer can't be had now.
         """
-        row = self._table.get(claim_key(req.account, req.idempotency_key))
-        if row is None:
-            return messages.Outcome(errors.Ran.NO)
-        known = codec.decode(ClaimRow, row.value)
-        match known.state:
-            case ClaimState.DONE:
-                return messages.Outcome(errors.Ran.YES, known.answer)
+        match row.state:
+            case ClaimState.DONE if row.answer is not None:
+                answer = self.answers.load(row.answer)
+                return messages.Outcome(errors.Ran.YES, answer)
+            case ClaimState.DONE | ClaimState.RAN:
+                return messages.Outcome(errors.Ran.YES)
             case ClaimState.NOT_RUN:
                 return messages.Outcome(errors.Ran.NO)
-            case _:
+            case ClaimState.DISPATCHED:
                 return messages.Outcome(errors.Ran.UNKNOWN)
-
-    def _write(
-        self,
-        key: str,
-        row: ClaimRow,
-        condition: ports.Condition,
-        seconds: float,
-    ) -> Claim:
-        value = codec.encode(row)
-        txn = ports.Transaction((condition,), (ports.Put(key, value),))
-        proof = commit.Proof(key, lambda found: found == value)
-        version = self._committer.commit(txn, proof, seconds=seconds)
-        return Claim(key, version, row)
-
-
-def _check_earlier(
-    earlier: ClaimRow, row: ClaimRow
-) -> messages.ServiceAnswer | None:
-    """Returns the earlier answer; None if the request may be sent again."""
-    if earlier.request_digest != row.request_digest:
-        raise errors.Refused(
-            errors.Code.KEY_REUSED,
-            422,
-            "this Idempotency-Key was used for another request; take a new one",
-        )
-    match earlier.state:
-        case ClaimState.DONE:
-            assert earlier.answer is not None
-            return dataclasses.replace(earlier.answer, replayed=True)
-        case ClaimState.NOT_RUN:
-            return None
-        case ClaimState.DISPATCHED:
-            raise _unknown("an earlier request with this key has no outcome")
-
-
-def _unknown(detail: str) -> errors.Refused:
-    return errors.Refused(
-        errors.Code.OUTCOME_UNKNOWN,
-        409,
-        f"{detail}; look its outcome up later",
-        ran=errors.Ran.UNKNOWN,
-        retry_after=1.0,
-    )
-
-
-def _store_down() -> errors.Refused:
-    return errors.Refused(
-        errors.Code.STORE_UNAVAILABLE,
-        503,
-        "the claim could not be recorded, so the request was not sent",
-        retry_after=1.0,
-    )
--- a/src/endivepier/effects/client.py
+++ b/src/endivepier/effects/client.py
@@ -2,78 +2,106 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Sequence
+import dataclasses
 
 from endivepier import errors
+from endivepier import timers as timers_lib
 from endivepier.effects import messages
+from endivepier.effects import refusals
 from endivepier.internal import peers as peers_lib
+from endivepier.membership import members
 from endivepier.membership import view as view_lib
 from endivepier.ownership import placement
 
-RETRY_SECONDS = 0.5
+CANDIDATES = 3
 
 
 class Client:
     """Carries requests to a sidecar of the pool that serves them."""
 
-    def __init__(self, view: view_lib.View, peers: peers_lib.Peers) -> None:
+    def __init__(
+        self,
+        view: view_lib.View,
+        peers: peers_lib.Peers,
+        timers: timers_lib.Timers,
+    ) -> None:
         self._view = view
         self._peers = peers
+        self._timers = timers
 
     def send(
         self, pool: str, req: messages.CallService
     ) -> messages.ServiceAnswer:
-        """Sends a request once and returns the service's whole answer.
+        """Sends a request and returns the service's whole answer.
+
+        It goes to one sidecar after another only while nothing was sent.
 
         Raises:
             errors.Refused: with the truth about whether it ran.
         """
-        name = req.program_id or req.idempotency_key or req.path
-        answer: messages.ServiceAnswer = self._call(
-            pool, name, req, messages.ServiceAnswer, req.seconds
+        deadline = self._timers.now() + req.seconds
+        for member in self._candidates(pool, req):
+            left = deadline - self._timers.now()
+            if left <= 0:
+                break
+            attempt = dataclasses.replace(req, seconds=left)
+            try:
+                answer: messages.ServiceAnswer = self._peers.call(
+                    member.address,
+                    attempt,
+                    messages.ServiceAnswer,
+                    seconds=left,
+                )
+            except errors.PeerUnreachable as exc:
+                self._view.suspect(exc.address)
+                if exc.sent and not req.idempotent:
+                    raise _no_answer(errors.Ran.UNKNOWN) from None
+                continue
+            return answer
+        raise _no_answer(
+            errors.Ran.UNKNOWN if req.idempotent else errors.Ran.NO
         )
-        return answer
 
-    def look_up(
-        self, pool: str, req: messages.LookUp, *, seconds: float
+    def ask_target(
+        self, target: str, req: messages.AskTarget, *, seconds: float
     ) -> messages.Outcome:
-        """Returns what is known of a non-idempotent request.
+        """Has the sidecar beside a target learn an outcome from it.
 
         Raises:
             errors.Refused: nothing could be learnt now.
         """
-        outcome: messages.Outcome = self._call(
-            pool, req.idempotency_key, req, messages.Outcome, seconds
-        )
-        return outcome
+        for member in self._view.everybody():
+            if member.target == target:
+                try:
+                    outcome: messages.Outcome = self._peers.call(
+                        member.address, req, messages.Outcome, seconds=seconds
+                    )
+                except errors.PeerUnreachable:
+                    break
+                return outcome
+        raise refusals.unknown(f"no sidecar of target {target!r} answers")
 
-    def _call(
-        self,
-        pool: str,
-        name: str,
-        message: messages.CallService | messages.LookUp,
-        reply: type[Any],
-        seconds: float,
-    ) -> Any:
-        candidates = self._view.ready("sidecar", pool)
-        order = placement.ranked(name, candidates)
-        if not order:
+    def _candidates(
+        self, pool: str, req: messages.CallService
+    ) -> Sequence[members.Member]:
+        ready = self._view.ready("sidecar", pool)
+        if not ready:
             raise errors.Refused(
                 errors.Code.NOT_READY,
                 503,
                 f"no target of pool {pool!r} is ready; retry later",
-                retry_after=RETRY_SECONDS,
+                retry_after=refusals.RETRY_SECONDS,
             )
-        try:
-            return self._peers.call(
-                order[0].address, message, reply, seconds=seconds
-            )
-        except errors.PeerUnreachable as exc:
-            self._view.suspect(exc.address)
-            raise errors.Refused(
-                errors.Code.TARGET_FAILED,
-                502,
-                "the service's sidecar gave no answer",
-                ran=errors.Ran.UNKNOWN if exc.sent else errors.Ran.NO,
-                retry_after=RETRY_SECONDS,
-            ) from None
+        name = req.program_id or req.idempotency_key or req.path
+        return placement.ranked(name, ready)[:CANDIDATES]
+
+
+def _no_answer(ran: errors.Ran) -> errors.Refused:
+    return errors.Refused(
+        errors.Code.TARGET_FAILED,
+        502,
+        "the service's sidecar gave no answer",
+        ran=ran,
+        retry_after=refusals.RETRY_SECONDS,
+    )
--- a/src/endivepier/effects/messages.py
+++ b/src/endivepier/effects/messages.py
@@ -24,6 +24,11 @@
         idempotent: whether it may be repeated.
         idempotency_key: the caller's key, if it is not idempotent.
         seconds: how long the caller waits.
+        after: version of the claim row on which this attempt builds; None
+            if there must be no row. Once the row has moved on, the message can
+            have no effect any more, however late it arrives.
+        round: how often the target itself has ruled an earlier attempt out.
+        sent: Unix time at which it was sent, in seconds.
     """
 
     account: str
@@ -36,6 +41,9 @@
     idempotent: bool
     idempotency_key: str
     seconds: float
+    after: int | None = None
+    round: int = 0
+    sent: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,8 +65,13 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class LookUp:
-    """Asks for the outcome of a non-idempotent request."""
+class AskTarget:
+    """Asks a sidecar to learn an open claim's outcome from its target.
+
+    Attributes:
+        account: the client account that made the request.
+        idempotency_key: the caller's key.
+    """
 
     account: str
     idempotency_key: str
@@ -70,7 +83,7 @@
 
     Attributes:
         ran: whether it took effect at the service.
-        answer: the stored answer if it ran, else None.
+        answer: the stored answer if it ran and the answer is known.
     """
 
     ran: errors.Ran
--- a/src/endivepier/entry/callers.py
+++ b/src/endivepier/entry/callers.py
@@ -12,6 +12,8 @@
 from endivepier import errors
 from endivepier.configuration import keys as keys_lib
 from endivepier.configuration import state as state_lib
+from endivepier.effects import attempts as attempts_lib
+from endivepier.effects import claims as claims_lib
 from endivepier.effects import client as client_lib
 from endivepier.effects import messages as effect_messages
 from endivepier.entry import chat
@@ -53,7 +55,16 @@
         self._auth = authenticator
         self._limiter = limiter
         self._owners = owners
-        self._services = client_lib.Client(base.view, base.env.peers)
+        env = base.env
+        self._services = client_lib.Client(base.view, env.peers, env.timers)
+        self._attempts = attempts_lib.Attempts(
+            claims_lib.Claims(
+                env.platform.table, env.platform.objects, env.timers, base.ids
+            ),
+            self._services,
+            base.current,
+            env.timers,
+        )
         self._seconds = call_seconds
         self._timers = base.env.timers
 
@@ -155,8 +166,9 @@
     ) -> werkzeug.wrappers.Response:
         """Shows what is known of a non-idempotent request."""
         caller = self._caller(req)
-        message = effect_messages.LookUp(caller.account, key)
-        outcome = self._services.look_up(pool, message, seconds=self._seconds)
+        del pool  # A key names the same request at all pools.
+        self._limiter.admit(caller.account)
+        outcome = self._attempts.look_up(caller.account, key)
         return web.json_response(outcome)
 
     def _caller(self, req: web.Request) -> keys_lib.Caller:
@@ -331,17 +343,22 @@
             idempotency_key="" if idempotent else idempotency_key,
             seconds=self._seconds,
         )
-        if not program:
-            return self._services.send(route.pool, call)
-        step = messages.ProgramServiceCall(
-            program, call.account, route.pool, call
+        return self._attempts.run(
+            call, lambda attempt: self._send(route.pool, program, attempt)
         )
+
+    def _send(
+        self, pool: str, program: str, call: effect_messages.CallService
+    ) -> effect_messages.ServiceAnswer:
+        if not program:
+            return self._services.send(pool, call)
+        step = messages.ProgramServiceCall(program, call.account, pool, call)
         answer: effect_messages.ServiceAnswer = self._owners.call(
             ids_lib.parse_program(program),
             step,
             effect_messages.ServiceAnswer,
-            seconds=self._seconds,
-            repeatable=idempotent,
+            seconds=call.seconds,
+            repeatable=call.idempotent,
         )
         return answer
 
--- a/src/endivepier/internal/http_client.py
+++ b/src/endivepier/internal/http_client.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -162,14 +163,25 @@
         path: str,
         body: bytes = b"",
         headers: dict[str, str] | None = None,
+        check: Callable[[], None] | None = None,
     ) -> StreamedAnswer:
         """Sends the request once and returns the answer's start.
 
+        Args:
+            method: HTTP method.
+            path: path and query, below the base URL.
+            body: the content.
+            headers: further headers.
+            check: called once a connection stands, right before the first
+                byte; what it raises passes through, and nothing is sent.
+
         Raises:
             ConnectFailed: nothing was sent.
             ExchangeFailed: something may have been sent.
         """
         self._connect()
+        if check is not None:
+            check()
         with _as_exchange_failure():
             response = self._client.request(
                 method, self._prefix + path, body, headers or {}
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -6,6 +6,7 @@
 
 from endivepier.effects import claims as claims_lib
 from endivepier.effects import client as client_lib
+from endivepier.effects import retention
 from endivepier.effects import runner as runner_lib
 from endivepier.history import journal as journal_lib
 from endivepier.history import receipts as receipts_lib
@@ -60,7 +61,7 @@
             receipts=receipts_lib.Receipts(env.fleet_secret),
             router=self.router,
             current=self.current,
-            services=client_lib.Client(self.view, env.peers),
+            services=client_lib.Client(self.view, env.peers, env.timers),
             timers=env.timers,
             ids=self.ids,
         )
@@ -89,7 +90,30 @@
     ) -> None:
         super().__init__(env, "sidecar", target)
         self.claims = claims_lib.Claims(
-            env.platform.table, self.committer, self.ids
+            env.platform.table, env.platform.objects, env.timers, self.ids
+        )
+        self.runner = runner_lib.Runner(
+            target,
+            service,
+            self.claims,
+            env.timers,
+            self.ids,
+            self.metrics,
+            self._checks_fence,
         )
-        self.runner = runner_lib.Runner(service, self.claims, self.ids)
         self.runner.register(env.inbox)
+        self.sweeper = retention.Sweeper(
+            env.platform.table, env.timers, self.metrics, self._sweeps
+        )
+        self.kernel.register("claims", self.sweeper)
+        self.kernel.register("effects", self.runner)
+
+    def _checks_fence(self) -> bool:
+        target = self.current.state.targets.get(self._target)
+        return target is not None and target.checks_fence
+
+    def _sweeps(self) -> bool:
+        """Returns whether this sidecar sweeps expired claims now."""
+        me = self.describe()
+        ready = self.view.ready("sidecar", me.pool)
+        return bool(me.pool and ready) and ready[0].address == me.address
--- a/src/endivepier/standins/service.py
+++ b/src/endivepier/standins/service.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 import json
 
+import gevent
+import gevent.event
+
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.targets import ports
@@ -47,7 +51,8 @@
     """A `targets.ports.Service` in memory.
 
     It does not deduplicate: a request that arrives twice takes effect twice,
-    so that a checker sees each violation.
+    so that a checker sees each violation. What has arrived is carried out
+    even if nobody waits for the answer any more.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         name: str,
         *,
         tells_outcome: bool = False,
+        checks_fence: bool = False,
     ) -> None:
         """Makes a service.
 
@@ -63,40 +69,74 @@
             timers: the timer service.
             name: the target's name.
             tells_outcome: whether it answers status queries by key.
+            checks_fence: whether it refuses fencing numbers that are lower
+                than one that it has seen for the same key.
         """
         self.faults = ServiceFaults()
         self.name = name
         self.effects: list[Effect] = []
+        self.fenced = 0
         self._timers = timers
         self._tells = tells_outcome
+        self._checks_fence = checks_fence
         self._answers: dict[str, ports.ServiceResponse] = {}
+        self._under_way: set[str] = set()
+        self._ruled_out: set[str] = set()
+        self._fences: dict[str, int] = {}
 
     def call(
-        self, req: ports.ServiceRequest, *, seconds: float
+        self,
+        req: ports.ServiceRequest,
+        *,
+        seconds: float,
+        check: Callable[[], None] = ports.send_any_time,
     ) -> ports.ServiceResponse:
         """Carries out a request; see `targets.ports.Service.call`."""
         if self.faults.down:
             raise errors.TargetFailed(self.name, "it is down", sent=False)
-        try:
-            with self._timers.limit(seconds):
-                self._timers.sleep(self.faults.seconds / 2)
-                answer = self._run(req)
-                wait = NEVER_SECONDS if self.faults.hang else 0.0
-                self._timers.sleep(wait + self.faults.seconds / 2)
-        except errors.DeadlineExceeded as exc:
-            raise errors.TargetFailed(self.name, str(exc), sent=True) from None
+        check()
+        done = gevent.event.Event()
+        answers: list[ports.ServiceResponse] = []
+        gevent.spawn(self._carry_out, req, answers, done)
+        if not self._timers.wait(done, seconds):
+            raise errors.TargetFailed(self.name, "timeout", sent=True)
         if self.faults.lost_replies > 0:
             self.faults.lost_replies -= 1
             raise errors.TargetFailed(self.name, "reply lost", sent=True)
-        return answer
+        return answers[0]
 
     def outcome(self, idempotency_key: str) -> ports.ServiceResponse | None:
         """Returns the stored answer; see `targets.ports.Service.outcome`."""
         if not self._tells:
             raise errors.TargetFailed(self.name, "it can't tell", sent=True)
-        return self._answers.get(idempotency_key)
+        if idempotency_key in self._under_way:
+            raise errors.TargetFailed(self.name, "it still runs", sent=True)
+        answer = self._answers.get(idempotency_key)
+        if answer is None:
+            self._ruled_out.add(idempotency_key)
+        return answer
+
+    def _carry_out(
+        self,
+        req: ports.ServiceRequest,
+        answers: list[ports.ServiceResponse],
+        done: gevent.event.Event,
+    ) -> None:
+        key = req.idempotency_key
+        self._under_way.add(key)
+        self._timers.sleep(self.faults.seconds / 2)
+        answers.append(self._run(req))
+        self._under_way.discard(key)
+        wait = NEVER_SECONDS if self.faults.hang else 0.0
+        self._timers.sleep(wait + self.faults.seconds / 2)
+        done.set()
 
     def _run(self, req: ports.ServiceRequest) -> ports.ServiceResponse:
+        refusal = self._refusal(req)
+        if refusal:
+            return ports.ServiceResponse(
+                req.request_id, 409, refusal, "text/plain"
+            )
         self.effects.append(Effect(self._timers.now(), req))
         body = json.dumps({"effect": len(self.effects), "path": req.path})
         answer = ports.ServiceResponse(
@@ -106,6 +146,18 @@
             self._answers[req.idempotency_key] = answer
         return answer
 
+    def _refusal(self, req: ports.ServiceRequest) -> bytes:
+        """Returns why a request must not run, or nothing."""
+        key = req.idempotency_key
+        if key and key in self._ruled_out:
+            return b"this key was said never to run"
+        if self._checks_fence and req.fence:
+            if req.fence < self._fences.get(key, 0):
+                self.fenced += 1
+                return b"the fencing number is old"
+            self._fences[key] = req.fence
+        return b""
+
 
 class MemoryTools:
     """A `targets.ports.ToolService` in memory."""
--- a/src/endivepier/targets/http_service.py
+++ b/src/endivepier/targets/http_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import urllib.parse
 
 import gevent
@@ -24,7 +25,11 @@
         self._tracer = tracer
 
     def call(
-        self, req: ports.ServiceRequest, *, seconds: float
+        self,
+        req: ports.ServiceRequest,
+        *,
+        seconds: float,
+        check: Callable[[], None] = ports.send_any_time,
     ) -> ports.ServiceResponse:
         """Sends the request once; see `targets.ports.Service.call`."""
         headers = {
@@ -38,7 +43,7 @@
             headers[wire.FENCE_HEADER] = str(req.fence)
         with self._tracer.span("service.call"):
             answer = self._exchange(
-                req.method, req.path, req.body, headers, seconds
+                req.method, req.path, req.body, headers, seconds, check
             )
         content_type = answer.header("content-type")
         echoed = answer.header(wire.REQUEST_ID_HEADER)
@@ -67,11 +72,12 @@
         body: bytes,
         headers: dict[str, str],
         seconds: float,
+        check: Callable[[], None] = ports.send_any_time,
     ) -> http_client.StreamedAnswer:
         timeout = http_client.ExchangeFailed("timeout")
         try:
             with gevent.Timeout(seconds, timeout):
-                return self._client.open(method, path, body, headers)
+                return self._client.open(method, path, body, headers, check)
         except http_client.ConnectFailed as exc:
             raise errors.TargetFailed(self._name, str(exc), sent=False) from exc
         except http_client.ExchangeFailed as exc:
--- a/src/endivepier/targets/ports.py
+++ b/src/endivepier/targets/ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
@@ -232,12 +233,28 @@
     content_type: str
 
 
+def send_any_time() -> None:
+    """The check of a request that may be sent at any time."""
+
+
 class Service(Protocol):
     """A plain service, some of whose calls must not be repeated."""
 
-    def call(self, req: ServiceRequest, *, seconds: float) -> ServiceResponse:
+    def call(
+        self,
+        req: ServiceRequest,
+        *,
+        seconds: float,
+        check: Callable[[], None] = send_any_time,
+    ) -> ServiceResponse:
         """Sends the request once and returns the whole answer.
 
+        Args:
+            req: the request.
+            seconds: how long the answer may take.
+            check: called once a connection stands, right before the first
+                byte; what it raises passes through, and nothing is sent.
+
         Raises:
             errors.TargetFailed: no whole answer; `sent` tells whether the
                 service may have seen the request.
@@ -247,10 +264,11 @@
         """Asks whether the service ran a request, where it can tell.
 
         Returns:
-            The stored answer; None if it never ran and never will.
+            The stored answer; None if it never ran and never will: the
+            service refuses the key from now on.
 
         Raises:
-            errors.TargetFailed: the service can't tell.
+            errors.TargetFailed: the service can't tell, or can't tell yet.
         """
 
 
