Judge effects by histories under faults, with planted faults

An attempt reads the row once before anything is sent and builds on nothing that was written later, so that a look-up's "no" also holds for tries that hang at a paused entry host. The target's key names the account, since two accounts may choose the same one; the demo's check reads it so.

Before the read at the start an attempt could go on from a "not run" that a look-up had told after the attempt began.

--- /dev/null
+++ b/bench/effects_fleet.py
@@ -0,0 +1,484 @@
+"""Entry hosts, owners, service sidecars and callers in simulated time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+import functools
+import json
+import random
+from typing import Any
+
+import gevent
+import gevent.event
+
+from bench import effects_checker as checker
+from endivepier import errors
+from endivepier.configuration import notes
+from endivepier.effects import attempts as attempts_lib
+from endivepier.effects import claims as claims_lib
+from endivepier.effects import client as client_lib
+from endivepier.effects import group as group_lib
+from endivepier.effects import messages
+from endivepier.history import messages as history_messages
+from endivepier.internal import codec
+from endivepier.internal import peers as peers_lib
+from endivepier.internal import platform_clients
+from endivepier.internal import process
+from endivepier.membership import members
+from endivepier.platform import ports
+from endivepier.sidecar import parts
+from endivepier.standins import clock
+from endivepier.standins import hosts as hosts_lib
+from endivepier.standins import network as network_lib
+from endivepier.standins import objects as objects_lib
+from endivepier.standins import service as service_lib
+from endivepier.standins import table as table_lib
+from endivepier.targets import ports as target_ports
+
+POOL = "ledger"
+OWNER = "10.0.2.1:1"
+CONNECT_SECONDS = 0.0005
+GIVE_UP_SECONDS = 8.0
+CALL_SECONDS = 4.0
+SUSPECT_SECONDS = 1.0
+LATE_TIMEOUT_SECONDS = 0.2
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What goes wrong by chance, as shares of the occasions.
+
+    Attributes:
+        late: messages between processes that arrive late, after their sender
+            gave up.
+        late_seconds: the longest delay of these, in seconds.
+        paused: sidecars that are frozen right after a commit of theirs.
+        pause_seconds: the longest of these pauses.
+        lost_answers: answers of a service that are lost after the effect.
+    """
+
+    late: float = 0.0
+    late_seconds: float = 30.0
+    paused: float = 0.0
+    pause_seconds: float = 12.0
+    lost_answers: float = 0.0
+
+
+class Service:
+    """A service as the sidecar on its host reaches it; records effects."""
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        self.inner = service_lib.MemoryService(
+            fleet.timers,
+            name,
+            tells_outcome=fleet.tells_outcome,
+            checks_fence=fleet.tells_outcome,
+        )
+        self._fleet = fleet
+
+    def beside(self, host: network_lib.Host) -> _ServiceOfHost:
+        """Returns the service as a process on `host` reaches it."""
+        return _ServiceOfHost(self._fleet, self.inner, host)
+
+
+class _ServiceOfHost:
+    def __init__(
+        self,
+        fleet: Fleet,
+        inner: service_lib.MemoryService,
+        host: network_lib.Host,
+    ) -> None:
+        self._fleet = fleet
+        self._inner = inner
+        self._host = host
+
+    def call(
+        self,
+        req: target_ports.ServiceRequest,
+        *,
+        seconds: float,
+        check: Callable[[], None] = target_ports.send_any_time,
+    ) -> target_ports.ServiceResponse:
+        def gated_check() -> None:
+            self._host.gate()
+            if not self._fleet.unchecked:
+                check()
+
+        self._host.timers.sleep(CONNECT_SECONDS)
+        answer = self._inner.call(req, seconds=seconds, check=gated_check)
+        self._host.gate()
+        if self._fleet.chance(self._fleet.faults.lost_answers):
+            raise errors.TargetFailed(self._inner.name, "lost", sent=True)
+        return answer
+
+    def outcome(self, key: str) -> target_ports.ServiceResponse | None:
+        self._host.gate()
+        return self._inner.outcome(key)
+
+
+class _PausingTable:
+    """The table of a sidecar whose host may stop right after a commit."""
+
+    def __init__(self, fleet: Fleet, host: network_lib.Host) -> None:
+        self._fleet = fleet
+        self._host = host
+        self.get = fleet.table.get
+        self.scan = fleet.table.scan
+
+    def transact(self, txn: ports.Transaction) -> int:
+        version = self._fleet.table.transact(txn)
+        faults = self._fleet.faults
+        if self._fleet.chance(faults.paused):
+            self._fleet.freeze(
+                self._host, self._fleet.rng.uniform(0, faults.pause_seconds)
+            )
+        return version
+
+
+class _LatePeers:
+    """Peers some of whose messages arrive after their sender gave up."""
+
+    def __init__(self, fleet: Fleet, host: network_lib.Host) -> None:
+        self._fleet = fleet
+        self._host = host
+        self.stream = host.peers.stream
+
+    def call(
+        self, address: str, req: Any, reply: type[Any], *, seconds: float
+    ) -> Any:
+        faults = self._fleet.faults
+        if not self._fleet.chance(faults.late):
+            return self._host.peers.call(address, req, reply, seconds=seconds)
+        delay = self._fleet.rng.uniform(0, faults.late_seconds)
+        gevent.spawn(
+            self._deliver, address, type(req), codec.encode(req), delay
+        )
+        self._host.timers.sleep(LATE_TIMEOUT_SECONDS)
+        raise errors.PeerUnreachable(address, "timeout", sent=True)
+
+    def _deliver(
+        self, address: str, kind: type[Any], body: bytes, delay: float
+    ) -> None:
+        self._fleet.timers.sleep(delay)
+        host = self._fleet.network.hosts.get(address)
+        if host is None:
+            return
+        host.gate()
+        endpoint = host.inbox.find(peers_lib.name_of(kind))
+        try:
+            endpoint.handler(codec.decode(kind, body))
+        except errors.EndivepierError:
+            return
+
+
+class _Roster:
+    """A view without heartbeats: who is up, less those that failed lately."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._suspects: dict[str, float] = {}
+
+    def everybody(self) -> list[members.Member]:
+        now = self._fleet.timers.now()
+        return [
+            members.Member(
+                address,
+                "sidecar",
+                "plateau",
+                target,
+                POOL,
+                members.MemberState.READY,
+            )
+            for address, target in self._fleet.sites.items()
+            if self._suspects.get(address, -SUSPECT_SECONDS) + SUSPECT_SECONDS
+            <= now
+        ]
+
+    def ready(self, role: str, pool: str = "") -> list[members.Member]:
+        del role, pool
+        return self.everybody()
+
+    def suspect(self, address: str) -> None:
+        self._suspects[address] = self._fleet.timers.now()
+
+
+class Entry:
+    """What an entry host does for non-idempotent requests."""
+
+    def __init__(self, fleet: Fleet, address: str) -> None:
+        self.host = fleet.network.add(address)
+        self.base = process.Base(fleet.environment(self.host), "entry")
+        table = self.base.env.platform.table
+        group = group_lib.Group(table, self.host.timers, max_rows=fleet.rows)
+        self.claims = claims_lib.Claims(
+            table,
+            self.base.env.platform.objects,
+            self.host.timers,
+            self.base.ids,
+            group,
+        )
+        roster: Any = _Roster(fleet)
+        self.client = client_lib.Client(
+            roster, self.base.env.peers, self.host.timers
+        )
+        self.attempts = attempts_lib.Attempts(
+            self.claims, self.client, self.base.current, self.host.timers
+        )
+        self.base.kernel.start()
+
+    def run(
+        self, req: messages.CallService, through_owner: bool
+    ) -> messages.ServiceAnswer:
+        """Runs a request, directly or through a program's owner."""
+        send = self._to_owner if through_owner else self._direct
+        return self.attempts.run(req, send)
+
+    def _direct(self, req: messages.CallService) -> messages.ServiceAnswer:
+        return self.client.send(POOL, req)
+
+    def _to_owner(self, req: messages.CallService) -> messages.ServiceAnswer:
+        step = history_messages.ProgramServiceCall(
+            "program", req.account, POOL, req
+        )
+        try:
+            answer: messages.ServiceAnswer = self.base.env.peers.call(
+                OWNER, step, messages.ServiceAnswer, seconds=req.seconds
+            )
+        except errors.PeerUnreachable as exc:
+            raise errors.Refused(
+                errors.Code.NOT_READY,
+                503,
+                "the program's owner gave no answer",
+                ran=errors.Ran.UNKNOWN if exc.sent else errors.Ran.NO,
+            ) from None
+        return answer
+
+
+class Fleet:
+    """The hosts, the platform, the services and what all edges recorded.
+
+    Attributes:
+        unchecked: plants a fault: sidecars send however late it is.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        *,
+        sidecars: int = 3,
+        entries: int = 2,
+        tells_outcome: bool = False,
+        rows: int = group_lib.MAX_ROWS,
+    ) -> None:
+        """Makes a fleet that runs.
+
+        Args:
+            seed: of all that goes by chance.
+            sidecars: number of services with a sidecar each.
+            entries: number of entry hosts.
+            tells_outcome: whether the services tell outcomes and check
+                fencing numbers.
+            rows: the most rows that share a transaction.
+        """
+        self.rng = random.Random(seed)
+        self.timers = clock.VirtualTimers()
+        self.network = network_lib.Network(self.timers)
+        self.table = table_lib.MemoryTable(self.timers, self.rng)
+        self.objects = objects_lib.MemoryObjects(self.timers)
+        self.faults = Faults()
+        self.tells_outcome = tells_outcome
+        self.rows = rows
+        self.unchecked = False
+        self.attempts: list[checker.Attempt] = []
+        self.services: dict[str, Service] = {}
+        self.sites: dict[str, str] = {}
+        self.sidecars: dict[str, parts.ServiceSidecar] = {}
+        self.entries: list[Entry] = []
+        self.timers.run(self._start, sidecars, entries)
+
+    def _start(self, sidecars: int, entries: int) -> None:
+        for index in range(sidecars):
+            name = f"ledger-{index}"
+            self.services[name] = Service(self, name)
+            self.sites[f"10.0.1.{index}:1"] = name
+        for index in range(entries):
+            self.entries.append(Entry(self, f"10.0.0.{index}:1"))
+        self.entries[0].base.store.apply(notes.parse(self._note()), "first")
+        for address in self.sites:
+            self.start_sidecar(address)
+        self.start_owner()
+        self.timers.sleep(2.0)
+
+    def _note(self) -> str:
+        told = str(self.tells_outcome).lower()
+        targets = "".join(
+            f'[[added.targets]]\nname = "{name}"\npool = "{POOL}"\n'
+            f"tells_outcome = {told}\nchecks_fence = {told}\n"
+            for name in self.services
+        )
+        return f'[[added.pools]]\nname = "{POOL}"\nkind = "service"\n{targets}'
+
+    def environment(
+        self, host: network_lib.Host, table: ports.Table | None = None
+    ) -> process.Environment:
+        """Returns what surrounds a process on `host`."""
+        return process.Environment(
+            address=host.address,
+            data_centre="plateau",
+            timers=host.timers,
+            peers=_LatePeers(self, host),
+            inbox=host.inbox,
+            platform=platform_clients.Platform(
+                host.table(table or self.table),
+                host.objects(self.objects),
+                hosts_lib.MemoryHostList(self.timers),
+            ),
+            rng=random.Random(self.rng.random()),
+            fleet_secret="secret",
+        )
+
+    def start_sidecar(self, address: str) -> None:
+        """Starts a sidecar, in place of the one that was there."""
+        host = self.network.add(address)
+        target = self.sites[address]
+        sidecar = parts.ServiceSidecar(
+            self.environment(host, _PausingTable(self, host)),
+            target,
+            self.services[target].beside(host),
+        )
+        sidecar.claims._group._max_rows = self.rows
+        self.sidecars[address] = sidecar
+        gevent.spawn(sidecar.start)
+
+    def start_owner(self) -> None:
+        """Starts a process that passes programs' calls on."""
+        host = self.network.add(OWNER)
+        roster: Any = _Roster(self)
+        client = client_lib.Client(roster, _LatePeers(self, host), host.timers)
+        host.inbox.register(
+            history_messages.ProgramServiceCall,
+            messages.ServiceAnswer,
+            lambda req: client.send(req.pool, req.request),
+        )
+
+    def freeze(self, host: network_lib.Host, seconds: float) -> None:
+        """Suspends a host for a while."""
+        host.freeze()
+        self.timers.after(seconds, host.thaw)
+
+    def chance(self, share: float) -> bool:
+        """Returns true for a share of the occasions."""
+        return bool(share) and self.rng.random() < share
+
+    def ask(
+        self,
+        entry: Entry,
+        account: str,
+        key: str,
+        body: bytes,
+        *,
+        through_owner: bool = False,
+    ) -> checker.Attempt:
+        """Makes one try as a caller does, and records it."""
+        req = messages.CallService(
+            account=account,
+            program_id="program" if through_owner else "",
+            kind="standard",
+            method="POST",
+            path=f"/{account}/{key}",
+            body=body,
+            content_type="text/plain",
+            idempotent=False,
+            idempotency_key=key,
+            seconds=CALL_SECONDS,
+        )
+        attempt = checker.Attempt(f"{account}/{key}", body, self.timers.now())
+        self._await(
+            entry, attempt, functools.partial(entry.run, req, through_owner)
+        )
+        return attempt
+
+    def look_up(self, entry: Entry, account: str, key: str) -> checker.Attempt:
+        """Looks an outcome up as a caller does, and records it."""
+        attempt = checker.Attempt(
+            f"{account}/{key}", b"", self.timers.now(), looks_up=True
+        )
+        look = functools.partial(entry.attempts.look_up, account, key)
+        self._await(entry, attempt, look)
+        return attempt
+
+    def _await(
+        self,
+        entry: Entry,
+        attempt: checker.Attempt,
+        work: Callable[[], messages.ServiceAnswer | messages.Outcome],
+    ) -> None:
+        self.attempts.append(attempt)
+        done = gevent.event.Event()
+        gevent.spawn(self._note_answer, entry, attempt, work, done)
+        self.timers.wait(done, GIVE_UP_SECONDS)
+
+    def _note_answer(
+        self,
+        entry: Entry,
+        attempt: checker.Attempt,
+        work: Callable[[], messages.ServiceAnswer | messages.Outcome],
+        done: gevent.event.Event,
+    ) -> None:
+        try:
+            entry.host.gate()
+            result = work()
+            entry.host.gate()
+            told, answer = _told(result)
+        except errors.Refused as exc:
+            entry.host.gate()
+            told, answer = checker.Told(exc.ran.value), b""
+        if self.timers.now() - attempt.start <= GIVE_UP_SECONDS:
+            attempt.end = self.timers.now()
+            attempt.told = told
+            attempt.answer = answer
+        done.set()
+
+    def effects(self) -> list[checker.Effect]:
+        """Returns what the services carried out, as they saw it."""
+        return [
+            checker.Effect(
+                effect.request.path[1:],
+                effect.request.body,
+                effect.moment,
+                json.dumps(
+                    {"effect": number, "path": effect.request.path}
+                ).encode(),
+            )
+            for service in self.services.values()
+            for number, effect in enumerate(service.inner.effects, 1)
+        ]
+
+    def verdict(self) -> checker.Verdict:
+        """Judges the history so far."""
+        return checker.judge(self.attempts, self.effects())
+
+    def open_claims(self) -> list[claims_lib.Claim]:
+        """Returns the claims whose outcome is not in the table."""
+        rows = [
+            claims_lib.Claim(
+                row.key,
+                row.version,
+                codec.decode(claims_lib.ClaimRow, row.value),
+            )
+            for row in self.table.peek(claims_lib.PREFIX)
+        ]
+        dispatched = claims_lib.ClaimState.DISPATCHED
+        return [claim for claim in rows if claim.row.state is dispatched]
+
+
+def _told(
+    result: messages.ServiceAnswer | messages.Outcome,
+) -> tuple[checker.Told, bytes]:
+    match result:
+        case messages.ServiceAnswer():
+            return checker.Told.YES, result.body
+        case messages.Outcome(ran=ran, answer=answer):
+            body = b"" if answer is None else answer.body
+            return checker.Told(ran.value), body
--- a/src/endivepier/effects/attempts.py
+++ b/src/endivepier/effects/attempts.py
@@ -18,7 +18,7 @@
 from endivepier.effects import messages
 from endivepier.effects import refusals
 
-ATTEMPTS = 4
+LOOK_UP_TRIES = 4
 ASK_SECONDS = 5.0
 
 Send = Callable[[messages.CallService], messages.ServiceAnswer]
@@ -52,22 +52,26 @@
         Raises:
             errors.Refused: with the truth about whether it ran.
         """
-        if req.idempotent:
+        usable = 0 < len(req.idempotency_key) <= claims_lib.MAX_KEY
+        if req.idempotent or not usable:
+            # A key that is not usable is refused where it would be claimed,
+            # after whatever else is wrong with the request.
             return send(req)
-        if not 0 < len(req.idempotency_key) <= claims_lib.MAX_KEY:
-            raise refusals.bad_key()
-        deadline = self._timers.now() + req.seconds
-        known: claims_lib.Claim | None = None
-        for _ in range(ATTEMPTS):
-            try:
-                return send(self._attempt(req, known, deadline))
-            except errors.Refused as exc:
-                if exc.ran is errors.Ran.UNKNOWN:
-                    return self._settle(req, known, exc)
-                if exc.code is not errors.Code.CONFLICT:
-                    raise
-                known = self._moved(req, known, exc)
-        raise refusals.moved_on()
+        known = self._known(req)
+        if known is not None and not _is_not_run(known):
+            return self._earlier(req)
+        attempt = dataclasses.replace(
+            req,
+            after=None if known is None else known.version,
+            round=0 if known is None else known.row.round,
+            sent=self._timers.wall(),
+        )
+        try:
+            return send(attempt)
+        except errors.Refused as exc:
+            if exc.ran is not errors.Ran.UNKNOWN:
+                raise
+            return self._settle(req, known, exc)
 
     def look_up(self, account: str, idempotency_key: str) -> messages.Outcome:
         """Returns what is known of a request; "no" is final.
@@ -75,7 +79,7 @@
         Raises:
             errors.Refused: nothing could be learnt now.
         """
-        for _ in range(ATTEMPTS):
+        for _ in range(LOOK_UP_TRIES):
             try:
                 known = self._claims.read(account, idempotency_key)
                 if known is None or _is_not_run(known):
@@ -88,43 +92,32 @@
                 raise refusals.unknown("the table gives no answer") from None
         return messages.Outcome(errors.Ran.UNKNOWN)
 
-    def _attempt(
-        self,
-        req: messages.CallService,
-        known: claims_lib.Claim | None,
-        deadline: float,
-    ) -> messages.CallService:
-        left = deadline - self._timers.now()
-        if left <= 0:
-            raise refusals.too_old()
-        return dataclasses.replace(
-            req,
-            after=None if known is None else known.version,
-            round=0 if known is None else known.row.round,
-            sent=self._timers.wall(),
-            seconds=left,
-        )
+    def _known(self, req: messages.CallService) -> claims_lib.Claim | None:
+        """Returns the row on which a new attempt builds.
 
-    def _moved(
-        self,
-        req: messages.CallService,
-        known: claims_lib.Claim | None,
-        exc: errors.Refused,
-    ) -> claims_lib.Claim | None:
-        """Returns the "not run" row on which the next attempt builds."""
+        It is read once, before anything is sent: an attempt must not build
+        on a "not run" that was told to somebody after it had begun.
+        """
         try:
-            now = self._claims.read(req.account, req.idempotency_key)
+            known = self._claims.read(req.account, req.idempotency_key)
         except errors.Unavailable:
-            raise exc from None
-        if now is None:
-            return None
-        if not _is_not_run(now):
-            return known
-        if known is not None and known.version == now.version:
-            raise exc
-        if now.row.digest not in ("", claims_lib.request_digest(req)):
-            raise refusals.key_reused()
-        return now
+            raise refusals.store_down() from None
+        if known is not None:
+            _check_same(known, req)
+        return known
+
+    def _earlier(self, req: messages.CallService) -> messages.ServiceAnswer:
+        """Answers with what becomes of an attempt that was made before."""
+        unknown = refusals.unknown("an earlier attempt has no outcome")
+        try:
+            known = self._claims.settled(
+                req.account, req.idempotency_key, seconds=req.seconds / 2
+            )
+        except errors.Unavailable:
+            raise unknown from None
+        if known is None or _is_not_run(known):
+            raise refusals.moved_on()
+        return self._answer(known, unknown)
 
     def _settle(
         self,
@@ -156,9 +149,19 @@
             raise exc from None
         if now is None:
             raise exc
-        if now.row.digest not in ("", claims_lib.request_digest(req)):
-            raise refusals.key_reused()
-        outcome = self._outcome(now)
+        _check_same(now, req)
+        return self._answer(now, exc)
+
+    def _answer(
+        self, known: claims_lib.Claim, exc: errors.Refused
+    ) -> messages.ServiceAnswer:
+        """Returns the answer that a row leads to, or raises what it tells.
+
+        Args:
+            known: a row on which the attempt does not build.
+            exc: the refusal while the outcome is unknown.
+        """
+        outcome = self._outcome(known)
         match outcome.ran:
             case errors.Ran.NO:
                 # The row has moved on from where this attempt could claim.
@@ -182,6 +185,11 @@
             return messages.Outcome(errors.Ran.UNKNOWN)
 
 
+def _check_same(known: claims_lib.Claim, req: messages.CallService) -> None:
+    if known.row.digest not in ("", claims_lib.request_digest(req)):
+        raise refusals.key_reused()
+
+
 def _is_not_run(claim: claims_lib.Claim) -> bool:
     return claim.row.state is claims_lib.ClaimState.NOT_RUN
 
--- a/src/endivepier/effects/claims.py
+++ b/src/endivepier/effects/claims.py
@@ -31,6 +31,8 @@
 CLAIM_SECONDS = 2.0
 WIN_SECONDS = 2.0
 RECORD_SECONDS = 10.0
+WAIT_SECONDS = 2.0
+POLL_SECONDS = 0.1
 
 
 class ClaimState(enum.StrEnum):
@@ -142,6 +144,23 @@
             return None
         return Claim(key, row.version, codec.decode(ClaimRow, row.value))
 
+    def settled(
+        self, account: str, idempotency_key: str, *, seconds: float
+    ) -> Claim | None:
+        """Returns the claim; waits a short time while it is open.
+
+        Raises:
+            errors.Unavailable: the table did not answer.
+        """
+        deadline = self._timers.now() + min(seconds, WAIT_SECONDS)
+        while True:
+            known = self.read(account, idempotency_key)
+            if known is None or known.row.state is not ClaimState.DISPATCHED:
+                return known
+            if self._timers.now() + POLL_SECONDS >= deadline:
+                return known
+            self._timers.sleep(POLL_SECONDS)
+
     def dispatched(self, req: messages.CallService, target: str) -> ClaimRow:
         """Returns the row with which an attempt claims its request."""
         return ClaimRow(
--- a/src/endivepier/effects/runner.py
+++ b/src/endivepier/effects/runner.py
@@ -22,8 +22,7 @@
 SEND_SECONDS = 5.0
 MESSAGE_SECONDS = 3600.0
 SETTLED_SECONDS = 10.0
-WAIT_SECONDS = 2.0
-POLL_SECONDS = 0.1
+DRAIN_POLL_SECONDS = 0.05
 DRAIN_SECONDS = 60.0
 
 
@@ -81,7 +80,7 @@
         self._draining = True
         deadline = self._timers.now() + DRAIN_SECONDS
         while self.open_claims and self._timers.now() < deadline:
-            self._timers.sleep(POLL_SECONDS)
+            self._timers.sleep(DRAIN_POLL_SECONDS)
 
     def run(self, req: messages.CallService) -> messages.ServiceAnswer:
         """Runs a request and returns the service's whole answer.
@@ -223,22 +222,20 @@
         self, req: messages.CallService, digest: str
     ) -> messages.ServiceAnswer:
         """Answers with what became of an earlier attempt."""
-        deadline = self._timers.now() + min(WAIT_SECONDS, req.seconds / 2)
-        while True:
-            try:
-                known = self._claims.read(req.account, req.idempotency_key)
-            except errors.Unavailable:
-                raise refusals.unknown("the table gives no answer") from None
-            if known is None or known.version == req.after:
-                raise refusals.moved_on()
-            row = known.row
-            if row.digest not in ("", digest):
-                raise refusals.key_reused()
-            if row.state is not claims_lib.ClaimState.DISPATCHED:
-                return self._replay(row)
-            if self._timers.now() + POLL_SECONDS >= deadline:
-                raise refusals.unknown("an earlier attempt has no outcome")
-            self._timers.sleep(POLL_SECONDS)
+        try:
+            known = self._claims.settled(
+                req.account, req.idempotency_key, seconds=req.seconds / 2
+            )
+        except errors.Unavailable:
+            raise refusals.unknown("the table gives no answer") from None
+        if known is None:
+            raise refusals.moved_on()
+        row = known.row
+        if row.digest not in ("", digest):
+            raise refusals.key_reused()
+        if row.state is claims_lib.ClaimState.DISPATCHED:
+            raise refusals.unknown("an earlier attempt has no outcome")
+        return self._replay(row)
 
     def _replay(self, row: claims_lib.ClaimRow) -> messages.ServiceAnswer:
         outcome = self._claims.outcome(row)
--- a/src/endivepier/standins/demo.py
+++ b/src/endivepier/standins/demo.py
@@ -326,7 +326,8 @@
     runs: collections.Counter[str] = collections.Counter()
     for service in fleet.services.values():
         for effect in service.effects:
-            runs[effect.request.idempotency_key] += 1
+            _, _, key = effect.request.idempotency_key.partition("/")
+            runs[key] += 1
     twice = [key for key, count in runs.items() if count > 1]
     if twice:
         tally.broken.append(f"{len(twice)} effects ran more than once")
--- /dev/null
+++ b/tests/histories/test_effects.py
@@ -0,0 +1,282 @@
+"""Histories of non-idempotent requests under faults, two at a time."""
+
+import dataclasses
+
+import gevent
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from bench import effects_checker as checker
+from bench import effects_faults as faults_lib
+from bench import effects_fleet as fleet_lib
+from endivepier import errors
+from endivepier.effects import attempts as attempts_lib
+from endivepier.effects import claims as claims_lib
+from endivepier.effects import runner as runner_lib
+
+BUSY_SECONDS = 20.0
+CALM_SECONDS = 140.0
+
+shares = st.sampled_from([0.0, 0.0, 0.1, 0.3])
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    seed: int
+    tells_outcome: bool = False
+    requests: int = 30
+    keys: int = 12
+    late: float = 0.0
+    paused: float = 0.0
+    pause_seconds: float = 20.0
+    lost_answers: float = 0.0
+    lost_replies: float = 0.0
+    lost_requests: float = 0.0
+    faults: tuple[faults_lib.Fault, ...] = ()
+
+
+plans = st.builds(
+    Plan,
+    seed=st.integers(0, 2**32),
+    tells_outcome=st.booleans(),
+    requests=st.integers(5, 40),
+    keys=st.integers(2, 20),
+    late=shares,
+    paused=shares,
+    pause_seconds=st.sampled_from([3.0, 20.0, 100.0]),
+    lost_answers=shares,
+    lost_replies=shares,
+    lost_requests=shares,
+    faults=st.lists(
+        st.builds(
+            faults_lib.Fault,
+            at=st.floats(0, BUSY_SECONDS),
+            kind=st.sampled_from(faults_lib.Kind),
+            index=st.integers(0, 2),
+            seconds=st.sampled_from([0.5, 3.0, 10.0, 90.0]),
+        ),
+        max_size=5,
+    ).map(tuple),
+)
+
+
+def _caller(fleet, number, plan):
+    fleet.timers.sleep(fleet.rng.uniform(0, BUSY_SECONDS))
+    key = f"key-{number % plan.keys}"
+    account = fleet.rng.choice(["bank", "coop"])
+    body = b"other" if fleet.rng.random() < 0.1 else b"body"
+    if fleet.rng.random() < 0.1:
+        body = b"large" * 4000
+    for _ in range(3):
+        entry = fleet.rng.choice(fleet.entries)
+        if fleet.rng.random() < 0.2:
+            fleet.look_up(entry, account, key)
+        attempt = fleet.ask(
+            entry,
+            account,
+            key,
+            body,
+            through_owner=fleet.rng.random() < 0.3,
+        )
+        if attempt.told is checker.Told.YES:
+            return
+        fleet.timers.sleep(fleet.rng.uniform(0, 3))
+
+
+def _drive(fleet, plan):
+    tasks = [
+        gevent.spawn(_caller, fleet, number, plan)
+        for number in range(plan.requests)
+    ]
+    for fault in plan.faults:
+        gevent.spawn(faults_lib.strike, fleet, fault)
+    operator = gevent.spawn(faults_lib.operate, fleet)
+    fleet.timers.sleep(BUSY_SECONDS + 40)
+    fleet.faults = fleet_lib.Faults()
+    fleet.table.faults.lost_replies = fleet.table.faults.lost_requests = 0.0
+    fleet.timers.sleep(CALM_SECONDS)
+    gevent.joinall(tasks)
+    _ask_again(fleet)
+    operator.kill()
+
+
+def _ask_again(fleet):
+    """Asks for each request once more, when all faults are over."""
+    asked = {
+        attempt.name: attempt.body
+        for attempt in fleet.attempts
+        if not attempt.looks_up
+    }
+    for name, body in asked.items():
+        account, _, key = name.partition("/")
+        fleet.look_up(fleet.entries[0], account, key)
+        fleet.ask(fleet.entries[-1], account, key, body)
+
+
+def run(plan, **planted):
+    fleet = fleet_lib.Fleet(plan.seed, tells_outcome=plan.tells_outcome)
+    fleet.unchecked = planted.get("unchecked", False)
+    fleet.faults = fleet_lib.Faults(
+        late=plan.late,
+        paused=plan.paused,
+        pause_seconds=plan.pause_seconds,
+        lost_answers=plan.lost_answers,
+    )
+    fleet.table.faults.lost_replies = plan.lost_replies
+    fleet.table.faults.lost_requests = plan.lost_requests
+    fleet.timers.run(_drive, fleet, plan)
+    return fleet
+
+
+@hypothesis.given(plan=plans)
+@hypothesis.settings(max_examples=40)
+def test_keeps_every_promise_whatever_fails(plan):
+    fleet = run(plan)
+    verdict = fleet.verdict()
+    assert verdict.clean, verdict
+
+
+@hypothesis.given(plan=plans)
+@hypothesis.settings(max_examples=12)
+def test_leaves_nothing_unknown_once_all_is_calm(plan):
+    fleet = run(dataclasses.replace(plan, faults=(), paused=0.0))
+    last = {
+        attempt.name: attempt
+        for attempt in fleet.attempts
+        if not attempt.looks_up
+    }
+    ran = {effect.name: effect for effect in fleet.effects()}
+    for name, attempt in last.items():
+        # Only another body with the same key may be denied for good.
+        is_same = ran[name].body == attempt.body
+        expected = checker.Told.YES if is_same else checker.Told.NO
+        assert attempt.told is expected or _answer_is_lost(fleet, name)
+    assert fleet.open_claims() == []
+
+
+def _answer_is_lost(fleet, name):
+    """Returns whether an operator had to find out that the request ran."""
+    return any(
+        attempt.name == name
+        and attempt.looks_up
+        and attempt.told is checker.Told.YES
+        and not attempt.answer
+        for attempt in fleet.attempts
+    )
+
+
+def _says_no_without_a_proof(monkeypatch):
+    def settle(self, req, known, exc):
+        raise attempts_lib._as_not_run(exc)
+
+    monkeypatch.setattr(attempts_lib.Attempts, "_settle", settle)
+
+
+def _denies_absent_claims_without_a_proof(monkeypatch):
+    monkeypatch.setattr(claims_lib.Claims, "win", lambda *args: None)
+
+
+def _takes_claims_over(monkeypatch):
+    write = claims_lib.Claims.write
+
+    def grab(self, row, after, *, seconds):
+        try:
+            return write(self, row, after, seconds=seconds)
+        except errors.ConditionFailed:
+            known = self.read(row.account, row.idempotency_key)
+            return write(self, row, known.version, seconds=seconds)
+
+    monkeypatch.setattr(claims_lib.Claims, "write", grab)
+
+
+def _sends_on_an_unknown_claim(monkeypatch):
+    write = claims_lib.Claims.write
+
+    def trust(self, row, after, *, seconds):
+        try:
+            return write(self, row, after, seconds=seconds)
+        except (errors.OutcomeUnknown, errors.Unavailable):
+            return claims_lib.Claim("claim/lost", 1, row)
+
+    monkeypatch.setattr(claims_lib.Claims, "write", trust)
+
+
+def _denies_what_was_sent(monkeypatch):
+    failed = runner_lib._failed
+    monkeypatch.setattr(
+        runner_lib, "_failed", lambda detail, ran: failed(detail, errors.Ran.NO)
+    )
+
+
+def _shares_keys_among_accounts(monkeypatch):
+    key = claims_lib.claim_key
+    monkeypatch.setattr(
+        claims_lib, "claim_key", lambda _, name: key("all", name)
+    )
+
+
+def _ignores_the_body(monkeypatch):
+    monkeypatch.setattr(claims_lib, "request_digest", lambda req: "same")
+
+
+def _cuts_stored_answers(monkeypatch):
+    load = claims_lib.answers_lib.Answers.load
+
+    def cut(self, stored):
+        answer = load(self, stored)
+        return dataclasses.replace(answer, body=answer.body[:-1])
+
+    monkeypatch.setattr(claims_lib.answers_lib.Answers, "load", cut)
+
+
+ROUGH = Plan(
+    seed=0,
+    requests=60,
+    keys=12,
+    late=0.2,
+    paused=0.2,
+    pause_seconds=100.0,
+    lost_answers=0.2,
+    lost_replies=0.3,
+    lost_requests=0.3,
+    faults=(
+        faults_lib.Fault(3.0, faults_lib.Kind.TABLE_OUTAGE, 0, 3.0),
+        faults_lib.Fault(6.0, faults_lib.Kind.KILL, 1, 0.5),
+        faults_lib.Fault(8.0, faults_lib.Kind.CUT_TABLE, 0, 10.0),
+        faults_lib.Fault(9.0, faults_lib.Kind.FREEZE_OWNER, 0, 10.0),
+    ),
+)
+
+
+@pytest.mark.parametrize(
+    ("plant", "broken"),
+    [
+        (_says_no_without_a_proof, "false_no"),
+        (_denies_absent_claims_without_a_proof, "false_no"),
+        (_takes_claims_over, "twice"),
+        (_sends_on_an_unknown_claim, "twice"),
+        (_denies_what_was_sent, "false_no"),
+        (_shares_keys_among_accounts, "wrong_answer"),
+        (_ignores_the_body, "wrong_answer"),
+        (_cuts_stored_answers, "wrong_answer"),
+        ("unchecked", "twice"),
+    ],
+)
+def test_the_checker_catches_a_planted_fault(monkeypatch, plant, broken):
+    planted = {}
+    if plant == "unchecked":
+        planted["unchecked"] = True
+    else:
+        plant(monkeypatch)
+    for seed in range(6):
+        fleet = run(dataclasses.replace(ROUGH, seed=seed), **planted)
+        if getattr(fleet.verdict(), broken):
+            return
+    pytest.fail(f"no history showed {broken}")
+
+
+def test_the_rough_histories_are_clean_without_a_planted_fault():
+    for seed in range(6):
+        verdict = run(dataclasses.replace(ROUGH, seed=seed)).verdict()
+        assert verdict.clean, (seed, verdict)
