Test the HTTP hazards; keep the trace across the claimed request's task

Cause: at most once rests on the HTTP client sending once and saying "nothing sent" only when it is true.

The task takes the context along. The simulated fleet follows the new interface of the configuration store.

--- a/bench/effects_fleet.py
+++ b/bench/effects_fleet.py
@@ -14,7 +14,6 @@
 
 from bench import effects_checker as checker
 from endivepier import errors
-from endivepier.configuration import notes
 from endivepier.effects import attempts as attempts_lib
 from endivepier.effects import claims as claims_lib
 from endivepier.effects import client as client_lib
@@ -304,7 +303,8 @@
             self.sites[f"10.0.1.{index}:1"] = name
         for index in range(entries):
             self.entries.append(Entry(self, f"10.0.0.{index}:1"))
-        self.entries[0].base.store.apply(notes.parse(self._note()), "first")
+        base = self.entries[0].base
+        base.store.apply(self._note(), "first", base.current, lambda: None)
         for address in self.sites:
             self.start_sidecar(address)
         self.start_owner()
--- a/src/endivepier/effects/runner.py
+++ b/src/endivepier/effects/runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import contextvars
 
 import eliot
 import gevent
@@ -97,9 +98,10 @@
         if self._timers.wall() - req.sent > MESSAGE_SECONDS:
             raise refusals.too_old()
         # The work goes on when the one who asked hangs up, so that its
-        # outcome is recorded.
+        # outcome is recorded; the context carries its trace along.
         result: gevent.event.AsyncResult = gevent.event.AsyncResult()
-        gevent.spawn(self._run_into, req, result)
+        context = contextvars.copy_context()
+        gevent.spawn(context.run, self._run_into, req, result)
         answer: messages.ServiceAnswer = result.get()
         return answer
 
--- a/tests/cover/test_http_client.py
+++ b/tests/cover/test_http_client.py
@@ -3,6 +3,7 @@
 import gevent
 import gevent.event
 import gevent.server
+import gevent.socket
 import pytest
 
 from endivepier import errors
@@ -42,7 +43,7 @@
     def close_idle(self):
         """Closes the connections that stand open."""
         for sock in self._socks:
-            sock.close()
+            sock.shutdown(gevent.socket.SHUT_RDWR)
         gevent.sleep(0.02)
 
     def stop(self):
@@ -161,7 +162,7 @@
     if reply == "down":
         server.stop()
     service = http_service.HttpService(
-        "ledger", server.url, spans.Tracer("test", "", "")
+        "ledger", server.url, spans.Tracer("test")
     )
     req = ports.ServiceRequest("id", "PUT", "/x", b"body", "text/plain", "key")
     with pytest.raises(errors.TargetFailed) as caught:
