--- a/src/endivepier/configuration/relays.py
+++ b/src/endivepier/configuration/relays.py
@@ -1,47 +1,56 @@
 """Which process passes revisions on to which, in one data centre.
 
-All processes of a data centre stand in one order, by rendezvous hashing. The
-first few read the table; each other one asks the process at a position that
-follows from its own, so that the order makes a tree. Nobody has to agree on
-it: two processes whose views differ only ask different peers for a while.
+All hosts of a data centre on the platform's list stand in one order, by
+rendezvous hashing. The first few read the table; each other one asks the host
+at a position that follows from its own, so that the order makes a tree.
+Nobody has to agree on it: processes that have read different lists only ask
+other peers for a while, and since everybody asks one that stands before it,
+no two wait for each other.
 """
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 
-from endivepier.membership import members
-from endivepier.ownership import placement
+import xxhash
+
+from endivepier.platform import ports
 
 ROOTS = 2
 FAN_OUT = 32
-DIRECT_FLEET = 32
-ORDER_NAME = "configuration-relays"
+DIRECT_HOSTS = 32
 
 
 def parent_of(
-    me: members.Member, everybody: Sequence[members.Member]
+    address: str,
+    data_centre: str,
+    listed: Sequence[ports.Host],
+    failed: frozenset[str],
 ) -> str | None:
     """Returns the address to ask for revisions; None to read the table.
 
     Args:
-        me: the process that asks.
-        everybody: all members that answer.
+        address: of the process that asks.
+        data_centre: where that process is.
+        listed: the platform's list.
+        failed: addresses that gave no answer lately.
     """
-    if len(everybody) <= DIRECT_FLEET:
+    if len(listed) <= DIRECT_HOSTS:
         return None
-    candidates = [
-        member
-        for member in everybody
-        if member.address == me.address
-        or (
-            member.data_centre == me.data_centre
-            and member.state is members.MemberState.READY
-        )
-    ]
-    name = f"{ORDER_NAME}/{me.data_centre}"
-    order = [member.address for member in placement.ranked(name, candidates)]
-    position = order.index(me.address)
+    candidates = {
+        host.address
+        for host in listed
+        if host.data_centre == data_centre
+        and host.state is ports.HostState.LIVE
+        and host.address not in failed
+    }
+    candidates.add(address)
+    order = sorted(candidates, key=_rank)
+    position = order.index(address)
     if position < ROOTS:
         return None
     return order[(position - ROOTS) // FAN_OUT]
+
+
+def _rank(address: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"configuration|{address}".encode())
