--- a/src/endivepier/entry/operators.py
+++ b/src/endivepier/entry/operators.py
@@ -18,6 +18,7 @@
 from endivepier.internal import web
 from endivepier.membership import members as members_lib
 
+RELEASES_PATH = "/v1/operators/releases"
 CHANGE_ID_HEADER = "X-Endivepier-Change-Id"
 CONCURRENT_PROBES = 64
 RETRY_SECONDS = 1.0
@@ -38,11 +39,11 @@
 
     def add_to(self, app: web.App) -> None:
         """Adds the routes."""
-        app.route("POST", "/v1/operators/releases", self.apply)
-        app.route("POST", "/v1/operators/releases/check", self.check)
-        app.route("GET", "/v1/operators/releases/<int:revision>", self.show)
-        app.route("GET", "/v1/operators/releases/head", self.show)
-        app.route("GET", "/v1/operators/releases/status", self.revisions)
+        app.route("POST", RELEASES_PATH, self.apply)
+        app.route("POST", RELEASES_PATH + "/check", self.check)
+        app.route("GET", RELEASES_PATH + "/<int:revision>", self.show)
+        app.route("GET", RELEASES_PATH + "/head", self.show)
+        app.route("GET", RELEASES_PATH + "/status", self.revisions)
         app.route("GET", "/v1/operators/status", self.status)
 
     def apply(self, req: web.Request) -> werkzeug.wrappers.Response:
--- a/src/endivepier/membership/view.py
+++ b/src/endivepier/membership/view.py
@@ -81,7 +81,6 @@
         self._known: dict[str, _Known] = {}
         self._turn: collections.deque[str] = collections.deque()
         self._watched: dict[str, list[gevent.event.Event]] = {}
-        self._listeners: list[Callable[[members.Member], object]] = []
         self._subscription: timers_lib.Subscription | None = None
         self._revision_listeners: list[Callable[[str, int], object]] = []
 
@@ -114,10 +113,6 @@
         """Returns the platform's list as it was last read."""
         return list(self._hosts.values())
 
-    def subscribe(self, listener: Callable[[members.Member], object]) -> None:
-        """Calls `listener(member)` whenever a member says its state."""
-        self._listeners.append(listener)
-
     def ready(self, role: str, pool: str = "") -> Sequence[members.Member]:
         """Returns the members that take new work, in order of address.
 
@@ -286,8 +281,6 @@
         ready = member.state is members.MemberState.READY
         if ready and known.first_ready is None:
             known.first_ready = self._timers.now()
-        for listener in self._listeners:
-            listener(member)
         self._hear(member.address, member.revision)
 
     def _answer(self, beat: members.Heartbeat) -> members.Member:
