--- a/src/endivepier/cli/release.py
+++ b/src/endivepier/cli/release.py
@@ -18,7 +18,6 @@
 from endivepier.entry import operators
 from endivepier.internal import codec
 
-RELEASES_PATH = "/v1/operators/releases"
 EXIT_FAULTS = 1
 EXIT_LAGS = 1
 EXIT_DIFFERS = 1
@@ -69,7 +68,7 @@
     if not args.url:
         print("no faults found without an entry host; --url checks the rest")
         return 0
-    path = RELEASES_PATH + "/check"
+    path = operators.RELEASES_PATH + "/check"
     answer = client.request(args, "POST", path, text.encode())
     if answer.status != 200:
         return client.show(answer)
@@ -86,13 +85,17 @@
     print(f"change id: {change_id}", file=sys.stderr)
     headers = {operators.CHANGE_ID_HEADER: change_id}
     body = _read(args.file).encode()
-    answer = client.request(args, "POST", RELEASES_PATH, body, headers)
+    answer = client.request(
+        args, "POST", operators.RELEASES_PATH, body, headers
+    )
     return client.show(answer)
 
 
 def run_show(args: argparse.Namespace) -> int:
     """Shows the state at a revision."""
-    answer = client.request(args, "GET", f"{RELEASES_PATH}/{args.revision}")
+    answer = client.request(
+        args, "GET", f"{operators.RELEASES_PATH}/{args.revision}"
+    )
     if answer.status != 200 or not args.toml:
         return client.show(answer)
     state = codec.decode(state_lib.State, answer.body)
@@ -107,7 +110,7 @@
         wanted = declarations.declared(text)
     except notes.Faulty as exc:
         return _print_faults(args.file, text, exc.faults)
-    answer = client.request(args, "GET", RELEASES_PATH + "/head")
+    answer = client.request(args, "GET", operators.RELEASES_PATH + "/head")
     if answer.status != 200:
         return client.show(answer)
     in_force = codec.decode(state_lib.State, answer.body)
@@ -118,7 +121,7 @@
 
 def run_status(args: argparse.Namespace) -> int:
     """Prints the revision on each process; marks those that lag."""
-    answer = client.request(args, "GET", RELEASES_PATH + "/status")
+    answer = client.request(args, "GET", operators.RELEASES_PATH + "/status")
     if answer.status != 200:
         return client.show(answer)
     document = codec.decode(documents.ReleaseStatus, answer.body)
