Bench of scheduling; fair queue with refusals by account

Cause: nothing measured order and routing, and the queue was first come, first served with one limit for all accounts.

The queue does start-time fair queueing over accounts, least attained service with ageing inside, refuses by the account with the largest backlog, and by the estimated wait.

--- /dev/null
+++ b/bench/simulation.py
@@ -0,0 +1,363 @@
+"""Drives the real queue, dispatcher and router in simulated time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+import dataclasses
+import enum
+import random
+
+import gevent
+
+from bench import workloads
+from endivepier import errors
+from endivepier.membership import members
+from endivepier.ownership import placement
+from endivepier.scheduling import dispatch
+from endivepier.scheduling import policies
+from endivepier.scheduling import queue as queue_lib
+from endivepier.scheduling import router as router_lib
+from endivepier.scheduling import work as work_lib
+from endivepier.standins import clock
+from endivepier.standins import engine as engine_lib
+from endivepier.standins import network as network_lib
+from endivepier.targets import ports
+from endivepier.targets import tokens
+from endivepier.telemetry import metrics as metrics_lib
+
+ENGINES = 7
+DATA_CENTRES = ("one", "two", "three")
+MODEL = "model"
+POOL = "engines"
+ENTRY = "entry:1"
+VIEW_SECONDS = 0.5
+CALL_SECONDS = 60.0
+TRIES = 20
+LEAST_RETRY_SECONDS = 0.2
+LATENCY_SECONDS = 0.0015
+PROFILE = engine_lib.EngineProfile(tokens_per_event=64)
+
+
+class Fault(enum.StrEnum):
+    """What goes wrong at a third of the run, until its end."""
+
+    NONE = "none"
+    KILLED = "killed"
+    SLOWED = "slowed"
+    LATE_EVENTS = "late_events"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Setup:
+    """What is measured.
+
+    Attributes:
+        queue: the policy of the queues.
+        route: the policy of the routers.
+        slots: requests at an engine at a time.
+        waiting: requests that may wait at a sidecar.
+        profile: the engines' speed and size.
+    """
+
+    queue: policies.QueuePolicy
+    route: policies.RoutePolicy
+    slots: int = 8
+    waiting: int = 512
+    profile: engine_lib.EngineProfile = PROFILE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnedCall:
+    """Message: a call for the router of the sidecar that owns the program."""
+
+    work: work_lib.Work
+    request: ports.Generate
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What a run gave.
+
+    Attributes:
+        latencies: seconds for each whole program without the flood's.
+        completed: for each call that ended: its program's number in the
+            plans, its turn and the moment.
+        refusals: refusals that the driver saw, without the flood's.
+        flood_refusals: the flood's.
+        failures: programs that gave up.
+        history_tokens: prompt tokens that an engine had seen before.
+        recomputed_tokens: those of them that were not in a cache.
+        tried: calls sent, without the flood's.
+    """
+
+    latencies: list[float] = dataclasses.field(default_factory=list)
+    completed: list[tuple[int, int, float]] = dataclasses.field(
+        default_factory=list
+    )
+    refusals: int = 0
+    flood_refusals: int = 0
+    failures: int = 0
+    history_tokens: int = 0
+    recomputed_tokens: int = 0
+    tried: int = 0
+
+
+class _View:
+    """What one host knows of the others: a heartbeat old, and its suspects."""
+
+    def __init__(self, cluster: Cluster, address: str) -> None:
+        self._cluster = cluster
+        self._address = address
+        self._suspects: set[str] = set()
+
+    def myself(self) -> members.Member:
+        return self._cluster.describe(self._address)
+
+    def ready(self, role: str, pool: str = "") -> list[members.Member]:
+        del role, pool
+        return [
+            member
+            for member in self._cluster.snapshot
+            if member.address not in self._suspects
+        ]
+
+    def find(self, address: str) -> members.Member | None:
+        found = [m for m in self.ready("") if m.address == address]
+        return found[0] if found else None
+
+    def suspect(self, address: str) -> None:
+        self._suspects.add(address)
+
+    def beat(self) -> None:
+        """Forgets suspects that answer heartbeats."""
+        alive = {member.address for member in self._cluster.snapshot}
+        self._suspects -= alive
+
+
+class _Sidecar:
+    """The parts of a sidecar that schedule."""
+
+    def __init__(
+        self, cluster: Cluster, number: int, setup: Setup, seed: int
+    ) -> None:
+        self.address = f"sidecar:{number}"
+        self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        self.host = cluster.network.add(self.address)
+        timers = self.host.timers
+        self.engine = engine_lib.MemoryEngine(
+            timers,
+            f"engine-{number}",
+            [MODEL],
+            setup.profile,
+            random.Random(f"engine-{number}-{seed}"),
+        )
+        self.metrics = metrics_lib.Metrics()
+        self.queue = queue_lib.Queue(
+            timers,
+            slots=setup.slots,
+            limit=setup.waiting,
+            policy=setup.queue,
+        )
+        self.dispatcher = dispatch.Dispatcher(
+            self.engine, self.queue, timers, self.metrics
+        )
+        self.view = _View(cluster, self.address)
+        self.router = router_lib.Router(
+            self.dispatcher,
+            self.host.peers,
+            self.view,  # type: ignore[arg-type]
+            policy=setup.route,
+            rng=random.Random(f"router-{number}-{seed}"),
+        )
+        self.dispatcher.register(self.host.inbox)
+        self.host.inbox.register_stream(
+            OwnedCall, ports.EngineEvent, self._generate
+        )
+
+    def _generate(self, req: OwnedCall) -> Iterator[ports.EngineEvent]:
+        yield from self.router.generate(
+            work_lib.Generate(req.work, req.request)
+        )
+
+    def describe(self) -> members.Member:
+        return members.Member(
+            address=self.address,
+            role="sidecar",
+            data_centre=self.data_centre,
+            target=self.engine.name,
+            pool=POOL,
+            state=members.MemberState.READY,
+            queued=self.queue.queued,
+            running=self.queue.running,
+        )
+
+
+class Cluster:
+    """Engines with sidecars, and a driver that stands for entry hosts."""
+
+    def __init__(self, setup: Setup, seed: int) -> None:
+        self.timers = clock.VirtualTimers()
+        self.network = network_lib.Network(
+            self.timers, latency_seconds=LATENCY_SECONDS
+        )
+        self.entry = self.network.add(ENTRY)
+        self.entry_view = _View(self, ENTRY)
+        self.outcome = Outcome()
+        self.snapshot: list[members.Member] = []
+        self._sidecars = {
+            sidecar.address: sidecar
+            for sidecar in (
+                _Sidecar(self, number, setup, seed) for number in range(ENGINES)
+            )
+        }
+        self._beat()
+
+    def describe(self, address: str) -> members.Member:
+        """Returns the state of a sidecar now."""
+        return self._sidecars[address].describe()
+
+    def run(
+        self,
+        plans: Sequence[workloads.Plan],
+        fault: Fault,
+        seconds: float,
+        *,
+        drain: bool = True,
+    ) -> Outcome:
+        """Runs all plans and returns what came out."""
+        beats = self.timers.every(VIEW_SECONDS, self._beat)
+        self.timers.after(seconds / 3, lambda: self._break(fault))
+        self.timers.run(self._drive, plans, None if drain else seconds)
+        beats.cancel()
+        return self.outcome
+
+    def _drive(
+        self, plans: Sequence[workloads.Plan], until: float | None
+    ) -> None:
+        tasks = [
+            gevent.spawn(self._program, number, plan)
+            for number, plan in enumerate(plans)
+        ]
+        if until is None:
+            gevent.joinall(tasks, raise_error=True)
+            return
+        self.timers.sleep(until)
+        gevent.killall(tasks, block=False)
+
+    def _beat(self) -> None:
+        self.snapshot = [
+            sidecar.describe()
+            for sidecar in self._sidecars.values()
+            if sidecar.host.alive
+        ]
+        for sidecar in self._sidecars.values():
+            sidecar.view.beat()
+        self.entry_view.beat()
+
+    def _break(self, fault: Fault) -> None:
+        victim = self._sidecars["sidecar:2"]
+        match fault:
+            case Fault.KILLED:
+                victim.host.kill()
+            case Fault.SLOWED:
+                victim.engine.faults.slowdown = 10.0
+            case Fault.NONE | Fault.LATE_EVENTS:
+                pass
+
+    def _program(self, number: int, plan: workloads.Plan) -> None:
+        """Runs one program: its calls one after the other, with pauses."""
+        self.timers.sleep(plan.start)
+        conversation: list[ports.ChatMessage] = []
+        attained = 0
+        for turn, step in enumerate(plan.steps):
+            history = tokens.count_messages(conversation)
+            conversation.append(_message("user", step.added))
+            call = self._call(plan, turn, step, conversation, attained)
+            finished = self._until_done(plan, call)
+            if finished is None:
+                self.outcome.failures += 1
+                return
+            self.outcome.completed.append((number, turn, self.timers.now()))
+            self.outcome.history_tokens += history
+            self.outcome.recomputed_tokens += max(
+                0, history - finished.cached_tokens
+            )
+            attained += finished.completion_tokens
+            conversation.append(_message("assistant", step.output))
+            if turn + 1 < len(plan.steps):
+                self.timers.sleep(step.pause)
+        if not plan.flood:
+            self.outcome.latencies.append(self.timers.now() - plan.start)
+
+    def _call(
+        self,
+        plan: workloads.Plan,
+        turn: int,
+        step: workloads.Step,
+        conversation: Sequence[ports.ChatMessage],
+        attained: int,
+    ) -> OwnedCall:
+        work = work_lib.Work(
+            account=plan.account,
+            weight=1.0,
+            program_id=plan.program_id,
+            attained=attained,
+            cost=step.added + step.output,
+            worth=plan.worth,
+            seconds=CALL_SECONDS,
+        )
+        request = ports.Generate(
+            request_id=f"{plan.program_id}-{turn}",
+            session=plan.program_id,
+            model=MODEL,
+            messages=tuple(conversation),
+            max_tokens=step.output,
+        )
+        return OwnedCall(work, request)
+
+    def _until_done(
+        self, plan: workloads.Plan, call: OwnedCall
+    ) -> ports.Finished | None:
+        """Sends a call until it is done, as a patient client does."""
+        for attempt in range(TRIES):
+            name = f"{call.request.request_id}-{attempt}"
+            request = dataclasses.replace(call.request, request_id=name)
+            if not plan.flood:
+                self.outcome.tried += 1
+            try:
+                return self._once(dataclasses.replace(call, request=request))
+            except errors.Refused as exc:
+                self._count_refusal(plan)
+                wait = exc.retry_after or LEAST_RETRY_SECONDS
+            except errors.PeerUnreachable as exc:
+                self.entry_view.suspect(exc.address)
+                wait = LEAST_RETRY_SECONDS
+            self.timers.sleep(wait)
+        return None
+
+    def _count_refusal(self, plan: workloads.Plan) -> None:
+        if plan.flood:
+            self.outcome.flood_refusals += 1
+        else:
+            self.outcome.refusals += 1
+
+    def _once(self, call: OwnedCall) -> ports.Finished | None:
+        owner = placement.ranked(
+            call.work.program_id, self.entry_view.ready("sidecar")
+        )[0]
+        last: ports.EngineEvent | None = None
+        for event in self.entry.peers.stream(
+            owner.address, call, ports.EngineEvent, seconds=CALL_SECONDS
+        ):
+            last = event
+        if not isinstance(last, ports.Finished):
+            raise errors.PeerUnreachable(
+                owner.address, "the stream ended early", sent=True
+            )
+        return last
+
+
+def _message(role: str, count: int) -> ports.ChatMessage:
+    size = max(1, count - tokens.TOKENS_PER_MESSAGE) * tokens.BYTES_PER_TOKEN
+    return ports.ChatMessage(role, "x" * size)
--- a/src/endivepier/membership/view.py
+++ b/src/endivepier/membership/view.py
@@ -91,6 +91,10 @@
                 known[address] = member
         return list(known.values())
 
+    def myself(self) -> members.Member:
+        """Returns what this process says of itself."""
+        return self._describe()
+
     def find(self, address: str) -> members.Member | None:
         """Returns the member at `address` if it answers, else None."""
         me = self._describe()
--- /dev/null
+++ b/src/endivepier/scheduling/policies.py
@@ -0,0 +1,59 @@
+"""The policies for order and for placement, as values.
+
+The queue and the router `match` on them, so that a baseline runs in the very
+code that it is compared with.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FirstCome:
+    """Baseline: first come, first served."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoundRobin:
+    """Baseline: one request of each client account in turn."""
+
+
+class Charge(enum.StrEnum):
+    """What an account is charged for a request that is dispatched."""
+
+    WORTH = "worth"
+    TOKENS = "tokens"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FairShare:
+    """Fair queueing over accounts, least attained service inside of one.
+
+    Attributes:
+        charge: what virtual time counts.
+        ageing: tokens of attained service that one second of waiting offsets.
+        urgent_seconds: a request whose deadline is nearer than this goes
+            first within its account.
+    """
+
+    charge: Charge = Charge.WORTH
+    ageing: float = 100.0
+    urgent_seconds: float = 5.0
+
+
+QueuePolicy = FirstCome | RoundRobin | FairShare
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RandomRoute:
+    """Baseline: any ready target, with equal chances."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerOnly:
+    """The target beside the program's owner, whatever its load."""
+
+
+RoutePolicy = RandomRoute | OwnerOnly
--- a/src/endivepier/scheduling/queue.py
+++ b/src/endivepier/scheduling/queue.py
@@ -4,29 +4,32 @@
 
 from collections.abc import Iterator
 import contextlib
-
-import gevent.event
+import math
 
 from endivepier import errors
 from endivepier import timers as timers_lib
+from endivepier.scheduling import order as order_lib
+from endivepier.scheduling import policies
 from endivepier.scheduling import work as work_lib
 
 RETRY_SECONDS = 1.0
-
-
-class _Entry:
-    """One request that waits."""
-
-    def __init__(self, work: work_lib.Work) -> None:
-        self.work = work
-        self.granted = gevent.event.Event()
+RETRY_LIMIT_SECONDS = 60.0
+# A new measurement counts for this share of the mean time of service.
+SMOOTHING = 0.1
+# So many requests must have ended before a wait is estimated at all.
+LEAST_MEASURED = 8
 
 
 class Queue:
-    """Grants a bounded number of slots, first come, first served."""
+    """Grants a bounded number of slots in the order of a policy."""
 
     def __init__(
-        self, timers: timers_lib.Timers, *, slots: int, limit: int
+        self,
+        timers: timers_lib.Timers,
+        *,
+        slots: int,
+        limit: int,
+        policy: policies.QueuePolicy | None = None,
     ) -> None:
         """Makes an empty queue.
 
@@ -34,66 +37,154 @@
             timers: the timer service.
             slots: how many requests may run at the target at a time.
             limit: how many may wait.
+            policy: the order; fair shares if None.
         """
         self._timers = timers
         self._slots = slots
         self._limit = limit
-        self._waiting: list[_Entry] = []
+        self._order = order_lib.Order(policy or policies.FairShare())
+        self._service_seconds = 0.0
+        self._measured = 0
         self.running = 0
 
     @property
     def queued(self) -> int:
         """How many requests wait."""
-        return len(self._waiting)
+        return len(self._order)
+
+    @property
+    def service_seconds(self) -> float:
+        """Mean time that a request holds a slot; 0 if not yet known."""
+        if self._measured < LEAST_MEASURED:
+            return 0.0
+        return self._service_seconds
+
+    def estimate(self, work: work_lib.Work) -> float:
+        """Returns about how long `work` would wait for a slot, in seconds.
+
+        It counts only what is certain to go first, so that a refusal which
+        rests on it is never hasty.
+        """
+        if self.running < self._slots:
+            return 0.0
+        entry = order_lib.Entry(work, self._timers.now())
+        ahead = self._order.ahead_of(entry, self._timers.now())
+        return (ahead + 1) * self.service_seconds / self._slots
 
     @contextlib.contextmanager
     def slot(self, work: work_lib.Work) -> Iterator[None]:
         """Waits for a slot and holds it for the block.
 
         Raises:
-            errors.Refused: `OVERLOADED` if too many wait,
-                `DEADLINE_EXCEEDED` if the slot would come too late; the
-                request has not run in both cases.
+            errors.Refused: `OVERLOADED` if too much of this account waits
+                already, `DEADLINE_EXCEEDED` if the slot would come too late;
+                the request has not run in both cases.
         """
-        if len(self._waiting) >= self._limit:
-            raise errors.Refused(
-                errors.Code.OVERLOADED,
-                503,
-                f"{self._limit} requests wait here already; retry later",
-                retry_after=RETRY_SECONDS,
-            )
-        entry = _Entry(work)
-        self._waiting.append(entry)
+        self._check_deadline(work)
+        entry = order_lib.Entry(work, self._timers.now())
+        self._admit(entry)
         self._grant()
+        self._wait(entry)
+        started = self._timers.now()
         try:
-            in_time = self._timers.wait(entry.granted, work.seconds)
+            yield
+        finally:
+            self._measure(self._timers.now() - started)
+            self._release()
+
+    def _wait(self, entry: order_lib.Entry) -> None:
+        """Returns once the entry holds a slot; else raises and leaves none."""
+        try:
+            left = entry.deadline - self._timers.now()
+            in_time = self._timers.wait(entry.settled, left)
         except BaseException:
             self._withdraw(entry)
             raise
-        if not in_time:
+        if entry.refusal is not None:
+            raise entry.refusal
+        # A process that was paused may hold a slot that came too late.
+        if not in_time or self._timers.now() >= entry.deadline:
             self._withdraw(entry)
-            raise errors.Refused(
-                errors.Code.DEADLINE_EXCEEDED,
-                504,
-                "the deadline passed while the request waited",
-            )
-        try:
-            yield
-        finally:
-            self._release()
+            raise _expired()
+
+    def _check_deadline(self, work: work_lib.Work) -> None:
+        estimate = self.estimate(work)
+        if work.seconds > 0 and estimate <= work.seconds:
+            return
+        if work.seconds <= 0:
+            raise _expired()
+        raise errors.Refused(
+            errors.Code.OVERLOADED,
+            503,
+            f"the wait is about {estimate:.0f} s, the deadline is in "
+            f"{work.seconds:.0f} s; retry later",
+            retry_after=_bounded(estimate - work.seconds),
+        )
+
+    def _admit(self, entry: order_lib.Entry) -> None:
+        """Lets the entry wait; over the limit, the largest backlog yields."""
+        self._order.add(entry)
+        if len(self._order) <= self._limit:
+            return
+        if self.running < self._slots:
+            return
+        victim = self._order.largest_backlog()
+        self._order.remove(victim)
+        backlog = self._order.backlog(victim.work.account)
+        refusal = errors.Refused(
+            errors.Code.OVERLOADED,
+            503,
+            f"{backlog} requests of this account wait here already; retry "
+            "later",
+            retry_after=_bounded(self._drain_seconds(victim.work.account)),
+        )
+        if victim is entry:
+            raise refusal
+        victim.refusal = refusal
+        victim.settled.set()
+
+    def _drain_seconds(self, account: str) -> float:
+        """Returns how long the account's backlog takes at its share."""
+        share = self._order.share(account)
+        rate = self._slots * share / max(self.service_seconds, 1e-9)
+        if self.service_seconds == 0:
+            return RETRY_SECONDS
+        return self._order.backlog(account) / rate
 
     def _grant(self) -> None:
-        while self._waiting and self.running < self._slots:
-            entry = self._waiting.pop(0)
-            self.running += 1
-            entry.granted.set()
-
-    def _withdraw(self, entry: _Entry) -> None:
-        if entry in self._waiting:
-            self._waiting.remove(entry)
-        else:
+        while len(self._order) and self.running < self._slots:
+            entry = self._order.take(self._timers.now())
+            if entry.deadline <= self._timers.now():
+                entry.refusal = _expired()
+            else:
+                self.running += 1
+            entry.settled.set()
+
+    def _withdraw(self, entry: order_lib.Entry) -> None:
+        if entry in self._order:
+            self._order.remove(entry)
+        elif entry.settled.is_set() and entry.refusal is None:
             self._release()
 
     def _release(self) -> None:
         self.running -= 1
         self._grant()
+
+    def _measure(self, seconds: float) -> None:
+        self._measured += 1
+        weight = max(SMOOTHING, 1.0 / self._measured)
+        self._service_seconds += weight * (seconds - self._service_seconds)
+
+
+def _bounded(seconds: float) -> float:
+    return float(
+        min(max(math.ceil(seconds), RETRY_SECONDS), RETRY_LIMIT_SECONDS)
+    )
+
+
+def _expired() -> errors.Refused:
+    return errors.Refused(
+        errors.Code.DEADLINE_EXCEEDED,
+        504,
+        "the deadline passed while the request waited",
+    )
