Routing by cost: bounded wait, moved prefixes, ejection, retries

Cause: owner-only routing left load unbalanced, and one target slowed tenfold held most of the work.

Change: the router compares the target that holds the prefix with a few others by expected seconds (wait, prefill or move of the prefix, pace), corrects late heartbeats by its own dispatches, ejects targets slower than three times the pool's median (at most a third), probes them with small requests of our own, empties their queues, and sends calls that failed before the first token elsewhere under a budget. The engine stand-in now takes time to export and import a prefix.

--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -32,7 +32,7 @@
 
 FIRST_COME = simulation.Setup(policies.FirstCome(), policies.RandomRoute())
 ROUND_ROBIN = simulation.Setup(policies.RoundRobin(), policies.RandomRoute())
-OURS = simulation.Setup(policies.FairShare(), policies.OwnerOnly())
+OURS = simulation.Setup(policies.FairShare(), policies.OwnerFirst())
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -15,6 +15,7 @@
 from endivepier.membership import members
 from endivepier.ownership import placement
 from endivepier.scheduling import dispatch
+from endivepier.scheduling import ejection
 from endivepier.scheduling import policies
 from endivepier.scheduling import queue as queue_lib
 from endivepier.scheduling import router as router_lib
@@ -32,6 +33,7 @@
 POOL = "engines"
 ENTRY = "entry:1"
 VIEW_SECONDS = 0.5
+PROBE_SECONDS = 5.0
 CALL_SECONDS = 60.0
 TRIES = 20
 LEAST_RETRY_SECONDS = 0.2
@@ -160,7 +162,7 @@
             policy=setup.queue,
         )
         self.dispatcher = dispatch.Dispatcher(
-            self.engine, self.queue, timers, self.metrics
+            self.engine, self.queue, timers, self.metrics, self.host.peers
         )
         self.view = _View(cluster, self.address)
         self.router = router_lib.Router(
@@ -170,6 +172,13 @@
             policy=setup.route,
             rng=random.Random(f"router-{number}-{seed}"),
         )
+        self.guard = ejection.Guard(
+            self.queue,
+            timers,
+            is_ejected=self.router.is_ejected,
+            probe=self.dispatcher.probe,
+            probe_seconds=PROBE_SECONDS,
+        )
         self.dispatcher.register(self.host.inbox)
         self.host.inbox.register_stream(
             OwnedCall, ports.EngineEvent, self._generate
@@ -190,6 +199,9 @@
             state=members.MemberState.READY,
             queued=self.queue.queued,
             running=self.queue.running,
+            slots=self.queue.slots,
+            service_seconds=self.queue.service_seconds,
+            token_seconds=self.dispatcher.pace.token_seconds,
         )
 
 
@@ -227,9 +239,13 @@
     ) -> Outcome:
         """Runs all plans and returns what came out."""
         beats = self.timers.every(VIEW_SECONDS, self._beat)
+        for sidecar in self._sidecars.values():
+            sidecar.guard.start()
         self.timers.after(seconds / 3, lambda: self._break(fault))
         self.timers.run(self._drive, plans, None if drain else seconds)
         beats.cancel()
+        for sidecar in self._sidecars.values():
+            sidecar.guard.stop()
         return self.outcome
 
     def _drive(
--- a/src/endivepier/membership/members.py
+++ b/src/endivepier/membership/members.py
@@ -43,6 +43,9 @@
         revision: the configuration revision in force there.
         queued: requests that wait in its queue.
         running: requests that run at its target.
+        slots: requests that may run there at a time; 0 for an entry host.
+        service_seconds: mean time that a request runs; 0 if unknown.
+        token_seconds: an engine's time for one token; 0 if unknown.
     """
 
     address: str
@@ -55,3 +58,6 @@
     revision: int = 0
     queued: int = 0
     running: int = 0
+    slots: int = 0
+    service_seconds: float = 0.0
+    token_seconds: float = 0.0
--- a/src/endivepier/scheduling/dispatch.py
+++ b/src/endivepier/scheduling/dispatch.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
 from collections.abc import Iterator
 
+import gevent
+
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.internal import peers as peers_lib
+from endivepier.scheduling import pace as pace_lib
 from endivepier.scheduling import queue as queue_lib
 from endivepier.scheduling import work as work_lib
 from endivepier.targets import ports as target_ports
+from endivepier.targets import tokens
 from endivepier.telemetry import metrics as metrics_lib
 
+FETCH_SECONDS = 2.0
+PROBE_SESSION = "endivepier-probe"
+PROBE_TOKENS = 8
+
 
 class Dispatcher:
     """The only path to one engine."""
@@ -22,21 +31,35 @@
         queue: queue_lib.Queue,
         timers: timers_lib.Timers,
         metrics: metrics_lib.Metrics,
+        peers: peers_lib.Peers,
     ) -> None:
+        """Makes a dispatcher.
+
+        Args:
+            engine: the engine beside this sidecar.
+            queue: what waits for it.
+            timers: the timer service.
+            metrics: counts what goes wrong.
+            peers: the way to sidecars that hold prefixes.
+        """
+        self.queue = queue
+        self.pace = pace_lib.Pace(timers)
         self._engine = engine
-        self._queue = queue
         self._timers = timers
         self._metrics = metrics
+        self._peers = peers
+        self._probes = 0
 
     def register(self, inbox: peers_lib.Inbox) -> None:
-        """Takes model calls that other sidecars send here."""
+        """Takes model calls and requests for prefixes of other sidecars."""
         inbox.register_stream(
             work_lib.Generate, target_ports.EngineEvent, self.generate
         )
+        inbox.register(work_lib.FetchPrefix, work_lib.Prefix, self.give_prefix)
 
     def generate(
         self, req: work_lib.Generate
-    ) -> Iterator[target_ports.EngineEvent]:
+    ) -> Generator[target_ports.EngineEvent, None, None]:
         """Waits for a slot, runs the call and yields the engine's events.
 
         Only a whole answer ends without an error: tokens without gaps, as
@@ -46,18 +69,93 @@
             errors.Refused: it did not run, or the engine broke off.
         """
         started = self._timers.now()
-        with self._queue.slot(req.work):
-            self._metrics.observe("queue_seconds", self._timers.now() - started)
-            try:
-                yield from self._checked(req.request)
-            except errors.TargetFailed as exc:
-                raise errors.Refused(
-                    errors.Code.TARGET_FAILED,
-                    502,
-                    str(exc),
-                    ran=errors.Ran.UNKNOWN if exc.sent else errors.Ran.NO,
-                    retry_after=1.0,
-                ) from None
+        fetch = None
+        if req.prefix_at:
+            fetch = gevent.spawn(self._fetch, req)
+        try:
+            with self.queue.slot(req.work):
+                waited = self._timers.now() - started
+                self._metrics.observe("queue_seconds", waited)
+                if fetch is not None:
+                    fetch.join()
+                yield from self._run(req.request)
+        finally:
+            if fetch is not None:
+                fetch.kill(block=False)
+
+    def give_prefix(self, req: work_lib.FetchPrefix) -> work_lib.Prefix:
+        """Exports a session's prefix and frees its memory here."""
+        try:
+            blob = self._engine.export_kv(req.session)
+            if blob is not None:
+                self._engine.release(req.session)
+        except errors.TargetFailed:
+            return work_lib.Prefix(None)
+        return work_lib.Prefix(blob)
+
+    def probe(self) -> Iterator[target_ports.EngineEvent]:
+        """Runs a small request of our own, past the queue.
+
+        Raises:
+            errors.Refused: the engine broke off.
+        """
+        models = self._engine.models()
+        if not models:
+            return
+        self._probes += 1
+        name = f"{PROBE_SESSION}-{self._probes}"
+        req = target_ports.Generate(
+            request_id=name,
+            session=PROBE_SESSION,
+            model=models[0],
+            messages=(target_ports.ChatMessage("user", "ok?"),),
+            max_tokens=PROBE_TOKENS,
+        )
+        started = self._timers.now()
+        for event in self._run(req):
+            if isinstance(event, target_ports.Finished):
+                taken = self._timers.now() - started
+                self.pace.event(taken / event.completion_tokens, 1)
+            yield event
+        self._engine.release(PROBE_SESSION)
+
+    def _run(
+        self, req: target_ports.Generate
+    ) -> Iterator[target_ports.EngineEvent]:
+        try:
+            with self.pace.running():
+                yield from self._measured(req)
+        except errors.TargetFailed as exc:
+            raise errors.Refused(
+                errors.Code.TARGET_FAILED,
+                502,
+                str(exc),
+                ran=errors.Ran.UNKNOWN if exc.sent else errors.Ran.NO,
+                retry_after=1.0,
+            ) from None
+
+    def _measured(
+        self, req: target_ports.Generate
+    ) -> Iterator[target_ports.EngineEvent]:
+        """Yields the events and learns the engine's rates from them."""
+        started = last = self._timers.now()
+        first = 0.0
+        for event in self._checked(req):
+            now = self._timers.now()
+            match event:
+                case target_ports.Token(index=0, count=count):
+                    first = now - started - count * self.pace.token_seconds
+                    self.pace.event(0.0, 0)
+                case target_ports.Token(count=count):
+                    self.pace.event(now - last, count)
+                case target_ports.Finished():
+                    fresh = event.prompt_tokens - event.cached_tokens
+                    self.pace.first(first, fresh)
+                    self._count(event)
+            last = now
+            yield event
+            # What the consumer took is not the engine's time.
+            last += self._timers.now() - now
 
     def _checked(
         self, req: target_ports.Generate
@@ -82,7 +180,6 @@
                     case target_ports.Finished(completion_tokens=total):
                         if total != expected:
                             raise _not_whole("the count of tokens is wrong")
-                        self._count(event)
                         yield event
                         return
         finally:
@@ -91,6 +188,28 @@
                 close()
         raise _not_whole("the answer broke off")
 
+    def _fetch(self, req: work_lib.Generate) -> None:
+        """Moves the session's prefix here; without it, it is recomputed."""
+        started = self._timers.now()
+        session = req.request.session
+        try:
+            found: work_lib.Prefix = self._peers.call(
+                req.prefix_at,
+                work_lib.FetchPrefix(session),
+                work_lib.Prefix,
+                seconds=FETCH_SECONDS,
+            )
+            if found.blob is None:
+                self._metrics.count("prefixes_not_found")
+                return
+            self._engine.import_kv(session, found.blob)
+        except (errors.PeerUnreachable, errors.Refused, errors.TargetFailed):
+            self._metrics.count("prefixes_not_moved")
+            return
+        size = tokens.count_messages(req.request.messages)
+        self.pace.move.add((self._timers.now() - started) / size)
+        self._metrics.count("prefixes_moved")
+
     def _count(self, event: target_ports.Finished) -> None:
         self._metrics.count("prompt_tokens", event.prompt_tokens)
         self._metrics.count("cached_tokens", event.cached_tokens)
--- a/src/endivepier/scheduling/policies.py
+++ b/src/endivepier/scheduling/policies.py
@@ -56,4 +56,26 @@
     """The target beside the program's owner, whatever its load."""
 
 
-RoutePolicy = RandomRoute | OwnerOnly
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerFirst:
+    """The owner's target first, another when that is sooner by enough.
+
+    Attributes:
+        gain_seconds: another target must be sooner by at least this.
+        moves: whether prefixes are exported and imported.
+        slow_factor: a target slower than the pool's median by this factor
+            is ejected.
+        ejected_share: at most this share of a pool is ejected.
+        probe_seconds: how often an ejected target gets one request.
+        retries: how often a request that did not run is sent elsewhere.
+    """
+
+    gain_seconds: float = 0.5
+    moves: bool = True
+    slow_factor: float = 3.0
+    ejected_share: float = 0.34
+    probe_seconds: float = 5.0
+    retries: int = 2
+
+
+RoutePolicy = RandomRoute | OwnerOnly | OwnerFirst
--- a/src/endivepier/scheduling/queue.py
+++ b/src/endivepier/scheduling/queue.py
@@ -52,6 +52,11 @@
         """How many requests wait."""
         return len(self._order)
 
+    @property
+    def slots(self) -> int:
+        """How many requests may run at the target at a time."""
+        return self._slots
+
     @property
     def service_seconds(self) -> float:
         """Mean time that a request holds a slot; 0 if not yet known."""
@@ -71,6 +76,18 @@
         ahead = self._order.ahead_of(entry, self._timers.now())
         return (ahead + 1) * self.service_seconds / self._slots
 
+    def expel(self) -> None:
+        """Refuses all that waits, so that it goes to another target."""
+        while len(self._order):
+            entry = self._order.take(self._timers.now())
+            entry.refusal = errors.Refused(
+                errors.Code.NOT_READY,
+                503,
+                "the target is too slow now; retry at another one",
+                retry_after=RETRY_SECONDS,
+            )
+            entry.settled.set()
+
     @contextlib.contextmanager
     def slot(self, work: work_lib.Work) -> Iterator[None]:
         """Waits for a slot and holds it for the block.
--- a/src/endivepier/scheduling/router.py
+++ b/src/endivepier/scheduling/router.py
@@ -1,8 +1,19 @@
-"""Chooses the engine for a model call: the owner's own, or another."""
+"""Chooses the engine for a model call: the owner's own, or another.
+
+A program's prefix is where its last call ran. That target is preferred as
+long as what the call would wait for there costs less than to go elsewhere and
+recompute the prefix or move it. All costs are estimates in seconds, from
+measured rates; the place of a prefix comes from the answers that passed
+through here, so that cache events which are late or lost change nothing.
+"""
 
 from __future__ import annotations
 
+import collections
+from collections.abc import Generator
 from collections.abc import Iterator
+from collections.abc import Sequence
+import dataclasses
 import random
 
 from endivepier import errors
@@ -10,11 +21,47 @@
 from endivepier.membership import members
 from endivepier.membership import view as view_lib
 from endivepier.scheduling import dispatch
+from endivepier.scheduling import ejection
+from endivepier.scheduling import load as load_lib
+from endivepier.scheduling import pace as pace_lib
 from endivepier.scheduling import policies
+from endivepier.scheduling import retries as retries_lib
 from endivepier.scheduling import work as work_lib
 from endivepier.targets import ports as target_ports
+from endivepier.targets import tokens
+
+PLACES = 100000
+# So many targets besides the one with the prefix are compared for a call.
+CANDIDATES = 3
+RETRIED = frozenset({errors.Code.TARGET_FAILED, errors.Code.NOT_READY})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Place:
+    """Where a session's prefix is.
+
+    Attributes:
+        address: of the sidecar beside the engine.
+        tokens: length of the prefix.
+    """
+
+    address: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Choice:
+    """A target for a call.
 
-EVENT_SECONDS = 60.0
+    Attributes:
+        member: the sidecar beside it.
+        seconds: what the call is expected to cost there.
+        prefix_at: from where the prefix is moved there, or empty.
+    """
+
+    member: members.Member
+    seconds: float
+    prefix_at: str = ""
 
 
 class Router:
@@ -35,45 +82,175 @@
             dispatcher: the way to the engine beside this sidecar.
             peers: the way to other sidecars.
             view: which of them are there.
-            policy: how to choose; the owner's engine if None.
+            policy: how to choose; the owner's engine first if None.
             rng: the source of random numbers.
         """
         self._dispatcher = dispatcher
         self._peers = peers
         self._view = view
-        self._policy = policy or policies.OwnerOnly()
+        self._policy = policy or policies.OwnerFirst()
         self._rng = rng or random.Random(0)
+        self._loads = load_lib.Loads()
+        self._budget = retries_lib.RetryBudget()
+        self._places: collections.OrderedDict[str, _Place] = (
+            collections.OrderedDict()
+        )
 
     def generate(
         self, req: work_lib.Generate
     ) -> Iterator[target_ports.EngineEvent]:
         """Runs the call on the engine that the policy chooses.
 
+        A call whose target failed before the first token is sent to another
+        one, as far as the policy and the budget for retries allow; model
+        calls have no effects at an engine.
+
         Raises:
             errors.Refused: it did not run, or the engine broke off.
         """
+        self._budget.deposit()
+        tried: set[str] = set()
+        while True:
+            choice = self._choose(req, tried)
+            begun = False
+            try:
+                for event in self._send(choice, req):
+                    begun = True
+                    yield event
+                return
+            except errors.Refused as exc:
+                tried.add(choice.member.address)
+                if begun or not self._may_retry(exc, tried):
+                    raise
+
+    def is_ejected(self) -> bool:
+        """Returns whether the target beside this sidecar is too slow."""
+        me = self._view.myself()
+        return me.address in self._ejected(self._view.ready("sidecar", me.pool))
+
+    def forget(self, session: str) -> None:
+        """Drops what is known of a session that has ended."""
+        self._places.pop(session, None)
+
+    def _may_retry(self, exc: errors.Refused, tried: set[str]) -> bool:
+        match self._policy:
+            case policies.OwnerFirst(retries=most):
+                allowed = exc.code in RETRIED and len(tried) <= most
+                return allowed and self._budget.withdraw()
+            case _:
+                return False
+
+    def _choose(self, req: work_lib.Generate, tried: set[str]) -> _Choice:
         me = self._view.myself()
+        pool = self._view.ready("sidecar", me.pool)
         match self._policy:
             case policies.RandomRoute():
-                others = self._view.ready("sidecar", me.pool)
-                chosen = self._rng.choice(others) if others else me
+                chosen = self._rng.choice(pool) if pool else me
+                return _Choice(chosen, 0.0)
             case policies.OwnerOnly():
-                chosen = me
-        if chosen.address == me.address:
-            yield from self._dispatcher.generate(req)
+                return _Choice(me, 0.0)
+            case policies.OwnerFirst() as policy:
+                return self._cheapest(policy, req, me, pool, tried)
+
+    def _cheapest(
+        self,
+        policy: policies.OwnerFirst,
+        req: work_lib.Generate,
+        me: members.Member,
+        pool: Sequence[members.Member],
+        tried: set[str],
+    ) -> _Choice:
+        """Returns the target that is sooner than the preferred one, or that."""
+        out = self._ejected(pool) | tried
+        usable = [m for m in pool if m.address not in out]
+        if not usable:
+            return _Choice(me, 0.0)
+        place = self._places.get(req.request.session)
+        wanted = me.address if place is None else place.address
+        home = [m for m in usable if m.address == wanted]
+        others = [m for m in usable if m.address != wanted]
+        if len(others) > CANDIDATES:
+            others = self._rng.sample(others, CANDIDATES)
+        choices = [self._cost(policy, req, m, place) for m in home + others]
+        best = min(choices, key=lambda choice: choice.seconds)
+        if home and choices[0].seconds <= best.seconds + policy.gain_seconds:
+            return choices[0]
+        return best
+
+    def _cost(
+        self,
+        policy: policies.OwnerFirst,
+        req: work_lib.Generate,
+        member: members.Member,
+        place: _Place | None,
+    ) -> _Choice:
+        """Estimates the seconds until the call ends at `member`."""
+        pace = self._dispatcher.pace
+        prompt = tokens.count_messages(req.request.messages)
+        known = 0 if place is None else min(place.tokens, prompt)
+        seconds = self._loads.wait_seconds(member)
+        seconds += member.token_seconds * req.request.max_tokens
+        if place is None or place.address == member.address:
+            seconds += (prompt - known) * pace.prefill.value
+            return _Choice(member, seconds)
+        recompute = known * pace.prefill.value
+        move = pace_lib.MOVE_SECONDS + known * pace.move.value
+        seconds += (prompt - known) * pace.prefill.value
+        alive = self._view.find(place.address) is not None
+        if policy.moves and alive and move < recompute:
+            return _Choice(member, seconds + move, place.address)
+        return _Choice(member, seconds + recompute)
+
+    def _ejected(self, pool: Sequence[members.Member]) -> frozenset[str]:
+        match self._policy:
+            case policies.OwnerFirst() as policy:
+                return ejection.ejected(pool, policy)
+            case _:
+                return frozenset()
+
+    def _send(
+        self, choice: _Choice, req: work_lib.Generate
+    ) -> Iterator[target_ports.EngineEvent]:
+        """Runs the call at a target and notes where its prefix is then."""
+        req = dataclasses.replace(req, prefix_at=choice.prefix_at)
+        me = self._view.myself()
+        if choice.member.address == me.address:
+            events = self._dispatcher.generate(req)
         else:
-            yield from self._remote(chosen, req)
+            self._loads.sent(choice.member)
+            events = self._remote(choice.member, req)
+        try:
+            for event in events:
+                if isinstance(event, target_ports.Finished):
+                    self._note_place(choice.member, req, event)
+                yield event
+        finally:
+            events.close()
+
+    def _note_place(
+        self,
+        member: members.Member,
+        req: work_lib.Generate,
+        event: target_ports.Finished,
+    ) -> None:
+        session = req.request.session
+        size = event.prompt_tokens + event.completion_tokens
+        self._places[session] = _Place(member.address, size)
+        self._places.move_to_end(session)
+        while len(self._places) > PLACES:
+            self._places.popitem(last=False)
 
     def _remote(
         self, member: members.Member, req: work_lib.Generate
-    ) -> Iterator[target_ports.EngineEvent]:
+    ) -> Generator[target_ports.EngineEvent, None, None]:
+        events = self._peers.stream(
+            member.address,
+            req,
+            target_ports.EngineEvent,
+            seconds=req.work.seconds,
+        )
         try:
-            yield from self._peers.stream(
-                member.address,
-                req,
-                target_ports.EngineEvent,
-                seconds=req.work.seconds,
-            )
+            yield from events
         except errors.PeerUnreachable as exc:
             self._view.suspect(member.address)
             raise errors.Refused(
--- a/src/endivepier/scheduling/work.py
+++ b/src/endivepier/scheduling/work.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+import pydantic
+
 from endivepier.targets import ports as target_ports
 
 
@@ -32,7 +34,33 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Generate:
-    """Message: a model call for the engine beside the receiving sidecar."""
+    """Message: a model call for the engine beside the receiving sidecar.
+
+    Attributes:
+        work: what order needs to know.
+        request: what the engine gets.
+        prefix_at: address of the sidecar whose engine holds the prefix, if it
+            should be moved here first; else empty.
+    """
 
     work: Work
     request: target_ports.Generate
+    prefix_at: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FetchPrefix:
+    """Message: asks for a session's prefix, which is released there.
+
+    Attributes:
+        session: the program id.
+    """
+
+    session: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prefix:
+    """A session's exported prefix; None if the engine holds none."""
+
+    blob: pydantic.Base64Bytes | None
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -12,6 +12,8 @@
 from endivepier.membership import members
 from endivepier.ownership import shards as shards_lib
 from endivepier.scheduling import dispatch
+from endivepier.scheduling import ejection
+from endivepier.scheduling import policies
 from endivepier.scheduling import queue as queue_lib
 from endivepier.scheduling import router as router_lib
 from endivepier.sidecar import programs as programs_lib
@@ -47,9 +49,19 @@
             env.timers, slots=limits.slots, limit=limits.waiting
         )
         self.dispatcher = dispatch.Dispatcher(
-            engine, self.queue, env.timers, self.metrics
+            engine, self.queue, env.timers, self.metrics, env.peers
         )
-        self.router = router_lib.Router(self.dispatcher, env.peers, self.view)
+        self.router = router_lib.Router(
+            self.dispatcher, env.peers, self.view, rng=env.rng
+        )
+        self.guard = ejection.Guard(
+            self.queue,
+            env.timers,
+            is_ejected=self.router.is_ejected,
+            probe=self.dispatcher.probe,
+            probe_seconds=policies.OwnerFirst().probe_seconds,
+        )
+        self.kernel.register("ejection", self.guard)
         self.shards = shards_lib.Shards(
             table, self.committer, self.view, self.ids, self.describe()
         )
@@ -69,12 +81,17 @@
 
     def describe(self) -> members.Member:
         """Returns what this sidecar says of itself, with its load."""
-        queue = getattr(self, "queue", None)
         member = super().describe()
-        if queue is None:
+        if not hasattr(self, "dispatcher"):
             return member
+        queue = self.queue
         return dataclasses.replace(
-            member, queued=queue.queued, running=queue.running
+            member,
+            queued=queue.queued,
+            running=queue.running,
+            slots=queue.slots,
+            service_seconds=queue.service_seconds,
+            token_seconds=self.dispatcher.pace.token_seconds,
         )
 
 
--- a/src/endivepier/standins/engine.py
+++ b/src/endivepier/standins/engine.py
@@ -38,6 +38,7 @@
         report_lag: seconds by which load reports lag.
         event_lag: seconds by which cache events come late.
         event_loss: share of cache events that never come.
+        kv_tokens_per_second: how fast prefixes are exported and imported.
         checks_fence: whether an order with an old fencing number is refused.
     """
 
@@ -50,6 +51,7 @@
     report_lag: float = 1.0
     event_lag: float = 1.0
     event_loss: float = 0.0
+    kv_tokens_per_second: float = 100000.0
     checks_fence: bool = True
 
 
@@ -170,11 +172,16 @@
     def export_kv(self, session: str) -> bytes | None:
         """Returns the session's cached prefix, or None."""
         size = self._cache.get(session)
-        return None if size is None else json.dumps(size).encode()
+        if size is None:
+            return None
+        self._copy(size)
+        return json.dumps(size).encode()
 
     def import_kv(self, session: str, blob: bytes) -> None:
         """Puts an exported prefix into the cache."""
-        self._store(session, int(json.loads(blob)))
+        size = int(json.loads(blob))
+        self._copy(size)
+        self._store(session, size)
 
     def order(self, order: ports.Order) -> None:
         """Carries out an order; see `targets.ports.ModelEngine.order`."""
@@ -193,6 +200,11 @@
         """Returns the models that are loaded."""
         return tuple(self._models)
 
+    def _copy(self, size: int) -> None:
+        """Takes the time that a prefix needs on its way in or out."""
+        seconds = size / self._profile.kv_tokens_per_second
+        self._timers.sleep(seconds * self.faults.slowdown)
+
     def _admit(self, req: ports.Generate) -> None:
         """Waits for a place in the batch, by priority."""
         self._arrivals += 1
