Release of a program's prefix wherever its last call ran

Cause: prefixes of ended programs stayed until they were evicted, and pushed out those of live ones.

Change: Router.release frees the memory at the engine that ran the last call; the bench's driver calls it when a program ends, for all policies alike.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -77,6 +77,13 @@
     request: ports.Generate
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProgramOver:
+    """Message: the program has ended; its engine memory is to be freed."""
+
+    program_id: str
+
+
 @dataclasses.dataclass(slots=True)
 class Outcome:
     """What a run gave.
@@ -184,6 +191,12 @@
             OwnedCall, ports.EngineEvent, self._generate
         )
 
+        self.host.inbox.register(ProgramOver, work_lib.Released, self._end)
+
+    def _end(self, req: ProgramOver) -> work_lib.Released:
+        self.router.release(req.program_id)
+        return work_lib.Released()
+
     def _generate(self, req: OwnedCall) -> Iterator[ports.EngineEvent]:
         yield from self.router.generate(
             work_lib.Generate(req.work, req.request)
@@ -305,6 +318,21 @@
                 self.timers.sleep(step.pause)
         if not plan.flood:
             self.outcome.latencies.append(self.timers.now() - plan.start)
+        self._end(plan)
+
+    def _end(self, plan: workloads.Plan) -> None:
+        owner = self._owner(plan.program_id)
+        over = ProgramOver(plan.program_id)
+        try:
+            self.entry.peers.call(
+                owner.address, over, work_lib.Released, seconds=1.0
+            )
+        except errors.PeerUnreachable as exc:
+            self.entry_view.suspect(exc.address)
+
+    def _owner(self, program_id: str) -> members.Member:
+        ready = self.entry_view.ready("sidecar")
+        return placement.ranked(program_id, ready)[0]
 
     def _call(
         self,
@@ -359,9 +387,7 @@
             self.outcome.refusals += 1
 
     def _once(self, call: OwnedCall) -> ports.Finished | None:
-        owner = placement.ranked(
-            call.work.program_id, self.entry_view.ready("sidecar")
-        )[0]
+        owner = self._owner(call.work.program_id)
         last: ports.EngineEvent | None = None
         for event in self.entry.peers.stream(
             owner.address, call, ports.EngineEvent, seconds=CALL_SECONDS
--- a/src/endivepier/scheduling/dispatch.py
+++ b/src/endivepier/scheduling/dispatch.py
@@ -56,6 +56,9 @@
             work_lib.Generate, target_ports.EngineEvent, self.generate
         )
         inbox.register(work_lib.FetchPrefix, work_lib.Prefix, self.give_prefix)
+        inbox.register(
+            work_lib.ReleasePrefix, work_lib.Released, self.release_prefix
+        )
 
     def generate(
         self, req: work_lib.Generate
@@ -93,6 +96,18 @@
             return work_lib.Prefix(None)
         return work_lib.Prefix(blob)
 
+    def release_prefix(self, req: work_lib.ReleasePrefix) -> work_lib.Released:
+        """Frees the memory that a session holds at the engine.
+
+        Raises:
+            errors.Refused: the engine gave no answer; it may hold it still.
+        """
+        try:
+            self._engine.release(req.session)
+        except errors.TargetFailed as exc:
+            raise _refusal(exc) from None
+        return work_lib.Released()
+
     def probe(self) -> Iterator[target_ports.EngineEvent]:
         """Runs a small request of our own, past the queue.
 
@@ -126,13 +141,7 @@
             with self.pace.running():
                 yield from self._measured(req)
         except errors.TargetFailed as exc:
-            raise errors.Refused(
-                errors.Code.TARGET_FAILED,
-                502,
-                str(exc),
-                ran=errors.Ran.UNKNOWN if exc.sent else errors.Ran.NO,
-                retry_after=1.0,
-            ) from None
+            raise _refusal(exc) from None
 
     def _measured(
         self, req: target_ports.Generate
@@ -216,5 +225,15 @@
         self._metrics.count("completion_tokens", event.completion_tokens)
 
 
+def _refusal(exc: errors.TargetFailed) -> errors.Refused:
+    return errors.Refused(
+        errors.Code.TARGET_FAILED,
+        502,
+        str(exc),
+        ran=errors.Ran.UNKNOWN if exc.sent else errors.Ran.NO,
+        retry_after=1.0,
+    )
+
+
 def _not_whole(detail: str) -> errors.TargetFailed:
     return errors.TargetFailed("engine", detail, sent=True)
--- a/src/endivepier/scheduling/router.py
+++ b/src/endivepier/scheduling/router.py
@@ -31,6 +31,7 @@
 from endivepier.targets import tokens
 
 PLACES = 100000
+RELEASE_SECONDS = 1.0
 # So many targets besides the one with the prefix are compared for a call.
 CANDIDATES = 3
 RETRIED = frozenset({errors.Code.TARGET_FAILED, errors.Code.NOT_READY})
@@ -128,9 +129,28 @@
         me = self._view.myself()
         return me.address in self._ejected(self._view.ready("sidecar", me.pool))
 
-    def forget(self, session: str) -> None:
-        """Drops what is known of a session that has ended."""
+    def release(self, session: str) -> bool:
+        """Frees the engine memory of a program that has ended.
+
+        Returns:
+            Whether it is certain that the last engine holds none any more;
+            if not, call again later.
+        """
+        me = self._view.myself()
+        place = self._places.get(session)
+        address = me.address if place is None else place.address
+        req = work_lib.ReleasePrefix(session)
+        try:
+            if address == me.address:
+                self._dispatcher.release_prefix(req)
+            elif self._view.find(address) is not None:
+                self._peers.call(
+                    address, req, work_lib.Released, seconds=RELEASE_SECONDS
+                )
+        except (errors.Refused, errors.PeerUnreachable):
+            return False
         self._places.pop(session, None)
+        return True
 
     def _may_retry(self, exc: errors.Refused, tried: set[str]) -> bool:
         match self._policy:
--- a/src/endivepier/scheduling/work.py
+++ b/src/endivepier/scheduling/work.py
@@ -59,6 +59,22 @@
     session: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleasePrefix:
+    """Message: frees the memory that a session holds at the engine.
+
+    Attributes:
+        session: the program id.
+    """
+
+    session: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Released:
+    """Says that the session holds no memory any more."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prefix:
     """A session's exported prefix; None if the engine holds none."""
