--- a/src/endivepier/daemons/entry.py
+++ b/src/endivepier/daemons/entry.py
@@ -17,7 +17,7 @@
         call_seconds=cfg.call_seconds,
         bootstrap_digest=cfg.bootstrap_digest,
     )
-    app = web.App(body_limit=cfg.body_limit)
+    app = web.App(body_limit=cfg.body_limit, tracer=shell.tracer)
     entry.add_to(app)
     health.add_to(app, entry)
     health.add_to(shell.app, entry)
@@ -30,4 +30,4 @@
             private_key=cfg.tls_key,
         ),
     ]
-    return common.Daemon(entry, servers, shell)
+    return common.Daemon(entry, servers, shell, cfg)
--- a/src/endivepier/internal/process.py
+++ b/src/endivepier/internal/process.py
@@ -10,9 +10,11 @@
 import dataclasses
 import random
 
+from endivepier import errors
 from endivepier import kernel as kernel_lib
 from endivepier import timers as timers_lib
 from endivepier.configuration import current as current_lib
+from endivepier.configuration import follower as follower_lib
 from endivepier.configuration import store as store_lib
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import peers as peers_lib
@@ -22,6 +24,8 @@
 from endivepier.platform import commit
 from endivepier.telemetry import metrics as metrics_lib
 
+RETRY_SECONDS = 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Environment:
@@ -62,14 +66,28 @@
         self.committer = commit.Committer(
             env.platform.table, env.timers, env.rng
         )
-        self.store = store_lib.Store(env.platform.table, self.committer)
-        self.follower = store_lib.Follower(self.store, self.current, env.timers)
+        self.store = store_lib.Store(
+            env.platform.table,
+            env.platform.objects,
+            self.committer,
+            env.timers,
+        )
         self._role = role
         self._target = target
         self.view = view_lib.View(
             env.platform.hosts, env.peers, env.timers, self.describe
         )
         self.view.register(env.inbox)
+        self.follower = follower_lib.Follower(
+            self.store,
+            self.current,
+            self.view,
+            env.peers,
+            env.timers,
+            self.metrics,
+            env.rng,
+        )
+        self.follower.register(env.inbox)
         self.kernel.register("configuration", self.follower)
         self.kernel.register("membership", self.view)
 
@@ -88,19 +106,45 @@
         )
 
     def effective_state(self) -> members.MemberState:
-        """Returns the state; READY only with a configuration in force."""
-        ready = self.state is members.MemberState.READY
-        if ready and not self.follower.has_read:
+        """Returns the state that others and the balancer shall see.
+
+        READY is said only with a fresh configuration, and no more once
+        the platform's list says that this host leaves.
+        """
+        if self.state is not members.MemberState.READY:
+            return self.state
+        if not self.follower.freshness.is_fresh():
             return members.MemberState.STARTING
+        if self.view.leaving(self.env.address):
+            return members.MemberState.DRAINING
         return self.state
 
+    def check_ready(self) -> None:
+        """Raises unless this process takes new work.
+
+        Raises:
+            errors.Refused: `NOT_READY`; the work has not run.
+        """
+        state = self.effective_state()
+        if state is not members.MemberState.READY:
+            raise errors.Refused(
+                errors.Code.NOT_READY,
+                503,
+                f"this process is {state.value}; ask another one",
+                retry_after=RETRY_SECONDS,
+            )
+
     def start(self) -> None:
         """Starts all parts, then says that the process is ready."""
         self.kernel.start()
         self.state = members.MemberState.READY
 
-    def stop(self) -> None:
-        """Leaves readiness, then stops all parts."""
+    def drain(self) -> None:
+        """Leaves readiness and hands over; what runs goes on."""
         self.state = members.MemberState.DRAINING
+        self.kernel.drain()
+
+    def stop(self) -> None:
+        """Stops all parts; nothing may run here any more."""
         self.kernel.stop()
         self.state = members.MemberState.GONE
--- a/src/endivepier/internal/web.py
+++ b/src/endivepier/internal/web.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import contextlib
 import math
 from typing import Any
 
@@ -15,17 +16,21 @@
 import gevent
 from gevent import pywsgi
 from gevent import socket
+import gevent.event
+import werkzeug.datastructures
 import werkzeug.exceptions
 import werkzeug.routing
 import werkzeug.wrappers
+import werkzeug.wsgi
 
 from endivepier import errors
+from endivepier import timers as timers_lib
 from endivepier.internal import codec
 from endivepier.internal import problems
+from endivepier.telemetry import spans
 
 SOCKET_KEY = "endivepier.socket"
 JSON_TYPE = "application/json"
-STOP_SECONDS = 30.0
 
 Handler = Callable[..., werkzeug.wrappers.Response]
 
@@ -48,6 +53,19 @@
         self._send_error_response_if_possible(500)
 
 
+class _WsgiServer(pywsgi.WSGIServer):
+    """Sends each part of a stream at once."""
+
+    def do_handle(self, *args: Any) -> None:
+        """Serves a connection.
+
+        Without TCP_NODELAY a token waits until the one before it was
+        acknowledged, which a client may delay by 40 ms.
+        """
+        args[0].setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().do_handle(*args)
+
+
 class Request(werkzeug.wrappers.Request):
     """A request whose body is bounded."""
 
@@ -107,15 +125,23 @@
 class App:
     """A WSGI application made of routes."""
 
-    def __init__(self, *, body_limit: int) -> None:
+    def __init__(
+        self, *, body_limit: int, tracer: spans.Tracer | None = None
+    ) -> None:
         """Makes an application without routes.
 
         Args:
             body_limit: the largest request body, in bytes.
+            tracer: makes each request a span; None for no spans here.
         """
+        self._tracer = tracer
         self._map = werkzeug.routing.Map(merge_slashes=False)
         self._handlers: dict[str, Handler] = {}
         self._body_limit = body_limit
+        self._active = 0
+        self._idle = gevent.event.Event()
+        self._idle.set()
+        self.closing = False
 
     def route(self, method: str, rule: str, handler: Handler) -> None:
         """Has `handler` answer `method` at paths like `rule`."""
@@ -129,7 +155,40 @@
         self, environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
         """Serves one request (WSGI)."""
-        return self._respond(environ)(environ, start_response)
+        self._active += 1
+        self._idle.clear()
+        span = contextlib.ExitStack()
+        span.callback(self._ended)
+        try:
+            span.enter_context(self._span(environ))
+            response = self._respond(environ)
+            if self.closing:
+                # A caller that keeps its connection would come back here.
+                response.headers["Connection"] = "close"
+            body = response(environ, start_response)
+        except BaseException:
+            span.close()
+            raise
+        return werkzeug.wsgi.ClosingIterator(body, span.close)
+
+    def _span(
+        self, environ: dict[str, Any]
+    ) -> contextlib.AbstractContextManager[None]:
+        """Returns the span that lasts until the last byte was sent."""
+        if self._tracer is None:
+            return contextlib.nullcontext()
+        headers = werkzeug.datastructures.EnvironHeaders(environ)
+        name = environ["REQUEST_METHOD"]
+        return self._tracer.span(name, self._tracer.incoming(headers))
+
+    def wait_idle(self, timers: timers_lib.Timers, seconds: float) -> bool:
+        """Waits until no request runs; returns whether that came about."""
+        return timers.wait(self._idle, seconds)
+
+    def _ended(self) -> None:
+        self._active -= 1
+        if self._active == 0:
+            self._idle.set()
 
     def _respond(self, environ: dict[str, Any]) -> werkzeug.wrappers.Response:
         req = Request(environ)
@@ -203,11 +262,12 @@
             certificate: path of a PEM file, or empty for plain HTTP.
             private_key: path of a PEM file, or empty.
         """
+        self._app = app
         host, _, port = listen.rpartition(":")
         options = {}
         if certificate:
             options = {"certfile": certificate, "keyfile": private_key}
-        self._server = pywsgi.WSGIServer(
+        self._server = _WsgiServer(
             (host, int(port)),
             app,
             log=None,
@@ -225,9 +285,15 @@
         """Listens; requests are served from now on."""
         self._server.start()
 
-    def stop(self) -> None:
-        """Stops listening and waits for the requests that run."""
-        self._server.stop(timeout=STOP_SECONDS)
+    def stop(self, timers: timers_lib.Timers, seconds: float) -> None:
+        """Stops listening, then waits for the requests that run.
+
+        Connections that are idle are closed without waiting for them.
+        """
+        self._app.closing = True
+        self._server.close()
+        self._app.wait_idle(timers, seconds)
+        self._server.stop(timeout=0)
 
     def kill(self) -> None:
         """Closes the listener and cuts off all that runs."""
--- a/src/endivepier/scheduling/dispatch.py
+++ b/src/endivepier/scheduling/dispatch.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Generator
 from collections.abc import Iterator
+import contextlib
 
 import gevent
 
@@ -16,6 +18,7 @@
 from endivepier.targets import ports as target_ports
 from endivepier.targets import tokens
 from endivepier.telemetry import metrics as metrics_lib
+from endivepier.telemetry import spans
 
 FETCH_SECONDS = 2.0
 PROBE_SESSION = "endivepier-probe"
@@ -50,10 +53,24 @@
         self._peers = peers
         self._probes = 0
 
-    def register(self, inbox: peers_lib.Inbox) -> None:
-        """Takes model calls and requests for prefixes of other sidecars."""
+    def register(
+        self, inbox: peers_lib.Inbox, check_ready: Callable[[], None]
+    ) -> None:
+        """Takes calls and requests for prefixes of others.
+
+        Args:
+            inbox: where they arrive.
+            check_ready: raises while this process takes no new work.
+        """
+
+        def handle(
+            req: work_lib.Generate,
+        ) -> Iterator[target_ports.EngineEvent]:
+            check_ready()
+            yield from self.generate(req)
+
         inbox.register_stream(
-            work_lib.Generate, target_ports.EngineEvent, self.generate
+            work_lib.Generate, target_ports.EngineEvent, handle
         )
         inbox.register(work_lib.FetchPrefix, work_lib.Prefix, self.give_prefix)
         inbox.register(
@@ -76,7 +93,9 @@
         if req.prefix_at:
             fetch = gevent.spawn(self._fetch, req)
         try:
-            with self.queue.slot(req.work):
+            with contextlib.ExitStack() as slot:
+                with spans.child("queue"):
+                    slot.enter_context(self.queue.slot(req.work))
                 waited = self._timers.now() - started
                 self._metrics.observe("queue_seconds", waited)
                 if fetch is not None:
--- a/src/endivepier/scheduling/router.py
+++ b/src/endivepier/scheduling/router.py
@@ -126,7 +126,7 @@
 
     def is_ejected(self) -> bool:
         """Returns whether the target beside this sidecar is too slow."""
-        me = self._view.myself()
+        me = self._view.me()
         return me.address in self._ejected(self._view.ready("sidecar", me.pool))
 
     def release(self, session: str) -> bool:
@@ -136,7 +136,7 @@
             Whether it is certain that the last engine holds none any more;
             if not, call again later.
         """
-        me = self._view.myself()
+        me = self._view.me()
         place = self._places.get(session)
         address = me.address if place is None else place.address
         req = work_lib.ReleasePrefix(session)
@@ -161,7 +161,7 @@
                 return False
 
     def _choose(self, req: work_lib.Generate, tried: set[str]) -> _Choice:
-        me = self._view.myself()
+        me = self._view.me()
         pool = self._view.ready("sidecar", me.pool)
         match self._policy:
             case policies.RandomRoute():
@@ -233,7 +233,7 @@
     ) -> Iterator[target_ports.EngineEvent]:
         """Runs the call at a target and notes where its prefix is then."""
         req = dataclasses.replace(req, prefix_at=choice.prefix_at)
-        me = self._view.myself()
+        me = self._view.me()
         if choice.member.address == me.address:
             events = self._dispatcher.generate(req)
         else:
