--- a/src/endivepier/membership/view.py
+++ b/src/endivepier/membership/view.py
@@ -109,17 +109,9 @@
         """Returns what this process says of itself."""
         return self._describe()
 
-    def listed(self, role: str = "") -> Sequence[str]:
-        """Returns the addresses on the platform's list.
-
-        Args:
-            role: "entry" or "sidecar"; empty for all.
-        """
-        return sorted(
-            host.address
-            for host in self._hosts.values()
-            if not role or host.role == role
-        )
+    def hosts(self) -> Sequence[ports.Host]:
+        """Returns the platform's list as it was last read."""
+        return list(self._hosts.values())
 
     def ready(self, role: str, pool: str = "") -> Sequence[members.Member]:
         """Returns the members that take new work, in order of address.
