--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-import argparse
 from collections.abc import Sequence
 import dataclasses
-import json
 import math
 import statistics
+from typing import Literal
 
+from bench import figures
 from bench import simulation
 from bench import workloads
 from endivepier.internal import loop
@@ -34,29 +34,7 @@
 OURS = simulation.Setup(policies.FairShare(), policies.OwnerFirst())
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Figure:
-    """One line of the output.
-
-    Attributes:
-        name: what was measured.
-        value: the figure.
-        unit: its unit.
-        baseline: the same of the baseline, or None.
-        bound: the stated target, or None.
-        sense: "max" if the value may be at most the bound, else "min".
-        seed: the seed.
-        bench: name of this bench.
-    """
-
-    name: str
-    value: float
-    unit: str
-    baseline: float | None
-    bound: float | None
-    sense: str
-    seed: int
-    bench: str = "scheduling"
+BENCH = "scheduling"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,24 +52,28 @@
 def main() -> None:
     """Prints the figures as JSON lines."""
     loop.configure()
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--full", action="store_true")
-    args = parser.parse_args()
+    args = figures.parser(__doc__ or "").parse_args()
     seconds = FULL_SECONDS if args.full else SECONDS
     for user in workloads.User:
         for figure in _figures(user, args.seed, seconds):
-            print(json.dumps(dataclasses.asdict(figure)), flush=True)
+            figure.emit()
 
 
 def _figures(
     user: workloads.User, seed: int, seconds: float
-) -> Sequence[Figure]:
+) -> Sequence[figures.Figure]:
     reached = capacity(OURS, user, seed)
     base = capacity(FIRST_COME, user, seed)
     found = [
-        Figure(
-            f"{user}.capacity", reached, "programs/s", base, base, "min", seed
+        figures.Figure(
+            BENCH,
+            f"{user}.capacity",
+            reached,
+            "programs/s",
+            seed,
+            base,
+            base,
+            "min",
         )
     ]
     for load in LOADS:
@@ -112,19 +94,26 @@
 
 def _round_robin(
     user: workloads.User, rate: float, seconds: float, seed: int
-) -> Sequence[Figure]:
+) -> Sequence[figures.Figure]:
     """Returns the second baseline at the load of the goals, for comparison."""
     plans = workloads.plans(user, seed, rate * FAULT_LOAD, seconds)
     base = measure(ROUND_ROBIN, plans, simulation.Fault.NONE, seconds, seed)
     case = f"{user}.round_robin"
+    found = {"mean_latency": base.mean, "p99_latency": base.p99}
     return [
-        Figure(f"{case}.mean_latency", base.mean, "s", None, None, "max", seed),
-        Figure(f"{case}.p99_latency", base.p99, "s", None, None, "max", seed),
-        Figure(
-            f"{case}.worst_account_share", base.worst_share, "ratio", None,
-            None, "min", seed,
+        *(
+            figures.Figure(BENCH, f"{case}.{name}", value, "s", seed)
+            for name, value in found.items()
         ),
-    ]  # fmt: skip
+        figures.Figure(
+            BENCH,
+            f"{case}.worst_account_share",
+            base.worst_share,
+            "ratio",
+            seed,
+            sense="min",
+        ),
+    ]
 
 
 def capacity(setup: simulation.Setup, user: workloads.User, seed: int) -> float:
@@ -225,7 +214,7 @@
     seconds: float,
     seed: int,
     load: float,
-) -> Sequence[Figure]:
+) -> Sequence[figures.Figure]:
     base = measure(FIRST_COME, plans, fault, seconds, seed)
     ours = measure(OURS, plans, fault, seconds, seed)
     goal = load == FAULT_LOAD
@@ -236,10 +225,10 @@
         unit: str,
         baseline: float,
         bound: float | None,
-        sense: str,
-    ) -> Figure:
-        return Figure(
-            f"{case}.{name}", value, unit, baseline, bound, sense, seed
+        sense: Literal["max", "min"],
+    ) -> figures.Figure:
+        return figures.Figure(
+            BENCH, f"{case}.{name}", value, unit, seed, baseline, bound, sense
         )
 
     return [
