--- a/src/endivepier/entry/callers.py
+++ b/src/endivepier/entry/callers.py
@@ -37,6 +37,7 @@
 APPEND = "append"
 DEFAULT_MAX_TOKENS = 64
 SINGLE_CALL_SECONDS = 3600.0
+SINGLE_CALL_TRIES = 3
 
 
 class Callers:
@@ -122,7 +123,7 @@
             if single:
                 program = self._create_single(caller, body)
             call = self._model_call(req, caller, body, program)
-            events = self._events(call, single)
+            events = self._events(call, single, restarts=not body.stream)
             if not body.stream:
                 return _whole_response(self._whole(events), body.model, created)
             first = self._first(events)
@@ -238,8 +239,8 @@
         """Creates a program for one call and returns its id."""
         new = documents.NewProgram(
             model=body.model,
-            tokens=_max_tokens(body),
-            calls=1,
+            tokens=SINGLE_CALL_TRIES * _max_tokens(body),
+            calls=SINGLE_CALL_TRIES,
             seconds=SINGLE_CALL_SECONDS,
         )
         message = self._new_program(caller, new)
@@ -274,12 +275,16 @@
         )
 
     def _events(
-        self, call: messages.ModelCall, single: bool
+        self, call: messages.ModelCall, single: bool, restarts: bool
     ) -> Iterator[messages.CallEvent]:
         """Yields the events of a call; ends a single call's program."""
         program = ids_lib.parse_program(call.program_id)
         yield from self._owners.stream(
-            program, call, messages.CallEvent, seconds=call.seconds
+            program,
+            call,
+            messages.CallEvent,
+            seconds=call.seconds,
+            restarts=restarts,
         )
         if single:
             end = messages.EndProgram(call.program_id, call.account)
