--- a/src/endivepier/entry/callers.py
+++ b/src/endivepier/entry/callers.py
@@ -169,9 +169,14 @@
         """Shows what is known of a non-idempotent request."""
         caller = self._caller(req)
         del pool  # A key names the same request at all pools.
-        progress = guard_lib.Progress()
+        # What a refusal here says must not be taken for the outcome.
+        progress = guard_lib.Progress(errors.Ran.UNKNOWN)
         with self._guard.watching(req, caller, progress):
-            self._limiter.admit(caller.account)
+            try:
+                self._limiter.admit(caller.account)
+            except errors.Refused as exc:
+                exc.ran = errors.Ran.UNKNOWN
+                raise
             outcome = self._attempts.look_up(caller.account, key)
         return web.json_response(outcome)
 
--- a/src/endivepier/entry/operators.py
+++ b/src/endivepier/entry/operators.py
@@ -161,6 +161,10 @@
         except errors.Unavailable:
             raise _store_down(errors.Ran.NO) from None
 
+    def require_operator(self, req: web.Request) -> None:
+        """Raises `errors.Refused` unless an operator's key came."""
+        self._check_operator(req)
+
     def _check_operator(self, req: web.Request) -> None:
         """Refuses whoever gives no operator's key that is in force.
 
--- a/src/endivepier/entry/parts.py
+++ b/src/endivepier/entry/parts.py
@@ -4,6 +4,7 @@
 
 from endivepier.configuration import keys as keys_lib
 from endivepier.entry import callers as callers_lib
+from endivepier.entry import effects as effects_lib
 from endivepier.entry import guard as guard_lib
 from endivepier.entry import operators as operators_lib
 from endivepier.entry import owners as owners_lib
@@ -44,8 +45,12 @@
         self.operators = operators_lib.Operators(
             self, self.authenticator, bootstrap_digest
         )
+        self.effects = effects_lib.Effects(
+            self, self.operators.require_operator
+        )
 
     def add_to(self, app: web.App) -> None:
         """Adds the routes for callers and operators."""
         self.callers.add_to(app)
         self.operators.add_to(app)
+        self.effects.add_to(app)
