--- a/bench/effects_faults.py
+++ b/bench/effects_faults.py
@@ -69,6 +69,7 @@
             fleet.freeze(network.hosts[address], fault.seconds)
             fleet.start_sidecar(address)
         case Kind.DRAIN:
+            fleet.sidecars[address].drain()
             fleet.sidecars[address].stop()
             network.hosts[address].kill()
             fleet.start_sidecar(address)
--- a/src/endivepier/effects/runner.py
+++ b/src/endivepier/effects/runner.py
@@ -67,18 +67,34 @@
         """How many claimed requests run or wait for their record."""
         return len(self._running) + self._recorder.pending
 
-    def register(self, inbox: peers_lib.Inbox) -> None:
-        """Takes the messages about this service."""
-        inbox.register(messages.CallService, messages.ServiceAnswer, self.run)
+    def register(
+        self, inbox: peers_lib.Inbox, check_ready: Callable[[], None]
+    ) -> None:
+        """Takes the messages about this service.
+
+        Args:
+            inbox: the handlers of this process.
+            check_ready: raises unless this process takes new work.
+        """
+
+        def run(req: messages.CallService) -> messages.ServiceAnswer:
+            check_ready()
+            return self.run(req)
+
+        inbox.register(messages.CallService, messages.ServiceAnswer, run)
         inbox.register(messages.AskTarget, messages.Outcome, self.ask_target)
 
     def start(self) -> None:
         """Takes requests."""
         self._draining = False
 
-    def stop(self) -> None:
-        """Refuses what was not sent and finishes what was."""
+    def drain(self) -> None:
+        """Refuses what was not sent; what was sent goes on."""
         self._draining = True
+
+    def stop(self) -> None:
+        """Waits until what was sent is answered and recorded."""
+        self.drain()
         deadline = self._timers.now() + DRAIN_SECONDS
         while self.open_claims and self._timers.now() < deadline:
             self._timers.sleep(DRAIN_POLL_SECONDS)
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -163,7 +163,7 @@
             self.metrics,
             self._checks_fence,
         )
-        self.runner.register(env.inbox)
+        self.runner.register(env.inbox, self.check_ready)
         self.sweeper = retention.Sweeper(
             env.platform.table, env.timers, self.metrics, self._sweeps
         )
