Split limits over agreed share-holders that lend to each other

Cause: the even split over ready entry hosts was not strict when their number changed, and it refused most requests of a skewed load.

Change: holders are agreed in the table by epoch, with rights that lapse; witnesses stand in for a table that can't be read; buckets lend and borrow fractions with tokens; waiting requests are served first come first served.

--- a/src/endivepier/entry/parts.py
+++ b/src/endivepier/entry/parts.py
@@ -8,7 +8,11 @@
 from endivepier.entry import owners as owners_lib
 from endivepier.internal import process
 from endivepier.internal import web
+from endivepier.limits import agreement as agreement_lib
 from endivepier.limits import limiter as limiter_lib
+from endivepier.limits import policies
+from endivepier.limits import rights as rights_lib
+from endivepier.limits import rows
 
 
 class Entry(process.Base):
@@ -20,12 +24,11 @@
         *,
         call_seconds: float = 60.0,
         bootstrap_digest: str = "",
+        policy: policies.Policy | None = None,
     ) -> None:
         super().__init__(env, "entry")
         self.authenticator = keys_lib.Authenticator(self.current)
-        self.limiter = limiter_lib.Limiter(
-            self.current, env.timers, lambda: len(self.view.ready("entry"))
-        )
+        self._add_limits(policy or policies.Lending())
         self.owners = owners_lib.Owners(self.view, env.peers, env.timers)
         self.callers = callers_lib.Callers(
             self, self.authenticator, self.limiter, self.owners, call_seconds
@@ -34,6 +37,40 @@
             self, self.authenticator, bootstrap_digest
         )
 
+    def _add_limits(self, policy: policies.Policy) -> None:
+        env = self.env
+        self.rights = rights_lib.Rights(
+            rows.Process(env.address, self.incarnation),
+            env.timers,
+            policies.holders_per_account(policy),
+        )
+        self.limiter = limiter_lib.Limiter(
+            self.current,
+            env.timers,
+            self.rights,
+            env.peers,
+            self.metrics,
+            self._entry_addresses,
+            policy,
+        )
+        self.limiter.register(env.inbox)
+        self.agreement = agreement_lib.Agreement(
+            self.rights,
+            self.witness,
+            env.platform.table,
+            self.committer,
+            env.peers,
+            self.view,
+            env.timers,
+            self.ids,
+            self.limiter.loans_left,
+        )
+        self.kernel.register("limits", self.limiter)
+        self.kernel.register("limits agreement", self.agreement)
+
+    def _entry_addresses(self) -> list[str]:
+        return [member.address for member in self.view.ready("entry")]
+
     def add_to(self, app: web.App) -> None:
         """Adds the routes for callers and operators."""
         self.callers.add_to(app)
--- a/src/endivepier/internal/process.py
+++ b/src/endivepier/internal/process.py
@@ -17,6 +17,8 @@
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import peers as peers_lib
 from endivepier.internal import platform_clients
+from endivepier.limits import rows
+from endivepier.limits import witness as witness_lib
 from endivepier.membership import members
 from endivepier.membership import view as view_lib
 from endivepier.platform import commit
@@ -70,6 +72,10 @@
             env.platform.hosts, env.peers, env.timers, self.describe
         )
         self.view.register(env.inbox)
+        self.witness = witness_lib.Witness(
+            env.timers, self.incarnation, self._sees
+        )
+        self.witness.register(env.inbox)
         self.kernel.register("configuration", self.follower)
         self.kernel.register("membership", self.view)
 
@@ -87,6 +93,11 @@
             revision=self.current.state.revision,
         )
 
+    def _sees(self, holder: rows.Process) -> bool:
+        """Returns whether a share-holder of the limits answers."""
+        member = self.view.find(holder.address)
+        return member is not None and member.incarnation == holder.incarnation
+
     def effective_state(self) -> members.MemberState:
         """Returns the state; READY only with a configuration in force."""
         ready = self.state is members.MemberState.READY
