--- a/bench/limit_world.py
+++ b/bench/limit_world.py
@@ -195,13 +195,16 @@
 
     def stop(self, address: str) -> None:
         """Stops an entry host gracefully."""
+        self.entries[address].drain()
         self.entries[address].stop()
         self.kill(address)
 
     def declare(self, account: state_lib.Account) -> None:
         """Puts another rate or burst in force on all hosts at once."""
         accounts = {**self.state.accounts, account.name: account}
-        self.state = state_lib.State(self.state.revision + 1, accounts)
+        self.state = state_lib.State(
+            revision=self.state.revision + 1, accounts=accounts
+        )
         for entry in self.entries.values():
             entry.current.advance(self.state)
 
--- a/src/endivepier/entry/parts.py
+++ b/src/endivepier/entry/parts.py
@@ -27,7 +27,9 @@
         policy: policies.Policy | None = None,
     ) -> None:
         super().__init__(env, "entry")
-        self.authenticator = keys_lib.Authenticator(self.current)
+        self.authenticator = keys_lib.Authenticator(
+            self.current, self.follower.freshness
+        )
         self._add_limits(policy or policies.Lending())
         self.owners = owners_lib.Owners(self.view, env.peers, env.timers)
         self.callers = callers_lib.Callers(
--- a/src/endivepier/limits/agreement.py
+++ b/src/endivepier/limits/agreement.py
@@ -89,25 +89,31 @@
         self._head: ports.Row | None = None
         self._last_read = -math.inf
         self._misfit_since = math.inf
-        self._subscription: timers_lib.Subscription | None = None
+        self._handle: timers_lib.Handle | None = None
+        self._stopped = False
 
     def start(self) -> None:
         """Reads the epoch, proposes the first one, then follows."""
-        if self._read() and self._head is None:
+        if self._read() and self._rights.me not in self._rights.epoch.holders:
             self._propose(self._joined())
             self._read()
-        self._subscription = self._timers.every(POLL_SECONDS, self.poll)
+        self._arm()
 
-    def stop(self) -> None:
-        """Stops using shares, and hands them back."""
-        if self._subscription is not None:
-            self._subscription.cancel()
-        self._rights.give_up()
+    def drain(self) -> None:
+        """Gives up the shares and hands them back; loans still serve."""
+        self.stop()
         holders = self._rights.epoch.holders
         rest = tuple(item for item in holders if item != self._rights.me)
         if rest != holders:
             self._propose(rest, handed_back=True)
 
+    def stop(self) -> None:
+        """Stops following, and gives up the shares."""
+        self._stopped = True
+        if self._handle is not None:
+            self._handle.cancel()
+        self._rights.give_up()
+
     def poll(self) -> None:
         """Renews the rights, from the table or from the witnesses."""
         if self._read():
@@ -117,6 +123,21 @@
         if self._rights.epoch.number and since < leases.ABANDON_SECONDS:
             self._gather_vouches()
 
+    def _arm(self) -> None:
+        """Sets the timer for the next poll; a new holder is in a hurry."""
+        joined = self._rights.is_holder()
+        seconds = POLL_SECONDS if joined else JOIN_SECONDS
+        self._handle = self._timers.after(seconds, self._fire)
+
+    def _fire(self) -> None:
+        if self._stopped:
+            return
+        try:
+            self.poll()
+        finally:
+            if not self._stopped:
+                self._arm()
+
     def _read(self) -> bool:
         """Reads the epoch in force; returns whether the table answered."""
         started = self._timers.now()
@@ -203,7 +224,7 @@
         holders = self._rights.epoch.holders
         me = self._rights.me
         if me not in holders:
-            return JOIN_SECONDS
+            return 0.0
         rank = list(holders).index(me) / len(holders)
         return SETTLE_SECONDS + SPREAD_SECONDS * rank
 
@@ -256,9 +277,7 @@
             if holder.address != self._rights.me.address
         )
         verdicts = self._ask(
-            lambda witness: messages.Consent(
-                old.number, witness.incarnation, deposed
-            )
+            lambda witness: messages.Consent(old.number, deposed)
         )
         if verdicts.granted >= old.consents_needed:
             # Who hands back has stopped already, and the shares of all others
--- a/src/endivepier/limits/leases.py
+++ b/src/endivepier/limits/leases.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-LEASE_SECONDS = 6.0
+LEASE_SECONDS = 4.0
 ABANDON_SECONDS = 1800.0
 MAX_CLOCK_DRIFT = 0.001
 
--- a/src/endivepier/limits/limiter.py
+++ b/src/endivepier/limits/limiter.py
@@ -140,7 +140,7 @@
             self._borrow_ahead(account, bucket, now)
             return
         wait = self._expected_wait(bucket, len(bucket.waiters) + 1, now)
-        if wait > EXPECTED_WAIT_SECONDS:
+        if wait > EXPECTED_WAIT_SECONDS + self._starts_in(bucket):
             bucket.free_at = now + wait
             bucket.refuse_until = bucket.free_at - EXPECTED_WAIT_SECONDS
             if self._lends():
@@ -170,7 +170,8 @@
     def _wait(
         self, account: str, bucket: bucket_lib.Bucket, now: float
     ) -> None:
-        waiter = bucket_lib.Waiter(now + MAX_WAIT_SECONDS, gevent.event.Event())
+        longest = MAX_WAIT_SECONDS + self._starts_in(bucket)
+        waiter = bucket_lib.Waiter(now + longest, gevent.event.Event())
         bucket.waiters.append(waiter)
         if not bucket.pumping:
             bucket.pumping = True
@@ -214,6 +215,9 @@
             return
         self._start_sweep(account, bucket, now)
         pause = bucket.waiters[0].deadline - now
+        starts_in = self._starts_in(bucket)
+        if starts_in > 0:
+            pause = min(pause, starts_in)
         speed = bucket.fraction * bucket.rate
         if speed > 0:
             missing = 1.0 - bucket.available()
@@ -253,12 +257,30 @@
         missing = position - bucket.available()
         if missing <= 0:
             return 0.0
-        hopeful = self._lends() and (bucket.sweeping or now >= bucket.sweep_at)
-        if hopeful or (bucket.backoff == 0.0 and self._lends()):
-            speed = bucket.rate
-        else:
-            speed = bucket.fraction * bucket.rate
-        return missing / speed if speed > 0 else math.inf
+        if self._lends() and self._may_find_loans(bucket, now):
+            return missing / bucket.rate if bucket.rate > 0 else math.inf
+        starts_in = self._starts_in(bucket)
+        fraction = bucket.fraction
+        if starts_in > 0:
+            fraction = 1.0 / max(1, len(self._rights.epoch.holders))
+        speed = fraction * bucket.rate
+        return starts_in + missing / speed if speed > 0 else math.inf
+
+    def _may_find_loans(self, bucket: bucket_lib.Bucket, now: float) -> bool:
+        return (
+            bucket.sweeping or now >= bucket.sweep_at or bucket.backoff == 0.0
+        )
+
+    def _starts_in(self, bucket: bucket_lib.Bucket) -> float:
+        """Returns when this process's share begins; 0 if it has any.
+
+        After a restart of all entry hosts nobody has tokens until the rights
+        of their earlier incarnations are over. Requests wait for that, rather
+        than being refused.
+        """
+        if bucket.fraction > 0:
+            return 0.0
+        return self._rights.starts_in()
 
     def _lends(self) -> bool:
         return isinstance(self._policy, policies.Lending)
--- a/src/endivepier/limits/messages.py
+++ b/src/endivepier/limits/messages.py
@@ -9,7 +9,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Vouch:
-    """Message: asks a witness to keep an epoch in force for a lease time.
+    """Message: asks a witness whether an epoch may still be followed.
 
     Attributes:
         epoch: the epoch of the shares.
@@ -26,12 +26,10 @@
 
     Attributes:
         epoch: the epoch that shall be followed by another.
-        incarnation: the witness's incarnation as that epoch's row names it.
         removed: the holders that shall lose their shares.
     """
 
     epoch: int
-    incarnation: str
     removed: tuple[rows.Process, ...] = ()
 
 
--- a/src/endivepier/limits/rights.py
+++ b/src/endivepier/limits/rights.py
@@ -24,6 +24,8 @@
 from endivepier.limits import leases
 from endivepier.limits import rows
 
+JOINING_SECONDS = 3.0
+
 
 class Change(enum.Enum):
     """What listeners are told.
@@ -64,6 +66,7 @@
         self.me = me
         self.epoch = rows.Epoch()
         self.began = timers.now()
+        self._made = timers.now()
         self.starts_full = False
         self._timers = timers
         self._per_account = per_account
@@ -107,6 +110,25 @@
         now = self._timers.now()
         return max([0.0, *(bound.until - now for bound in self._bounds)])
 
+    def is_holder(self) -> bool:
+        """Returns whether this process is a holder in this epoch."""
+        return self.me in self.epoch.holders and not self._given_up
+
+    def starts_in(self) -> float:
+        """Returns when the rights of a new holder begin; 0 if unknown."""
+        now = self._timers.now()
+        if self.is_holder():
+            nothing = [
+                bound.until - now
+                for bound in self._bounds
+                if bound.epoch is None or self.me not in bound.epoch.holders
+            ]
+            return max([0.0, *nothing])
+        joining = now < self._made + JOINING_SECONDS
+        if joining and not self._given_up:
+            return leases.LEASE_SECONDS
+        return 0.0
+
     def fraction(self, account: str) -> float:
         """Returns what may be used now of an account, from 0 to 1."""
         now = self._timers.now()
--- a/src/endivepier/scheduling/dispatch.py
+++ b/src/endivepier/scheduling/dispatch.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
+import contextlib
 
 from endivepier import errors
 from endivepier import timers as timers_lib
@@ -11,6 +13,7 @@
 from endivepier.scheduling import work as work_lib
 from endivepier.targets import ports as target_ports
 from endivepier.telemetry import metrics as metrics_lib
+from endivepier.telemetry import spans
 
 
 class Dispatcher:
@@ -28,10 +31,24 @@
         self._timers = timers
         self._metrics = metrics
 
-    def register(self, inbox: peers_lib.Inbox) -> None:
-        """Takes model calls that other sidecars send here."""
+    def register(
+        self, inbox: peers_lib.Inbox, check_ready: Callable[[], None]
+    ) -> None:
+        """Takes model calls that other sidecars send here.
+
+        Args:
+            inbox: where they arrive.
+            check_ready: raises while this process takes no new work.
+        """
+
+        def handle(
+            req: work_lib.Generate,
+        ) -> Iterator[target_ports.EngineEvent]:
+            check_ready()
+            yield from self.generate(req)
+
         inbox.register_stream(
-            work_lib.Generate, target_ports.EngineEvent, self.generate
+            work_lib.Generate, target_ports.EngineEvent, handle
         )
 
     def generate(
@@ -46,7 +63,9 @@
             errors.Refused: it did not run, or the engine broke off.
         """
         started = self._timers.now()
-        with self._queue.slot(req.work):
+        with contextlib.ExitStack() as slot:
+            with spans.child("queue"):
+                slot.enter_context(self._queue.slot(req.work))
             self._metrics.observe("queue_seconds", self._timers.now() - started)
             try:
                 yield from self._checked(req.request)
