--- a/src/endivepier/configuration/follower.py
+++ b/src/endivepier/configuration/follower.py
@@ -38,6 +38,7 @@
 JITTER = 0.1
 PULL_SECONDS = 0.5
 RELAY_STALE_SECONDS = 2.5
+FAILED_SECONDS = 30.0
 OTHER_PEERS = 2
 
 
@@ -65,6 +66,7 @@
         self._handle: timers_lib.Handle | None = None
         self._running = False
         self._hinted: set[str] = set()
+        self._failed: dict[str, float] = {}
 
     def register(self, inbox: peers_lib.Inbox) -> None:
         """Answers peers that ask for revisions."""
@@ -89,10 +91,8 @@
     def poll(self) -> None:
         """Makes one round: parent, table, peers, until there is a proof."""
         parent = self._parent()
-        if parent is not None and self._pull(parent) is not None:
-            age = self.freshness.age()
-            if age is not None and age <= RELAY_STALE_SECONDS:
-                return
+        if parent is not None and self._relayed(parent):
+            return
         if not self._read_table():
             self._ask_around()
 
@@ -105,7 +105,7 @@
         me = self._view.me().address
         message = messages.AnnounceRevision(me, revision)
         pool = gevent.pool.Pool()
-        for address in self._view.listed("entry"):
+        for address in self._acceptors():
             if address != me:
                 pool.spawn(self._tell, address, message)
         pool.join()
@@ -126,7 +126,32 @@
                 self._arm()
 
     def _parent(self) -> str | None:
-        return relays.parent_of(self._view.me(), self._view.everybody())
+        """Returns the peer that relays revisions to this one, if any."""
+        now = self._timers.now()
+        for address, failed_at in list(self._failed.items()):
+            if now - failed_at > FAILED_SECONDS:
+                self._failed.pop(address)
+        me = self._view.me()
+        return relays.parent_of(
+            me.address,
+            me.data_centre,
+            self._view.hosts(),
+            frozenset(self._failed),
+        )
+
+    def _acceptors(self) -> set[str]:
+        """Returns the addresses of all hosts that may accept notes."""
+        return {
+            host.address for host in self._view.hosts() if host.role == "entry"
+        }
+
+    def _relayed(self, parent: str) -> bool:
+        """Pulls from the parent; returns whether that was fresh enough."""
+        if self._pull(parent) is None:
+            self._failed[parent] = self._timers.now()
+            return False
+        age = self.freshness.age()
+        return age is not None and age <= RELAY_STALE_SECONDS
 
     def _read_table(self) -> bool:
         """Reads the head and what is missing; returns whether that worked."""
@@ -143,7 +168,7 @@
         """Looks for the second and third proof."""
         started = self._timers.now()
         me = self._view.me().address
-        acceptors = set(self._view.listed("entry"))
+        acceptors = self._acceptors()
         answers = self._pull_all(acceptors - {me})
         reached = len(answers) == len(acceptors - {me})
         known = self.freshness.age() is not None
--- a/src/endivepier/entry/operators.py
+++ b/src/endivepier/entry/operators.py
@@ -4,6 +4,7 @@
 
 import hmac
 
+import gevent.pool
 import werkzeug.wrappers
 
 from endivepier import errors
@@ -15,8 +16,10 @@
 from endivepier.entry import documents
 from endivepier.internal import process
 from endivepier.internal import web
+from endivepier.membership import members as members_lib
 
 CHANGE_ID_HEADER = "X-Endivepier-Change-Id"
+CONCURRENT_PROBES = 64
 RETRY_SECONDS = 1.0
 
 
@@ -95,9 +98,7 @@
             from_table = True
         except errors.Unavailable:
             from_table = False
-        members = {
-            member.address: member for member in self._base.view.everybody()
-        }
+        members = self._ask_everybody()
         newest = max(member.revision for member in members.values())
         head = max(self._base.current.state.revision, newest)
         rows = [
@@ -112,9 +113,11 @@
             for member in members.values()
         ]
         rows.extend(
-            documents.ProcessRevision(address, "", "", "", None, True)
-            for address in self._base.view.listed()
-            if address not in members
+            documents.ProcessRevision(
+                host.address, host.role, host.data_centre, "", None, True
+            )
+            for host in self._base.view.hosts()
+            if host.address not in members
         )
         rows.sort(key=lambda row: row.address)
         return web.json_response(
@@ -138,6 +141,20 @@
                 0.0, lambda: self._base.store.keep_snapshot(state)
             )
 
+    def _ask_everybody(self) -> dict[str, members_lib.Member]:
+        """Returns all members that answer now, this process included."""
+        view = self._base.view
+        me = view.me()
+        found = {me.address: me}
+        pool = gevent.pool.Pool(CONCURRENT_PROBES)
+        others = [
+            host.address for host in view.hosts() if host.address != me.address
+        ]
+        for member in pool.imap_unordered(view.probe, others):
+            if member is not None:
+                found[member.address] = member
+        return found
+
     def _catch_up(self) -> None:
         try:
             self._base.store.catch_up(self._base.current)
