--- a/src/endivepier/scheduling/router.py
+++ b/src/endivepier/scheduling/router.py
@@ -115,7 +115,7 @@
             choice = self._choose(req, tried)
             begun = False
             try:
-                for event in self._send(choice, req):
+                for event in self._send(choice, req, len(tried)):
                     begun = True
                     yield event
                 return
@@ -229,10 +229,17 @@
                 return frozenset()
 
     def _send(
-        self, choice: _Choice, req: work_lib.Generate
+        self, choice: _Choice, req: work_lib.Generate, attempt: int
     ) -> Iterator[target_ports.EngineEvent]:
         """Runs the call at a target and notes where its prefix is then."""
-        req = dataclasses.replace(req, prefix_at=choice.prefix_at)
+        # A second try has a name of its own, so that what ends the first one
+        # can't end it as well.
+        request = dataclasses.replace(
+            req.request, request_id=f"{req.request.request_id}-{attempt}"
+        )
+        req = dataclasses.replace(
+            req, request=request, prefix_at=choice.prefix_at
+        )
         me = self._view.me()
         if choice.member.address == me.address:
             events = self._dispatcher.generate(req)
--- a/src/endivepier/standins/engine.py
+++ b/src/endivepier/standins/engine.py
@@ -117,6 +117,11 @@
             collections.deque(maxlen=256)
         )
 
+    @property
+    def busy(self) -> int:
+        """How many requests run or wait inside the engine."""
+        return len(self._running) + len(self._waiting)
+
     def generate(self, req: ports.Generate) -> Iterator[ports.EngineEvent]:
         """Yields events; see `targets.ports.ModelEngine.generate`."""
         if self.faults.down:
@@ -135,8 +140,12 @@
 
     def cancel(self, request_id: str) -> None:
         """Ends a request; see `targets.ports.ModelEngine.cancel`."""
-        known = {entry.request_id for entry in self._waiting}
-        if request_id in self._running or request_id in known:
+        for entry in list(self._waiting):
+            if entry.request_id == request_id:
+                self._waiting.remove(entry)
+                self._cancelled.add(request_id)
+                entry.admitted.set()
+        if request_id in self._running:
             self._cancelled.add(request_id)
 
     def load(self) -> ports.EngineLoad:
@@ -213,6 +222,7 @@
         self._admit_next()
         try:
             entry.admitted.wait()
+            self._check_cancelled(req)
         except BaseException:
             if entry in self._waiting:
                 self._waiting.remove(entry)
@@ -243,6 +253,7 @@
         start = max(self._timers.now(), self._prefill_free_at)
         self._prefill_free_at = start + seconds * self.faults.slowdown
         self._timers.sleep(self._prefill_free_at - self._timers.now())
+        self._check_cancelled(req)
         self._store(req.session, prompt)
         return cached
 
@@ -266,12 +277,15 @@
         yield ports.Finished(request_id, prompt, cached, done, "length")
 
     def _check_alive(self, req: ports.Generate, done: int) -> None:
-        if req.request_id in self._cancelled:
-            raise errors.TargetFailed(self.name, "cancelled", sent=True)
+        self._check_cancelled(req)
         cut = self.faults.cut_after
         if self.faults.down or (cut is not None and done >= cut):
             raise errors.TargetFailed(self.name, "broke off", sent=True)
 
+    def _check_cancelled(self, req: ports.Generate) -> None:
+        if req.request_id in self._cancelled:
+            raise errors.TargetFailed(self.name, "cancelled", sent=True)
+
     def _pace(self) -> float:
         """Returns seconds for one token at the batch's size."""
         others = max(0, len(self._running) - 1)
--- a/src/endivepier/targets/http_engine.py
+++ b/src/endivepier/targets/http_engine.py
@@ -4,8 +4,11 @@
 
 from collections.abc import Iterator
 from collections.abc import Sequence
+import contextlib
 from typing import Any
 
+import gevent
+
 from endivepier import errors
 from endivepier.internal import codec
 from endivepier.internal import http_client
@@ -25,24 +28,49 @@
 
     def generate(self, req: ports.Generate) -> Iterator[ports.EngineEvent]:
         """Yields events; see `targets.ports.ModelEngine.generate`."""
-        with self._tracer.span("engine.generate"):
-            answer = self._open(wire.GENERATE_PATH, req)
         whole = False
+        try:
+            with self._tracer.span("engine.generate"):
+                answer = self._open(wire.GENERATE_PATH, req)
+            try:
+                for event in self._events(answer):
+                    whole = isinstance(event, ports.Finished)
+                    yield event
+            finally:
+                if whole:
+                    answer.release()
+                else:
+                    answer.close()
+        except errors.TargetFailed as exc:
+            whole = not exc.sent
+            raise
+        finally:
+            # An engine that computes the first token does not look at its
+            # connection, so it is told as well. The caller does not wait.
+            if not whole:
+                gevent.spawn(self._cancel_quietly, req.request_id)
+
+    def _events(
+        self, answer: http_client.StreamedAnswer
+    ) -> Iterator[ports.EngineEvent]:
         try:
             if answer.status != 200:
                 detail = answer.read().decode(errors="replace")[:200]
                 raise errors.TargetFailed(self._name, detail, sent=False)
             for line in answer.lines():
-                event = codec.decode(ports.EngineEvent, line)
-                whole = isinstance(event, ports.Finished)
+                try:
+                    event = codec.decode(ports.EngineEvent, line)
+                except errors.Refused as exc:
+                    raise errors.TargetFailed(
+                        self._name, f"no event: {line[:80]!r}", sent=True
+                    ) from exc
                 yield event
         except http_client.ExchangeFailed as exc:
             raise errors.TargetFailed(self._name, str(exc), sent=True) from exc
-        finally:
-            if whole:
-                answer.release()
-            else:
-                answer.close()
+
+    def _cancel_quietly(self, request_id: str) -> None:
+        with contextlib.suppress(errors.TargetFailed, errors.Fenced):
+            self.cancel(request_id)
 
     def cancel(self, request_id: str) -> None:
         """Ends a request; see `targets.ports.ModelEngine.cancel`."""
