--- a/src/endivepier/scheduling/dispatch.py
+++ b/src/endivepier/scheduling/dispatch.py
@@ -149,7 +149,7 @@
         for event in self._run(req):
             if isinstance(event, target_ports.Finished):
                 taken = self._timers.now() - started
-                self.pace.event(taken / event.completion_tokens, 1)
+                self.pace.probed(taken / event.completion_tokens)
             yield event
         self._engine.release(PROBE_SESSION)
 
--- a/src/endivepier/scheduling/ejection.py
+++ b/src/endivepier/scheduling/ejection.py
@@ -51,6 +51,7 @@
         timers: timers_lib.Timers,
         *,
         is_ejected: Callable[[], bool],
+        measured: Callable[[], float],
         probe: Callable[[], Iterator[object]],
         probe_seconds: float,
     ) -> None:
@@ -60,15 +61,16 @@
             queue: the queue in front of the target.
             timers: the timer service.
             is_ejected: whether the target is ejected now.
+            measured: when the target's pace was last measured.
             probe: sends a small request; its events are awaited.
             probe_seconds: the pause between two probes.
         """
         self._queue = queue
         self._timers = timers
         self._is_ejected = is_ejected
+        self._measured = measured
         self._probe = probe
         self._probe_seconds = probe_seconds
-        self._probed = timers.now()
         self._subscription: timers_lib.Subscription | None = None
 
     def start(self) -> None:
@@ -81,13 +83,17 @@
             self._subscription.cancel()
 
     def check(self) -> None:
-        """Acts if the target is ejected."""
-        if not self._is_ejected():
+        """Acts if the target is ejected or its pace is not known any more.
+
+        A target that seems a little slow gets no work while others are free,
+        so without probes it would seem slow for ever.
+        """
+        if self._is_ejected():
+            self._queue.expel()
+        elif self._queue.running:
             return
-        self._queue.expel()
-        if self._timers.now() - self._probed < self._probe_seconds:
+        if self._timers.now() - self._measured() < self._probe_seconds:
             return
-        self._probed = self._timers.now()
         try:
             for _ in self._probe():
                 pass
--- a/src/endivepier/scheduling/pace.py
+++ b/src/endivepier/scheduling/pace.py
@@ -12,6 +12,7 @@
 from endivepier import timers as timers_lib
 
 SMOOTHING = 0.2
+PROBE_SMOOTHING = 0.5
 # Below this many fresh tokens the time to the first token says nothing about
 # how fast prompts are read.
 LEAST_FRESH_TOKENS = 256
@@ -28,10 +29,10 @@
         self.value = guess
         self.count = 0
 
-    def add(self, value: float) -> None:
-        """Takes a measurement in."""
+    def add(self, value: float, smoothing: float = SMOOTHING) -> None:
+        """Takes a measurement in, which counts for a share `smoothing`."""
         self.count += 1
-        weight = max(SMOOTHING, 1.0 / self.count)
+        weight = max(smoothing, 1.0 / self.count)
         self.value += weight * (value - self.value)
 
 
@@ -87,6 +88,15 @@
             self._token.add(seconds / count)
             self._burst.add(count)
 
+    def probed(self, seconds: float) -> None:
+        """Notes a probe's time for one token.
+
+        Probes are rare and the only news of a target that gets no work, so
+        each one counts for more.
+        """
+        self._quiet_since = self._timers.now()
+        self._token.add(seconds, PROBE_SMOOTHING)
+
     def first(self, seconds: float, fresh: int) -> None:
         """Notes the time to the first token and the uncached prompt."""
         if fresh >= LEAST_FRESH_TOKENS:
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -65,6 +65,7 @@
             self.queue,
             env.timers,
             is_ejected=self.router.is_ejected,
+            measured=lambda: self.dispatcher.pace.measured,
             probe=self.dispatcher.probe,
             probe_seconds=policies.OwnerFirst().probe_seconds,
         )
