A fair queue in front of plain services; fewer probes

Cause: requests for plain services were sent without order or bound.

Change: ServiceDispatcher lets a request wait in the same queue before anything is claimed for it, so that its refusals say truthfully that it did not run. Only targets that are slower than their pool's median by a fifth are probed when quiet; a probe's words begin with its session, as the checker demands of all.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -183,6 +183,7 @@
             self.queue,
             timers,
             is_ejected=self.router.is_ejected,
+            looks_slow=self.router.looks_slow,
             measured=lambda: self.dispatcher.pace.measured,
             probe=self.dispatcher.probe,
             probe_seconds=PROBE_SECONDS,
--- a/src/endivepier/effects/runner.py
+++ b/src/endivepier/effects/runner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from endivepier import errors
 from endivepier.effects import claims as claims_lib
 from endivepier.effects import messages
@@ -9,6 +11,8 @@
 from endivepier.internal import peers as peers_lib
 from endivepier.targets import ports as target_ports
 
+Run = Callable[[messages.CallService], messages.ServiceAnswer]
+
 
 class Runner:
     """Sends requests to one service: repeatable ones and claimed ones."""
@@ -23,9 +27,10 @@
         self._claims = claims
         self._ids = ids
 
-    def register(self, inbox: peers_lib.Inbox) -> None:
+    def register(self, inbox: peers_lib.Inbox, run: Run | None = None) -> None:
         """Takes the messages about this service."""
-        inbox.register(messages.CallService, messages.ServiceAnswer, self.run)
+        handle = run or self.run
+        inbox.register(messages.CallService, messages.ServiceAnswer, handle)
         inbox.register(messages.LookUp, messages.Outcome, self.look_up)
 
     def run(self, req: messages.CallService) -> messages.ServiceAnswer:
--- a/src/endivepier/scheduling/dispatch.py
+++ b/src/endivepier/scheduling/dispatch.py
@@ -22,6 +22,7 @@
 
 FETCH_SECONDS = 2.0
 PROBE_SESSION = "endivepier-probe"
+PROBE_TEXT = f"{PROBE_SESSION} are you well?"
 PROBE_TOKENS = 8
 
 
@@ -142,7 +143,7 @@
             request_id=name,
             session=PROBE_SESSION,
             model=models[0],
-            messages=(target_ports.ChatMessage("user", "ok?"),),
+            messages=(target_ports.ChatMessage("user", PROBE_TEXT),),
             max_tokens=PROBE_TOKENS,
         )
         started = self._timers.now()
--- a/src/endivepier/scheduling/ejection.py
+++ b/src/endivepier/scheduling/ejection.py
@@ -19,6 +19,8 @@
 from endivepier.scheduling import queue as queue_lib
 
 CHECK_SECONDS = 0.5
+# A target that is slower than the median by this factor gets less work.
+PROBE_FACTOR = 1.2
 
 
 def ejected(
@@ -39,6 +41,14 @@
     return frozenset(m.address for m in slow[:most])
 
 
+def looks_slow(pool: Sequence[members.Member], address: str) -> bool:
+    """Returns whether a target's last known pace keeps work away from it."""
+    paces = {m.address: m.token_seconds for m in pool if m.token_seconds > 0}
+    if address not in paces:
+        return False
+    return paces[address] > PROBE_FACTOR * statistics.median_low(paces.values())
+
+
 class Guard:
     """Empties the queue of a target that was ejected, and probes the target.
 
@@ -51,6 +61,7 @@
         timers: timers_lib.Timers,
         *,
         is_ejected: Callable[[], bool],
+        looks_slow: Callable[[], bool],
         measured: Callable[[], float],
         probe: Callable[[], Iterator[object]],
         probe_seconds: float,
@@ -61,6 +72,7 @@
             queue: the queue in front of the target.
             timers: the timer service.
             is_ejected: whether the target is ejected now.
+            looks_slow: whether it seems slower than most of its pool.
             measured: when the target's pace was last measured.
             probe: sends a small request; its events are awaited.
             probe_seconds: the pause between two probes.
@@ -68,6 +80,7 @@
         self._queue = queue
         self._timers = timers
         self._is_ejected = is_ejected
+        self._looks_slow = looks_slow
         self._measured = measured
         self._probe = probe
         self._probe_seconds = probe_seconds
@@ -83,14 +96,14 @@
             self._subscription.cancel()
 
     def check(self) -> None:
-        """Acts if the target is ejected or its pace is not known any more.
+        """Acts if the target is ejected or looks slow.
 
-        A target that seems a little slow gets no work while others are free,
-        so without probes it would seem slow for ever.
+        A target that looks a little slow gets no work while others are free,
+        so without probes it would look slow for ever.
         """
         if self._is_ejected():
             self._queue.expel()
-        elif self._queue.running:
+        elif self._queue.running or not self._looks_slow():
             return
         if self._timers.now() - self._measured() < self._probe_seconds:
             return
--- a/src/endivepier/scheduling/router.py
+++ b/src/endivepier/scheduling/router.py
@@ -129,6 +129,12 @@
         me = self._view.me()
         return me.address in self._ejected(self._view.ready("sidecar", me.pool))
 
+    def looks_slow(self) -> bool:
+        """Returns whether that target seems slower than most of its pool."""
+        me = self._view.me()
+        pool = self._view.ready("sidecar", me.pool)
+        return ejection.looks_slow(pool, me.address)
+
     def release(self, session: str) -> bool:
         """Frees the engine memory of a program that has ended.
 
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -19,6 +19,7 @@
 from endivepier.scheduling import policies
 from endivepier.scheduling import queue as queue_lib
 from endivepier.scheduling import router as router_lib
+from endivepier.scheduling import services as services_lib
 from endivepier.sidecar import families as families_lib
 from endivepier.sidecar import handover as handover_lib
 from endivepier.sidecar import programs as programs_lib
@@ -26,6 +27,8 @@
 from endivepier.sidecar import registry as registry_lib
 from endivepier.targets import ports as target_ports
 
+SERVICE_SLOTS = 64
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueueLimits:
@@ -65,6 +68,7 @@
             self.queue,
             env.timers,
             is_ejected=self.router.is_ejected,
+            looks_slow=self.router.looks_slow,
             measured=lambda: self.dispatcher.pace.measured,
             probe=self.dispatcher.probe,
             probe_seconds=policies.OwnerFirst().probe_seconds,
@@ -172,4 +176,24 @@
             env.platform.table, self.committer, self.ids
         )
         self.runner = runner_lib.Runner(service, self.claims, self.ids)
-        self.runner.register(env.inbox)
+        self.queue = queue_lib.Queue(
+            env.timers, slots=SERVICE_SLOTS, limit=QueueLimits().waiting
+        )
+        self.services = services_lib.ServiceDispatcher(
+            self.queue, self.current, env.timers, self.runner.run
+        )
+        self.runner.register(env.inbox, self.services.run)
+
+    def describe(self) -> members.Member:
+        """Returns what this sidecar says of itself, with its load."""
+        member = super().describe()
+        if not hasattr(self, "services"):
+            return member
+        queue = self.queue
+        return dataclasses.replace(
+            member,
+            queued=queue.queued,
+            running=queue.running,
+            slots=queue.slots,
+            service_seconds=queue.service_seconds,
+        )
