A call asks its new target for its load before it leaves home

Before a call leaves the target with its prefix, the router probes the other one, and goes only if that is still sooner.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -32,7 +32,7 @@
 MODEL = "model"
 POOL = "engines"
 ENTRY = "entry:1"
-VIEW_SECONDS = 1.0
+VIEW_SECONDS = 6.0
 PROBE_SECONDS = 5.0
 CALL_SECONDS = 60.0
 TRIES = 20
@@ -119,6 +119,7 @@
         self._cluster = cluster
         self._address = address
         self._suspects: set[str] = set()
+        self._asked: dict[str, members.Member] = {}
 
     def me(self) -> members.Member:
         return self._cluster.describe(self._address)
@@ -126,11 +127,19 @@
     def ready(self, role: str, pool: str = "") -> list[members.Member]:
         del role, pool
         return [
-            member
+            self._asked.get(member.address, member)
             for member in self._cluster.snapshot
             if member.address not in self._suspects
         ]
 
+    def probe(self, address: str) -> members.Member | None:
+        self._cluster.timers.sleep(2 * LATENCY_SECONDS)
+        if not self._cluster.is_alive(address):
+            self._suspects.add(address)
+            return None
+        self._asked[address] = self._cluster.describe(address)
+        return self._asked[address]
+
     def find(self, address: str) -> members.Member | None:
         found = [m for m in self.ready("") if m.address == address]
         return found[0] if found else None
@@ -142,6 +151,7 @@
         """Forgets suspects that answer heartbeats."""
         alive = {member.address for member in self._cluster.snapshot}
         self._suspects -= alive
+        self._asked.clear()
 
 
 class _Sidecar:
@@ -240,6 +250,10 @@
         }
         self._beat()
 
+    def is_alive(self, address: str) -> bool:
+        """Returns whether the sidecar runs."""
+        return self._sidecars[address].host.alive
+
     def describe(self, address: str) -> members.Member:
         """Returns the state of a sidecar now."""
         return self._sidecars[address].describe()
--- a/src/endivepier/scheduling/policies.py
+++ b/src/endivepier/scheduling/policies.py
@@ -62,6 +62,8 @@
 
     Attributes:
         gain_seconds: another target must be sooner by at least this.
+        asks: whether a target is asked for its load before a call is sent
+            there instead of to the preferred one.
         moves: whether prefixes are exported and imported.
         slow_factor: a target slower than the pool's median by this factor
             is ejected.
@@ -71,6 +73,7 @@
     """
 
     gain_seconds: float = 0.5
+    asks: bool = True
     moves: bool = True
     slow_factor: float = 3.0
     ejected_share: float = 0.34
--- a/src/endivepier/scheduling/router.py
+++ b/src/endivepier/scheduling/router.py
@@ -198,10 +198,37 @@
         if len(others) > CANDIDATES:
             others = self._rng.sample(others, CANDIDATES)
         choices = [self._cost(policy, req, m, place) for m in home + others]
-        best = min(choices, key=lambda choice: choice.seconds)
-        if home and choices[0].seconds <= best.seconds + policy.gain_seconds:
-            return choices[0]
-        return best
+        if not home:
+            return min(choices, key=lambda choice: choice.seconds)
+        bound = choices[0].seconds - policy.gain_seconds
+        for choice in sorted(choices[1:], key=lambda c: c.seconds):
+            if choice.seconds >= bound:
+                break
+            checked = self._check(policy, req, choice, place)
+            if checked is not None and checked.seconds < bound:
+                return checked
+        return choices[0]
+
+    def _check(
+        self,
+        policy: policies.OwnerFirst,
+        req: work_lib.Generate,
+        choice: _Choice,
+        place: _Place | None,
+    ) -> _Choice | None:
+        """Asks a target for its load before a call leaves its home for it.
+
+        Heartbeats may be many seconds old, and a call that leaves its prefix
+        for a target which is busy as well loses twice.
+        """
+        if not policy.asks:
+            return choice
+        if choice.member.address == self._view.me().address:
+            return choice
+        member = self._view.probe(choice.member.address)
+        if member is None or member.state is not members.MemberState.READY:
+            return None
+        return self._cost(policy, req, member, place)
 
     def _cost(
         self,
