--- a/src/endivepier/scheduling/policies.py
+++ b/src/endivepier/scheduling/policies.py
@@ -72,7 +72,7 @@
         retries: how often a request that did not run is sent elsewhere.
     """
 
-    gain_seconds: float = 0.5
+    gain_seconds: float = 1.0
     asks: bool = True
     moves: bool = True
     slow_factor: float = 3.0
