Orders to engines: leases with fencing numbers, paced loads

Cause: nobody ordered engines to load what the configuration names.

Change: the sidecar beside a target compares loaded with wanted models and orders one load or unload at a time, under a lease of the target whose row version is the fencing number; a lease of the pool lets one target load one model at a time. Lapse is judged on the clock of the one who wants the lease.

Roles and new versions under an old name are not built.

--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 import dataclasses
 
 from endivepier.effects import claims as claims_lib
@@ -17,6 +18,8 @@
 from endivepier.ownership import shards as shards_lib
 from endivepier.scheduling import dispatch
 from endivepier.scheduling import ejection
+from endivepier.scheduling import leases as leases_lib
+from endivepier.scheduling import orders
 from endivepier.scheduling import policies
 from endivepier.scheduling import queue as queue_lib
 from endivepier.scheduling import router as router_lib
@@ -75,6 +78,18 @@
             probe_seconds=policies.OwnerFirst().probe_seconds,
         )
         self.kernel.register("ejection", self.guard)
+        self.orderer = orders.Orderer(
+            engine,
+            target,
+            leases_lib.Leases(
+                table, self.committer, env.timers, self.ids, self.incarnation
+            ),
+            env.timers,
+            self.metrics,
+            pool=lambda: self.describe().pool,
+            wanted=self._models,
+        )
+        self.kernel.register("orders", self.orderer)
         self.shards = shards_lib.Shards(
             table,
             self.committer,
@@ -147,6 +162,12 @@
         self.dispatcher.register(env.inbox, self.check_ready)
         self.programs.register(env.inbox)
 
+    def _models(self) -> Sequence[str]:
+        """Returns the models that the engines of this pool should have."""
+        pool = self.describe().pool
+        models = self.current.state.models.values()
+        return [model.name for model in models if model.pool == pool]
+
     def describe(self) -> members.Member:
         """Returns what this sidecar says of itself, with its load."""
         member = super().describe()
