--- a/src/endivepier/effects/runner.py
+++ b/src/endivepier/effects/runner.py
@@ -26,6 +26,8 @@
 DRAIN_POLL_SECONDS = 0.05
 DRAIN_SECONDS = 60.0
 
+Run = Callable[[messages.CallService], messages.ServiceAnswer]
+
 
 class Runner:
     """Sends requests to one service: repeatable ones and claimed ones."""
@@ -68,20 +70,25 @@
         return len(self._running) + self._recorder.pending
 
     def register(
-        self, inbox: peers_lib.Inbox, check_ready: Callable[[], None]
+        self,
+        inbox: peers_lib.Inbox,
+        check_ready: Callable[[], None],
+        run: Run | None = None,
     ) -> None:
         """Takes the messages about this service.
 
         Args:
             inbox: the handlers of this process.
             check_ready: raises unless this process takes new work.
+            run: what runs a request in the place of `run`, to queue it.
         """
+        queued = run or self.run
 
-        def run(req: messages.CallService) -> messages.ServiceAnswer:
+        def handle(req: messages.CallService) -> messages.ServiceAnswer:
             check_ready()
-            return self.run(req)
+            return queued(req)
 
-        inbox.register(messages.CallService, messages.ServiceAnswer, run)
+        inbox.register(messages.CallService, messages.ServiceAnswer, handle)
         inbox.register(messages.AskTarget, messages.Outcome, self.ask_target)
 
     def start(self) -> None:
--- a/src/endivepier/scheduling/dispatch.py
+++ b/src/endivepier/scheduling/dispatch.py
@@ -22,6 +22,7 @@
 
 FETCH_SECONDS = 2.0
 PROBE_SESSION = "endivepier-probe"
+PROBE_TEXT = f"{PROBE_SESSION} are you well?"
 PROBE_TOKENS = 8
 
 
@@ -142,14 +143,14 @@
             request_id=name,
             session=PROBE_SESSION,
             model=models[0],
-            messages=(target_ports.ChatMessage("user", "ok?"),),
+            messages=(target_ports.ChatMessage("user", PROBE_TEXT),),
             max_tokens=PROBE_TOKENS,
         )
         started = self._timers.now()
         for event in self._run(req):
             if isinstance(event, target_ports.Finished):
                 taken = self._timers.now() - started
-                self.pace.event(taken / event.completion_tokens, 1)
+                self.pace.probed(taken / event.completion_tokens)
             yield event
         self._engine.release(PROBE_SESSION)
 
