A killed server closes its open connections

Ruled out: the view's rounds and the takeover (entry hosts, which had no open connection to it, suspected it at once). Only a "host" killed within one process is concerned; a real process takes its connections along.

Change: each server has a pool, so that its tasks end with it.

The new test fails without the change.

Conclusion: the fault was in how the demo kills, not in the fleet.

--- a/src/endivepier/internal/web.py
+++ b/src/endivepier/internal/web.py
@@ -17,6 +17,7 @@
 from gevent import pywsgi
 from gevent import socket
 import gevent.event
+import gevent.pool
 import werkzeug.datastructures
 import werkzeug.exceptions
 import werkzeug.routing
@@ -273,6 +274,9 @@
             log=None,
             error_log=None,
             handler_class=_WsgiHandler,
+            # Without a pool of its own a server that stops leaves the
+            # connections that are open to their tasks, which go on serving.
+            spawn=gevent.pool.Pool(),
             **options,
         )
 
--- a/tests/nocover/test_web.py
+++ b/tests/nocover/test_web.py
@@ -114,6 +114,15 @@
         client.request("POST", "/")
 
 
+def test_a_killed_server_answers_nothing_on_open_connections(served):
+    server = served(lambda req: werkzeug.wrappers.Response("alive"))
+    client = http_client.HttpClient(f"http://{server.address}")
+    assert client.request("POST", "/").body == b"alive"
+    server.kill()
+    with pytest.raises(OSError, match=r"."):
+        client.request("POST", "/")
+
+
 def test_serves_tls_with_the_certificate_of_the_settings(served, tmp_path):
     authority = trustme.CA()
     issued = authority.issue_cert("127.0.0.1")
