Bound the outcomes that wait for the stores; split the simulated fleet

Cause: while the object store is down and the table is not, each large answer stayed in a sidecar's memory without bound. An idempotent request that no sidecar took was told "unknown" although nothing was sent.

Change: a sidecar that holds 64 MiB or 10,000 unrecorded outcomes refuses further non-idempotent requests with "not run". bench/effects_edges.py has what processes reach. Tests of the bound and of the command.

--- a/bench/effects.py
+++ b/bench/effects.py
@@ -17,6 +17,7 @@
 import gevent
 
 from bench import effects_checker as checker
+from bench import effects_edges as edges
 from bench import effects_faults as faults_lib
 from bench import effects_fleet as fleet_lib
 from bench import figures
@@ -76,7 +77,7 @@
     fleet = fleet_lib.Fleet(
         rng.getrandbits(32), sidecars=4, tells_outcome=rng.random() < 0.5
     )
-    fleet.faults = fleet_lib.Faults(
+    fleet.faults = edges.Faults(
         late=0.03, paused=0.01, pause_seconds=20.0, lost_answers=0.02
     )
     fleet.table.faults.lost_replies = 0.03
@@ -175,7 +176,7 @@
     service = next(iter(fleet.services.values())).inner
     return (
         2 * fleet.network.latency
-        + fleet_lib.CONNECT_SECONDS
+        + edges.CONNECT_SECONDS
         + service.faults.seconds
     )
 
--- a/bench/effects_fleet.py
+++ b/bench/effects_fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import dataclasses
 import functools
 import json
 import random
@@ -13,6 +12,7 @@
 import gevent.event
 
 from bench import effects_checker as checker
+from bench import effects_edges as edges
 from endivepier import errors
 from endivepier.effects import attempts as attempts_lib
 from endivepier.effects import claims as claims_lib
@@ -21,185 +21,20 @@
 from endivepier.effects import messages
 from endivepier.history import messages as history_messages
 from endivepier.internal import codec
-from endivepier.internal import peers as peers_lib
 from endivepier.internal import platform_clients
 from endivepier.internal import process
-from endivepier.membership import members
 from endivepier.platform import ports
 from endivepier.sidecar import parts
 from endivepier.standins import clock
 from endivepier.standins import hosts as hosts_lib
 from endivepier.standins import network as network_lib
 from endivepier.standins import objects as objects_lib
-from endivepier.standins import service as service_lib
 from endivepier.standins import table as table_lib
-from endivepier.targets import ports as target_ports
 
 POOL = "ledger"
 OWNER = "10.0.2.1:1"
-CONNECT_SECONDS = 0.0005
 GIVE_UP_SECONDS = 8.0
 CALL_SECONDS = 4.0
-SUSPECT_SECONDS = 1.0
-LATE_TIMEOUT_SECONDS = 0.2
-
-
-@dataclasses.dataclass(slots=True)
-class Faults:
-    """What goes wrong by chance, as shares of the occasions.
-
-    Attributes:
-        late: messages between processes that arrive late, after their sender
-            gave up.
-        late_seconds: the longest delay of these, in seconds.
-        paused: sidecars that are frozen right after a commit of theirs.
-        pause_seconds: the longest of these pauses.
-        lost_answers: answers of a service that are lost after the effect.
-    """
-
-    late: float = 0.0
-    late_seconds: float = 30.0
-    paused: float = 0.0
-    pause_seconds: float = 12.0
-    lost_answers: float = 0.0
-
-
-class Service:
-    """A service as the sidecar on its host reaches it; records effects."""
-
-    def __init__(self, fleet: Fleet, name: str) -> None:
-        self.inner = service_lib.MemoryService(
-            fleet.timers,
-            name,
-            tells_outcome=fleet.tells_outcome,
-            checks_fence=fleet.tells_outcome,
-        )
-        self._fleet = fleet
-
-    def beside(self, host: network_lib.Host) -> _ServiceOfHost:
-        """Returns the service as a process on `host` reaches it."""
-        return _ServiceOfHost(self._fleet, self.inner, host)
-
-
-class _ServiceOfHost:
-    def __init__(
-        self,
-        fleet: Fleet,
-        inner: service_lib.MemoryService,
-        host: network_lib.Host,
-    ) -> None:
-        self._fleet = fleet
-        self._inner = inner
-        self._host = host
-
-    def call(
-        self,
-        req: target_ports.ServiceRequest,
-        *,
-        seconds: float,
-        check: Callable[[], None] = target_ports.send_any_time,
-    ) -> target_ports.ServiceResponse:
-        def gated_check() -> None:
-            self._host.gate()
-            if not self._fleet.unchecked:
-                check()
-
-        self._host.timers.sleep(CONNECT_SECONDS)
-        answer = self._inner.call(req, seconds=seconds, check=gated_check)
-        self._host.gate()
-        if self._fleet.chance(self._fleet.faults.lost_answers):
-            raise errors.TargetFailed(self._inner.name, "lost", sent=True)
-        return answer
-
-    def outcome(self, key: str) -> target_ports.ServiceResponse | None:
-        self._host.gate()
-        return self._inner.outcome(key)
-
-
-class _PausingTable:
-    """The table of a sidecar whose host may stop right after a commit."""
-
-    def __init__(self, fleet: Fleet, host: network_lib.Host) -> None:
-        self._fleet = fleet
-        self._host = host
-        self.get = fleet.table.get
-        self.scan = fleet.table.scan
-
-    def transact(self, txn: ports.Transaction) -> int:
-        version = self._fleet.table.transact(txn)
-        faults = self._fleet.faults
-        if self._fleet.chance(faults.paused):
-            self._fleet.freeze(
-                self._host, self._fleet.rng.uniform(0, faults.pause_seconds)
-            )
-        return version
-
-
-class _LatePeers:
-    """Peers some of whose messages arrive after their sender gave up."""
-
-    def __init__(self, fleet: Fleet, host: network_lib.Host) -> None:
-        self._fleet = fleet
-        self._host = host
-        self.stream = host.peers.stream
-
-    def call(
-        self, address: str, req: Any, reply: type[Any], *, seconds: float
-    ) -> Any:
-        faults = self._fleet.faults
-        if not self._fleet.chance(faults.late):
-            return self._host.peers.call(address, req, reply, seconds=seconds)
-        delay = self._fleet.rng.uniform(0, faults.late_seconds)
-        gevent.spawn(
-            self._deliver, address, type(req), codec.encode(req), delay
-        )
-        self._host.timers.sleep(LATE_TIMEOUT_SECONDS)
-        raise errors.PeerUnreachable(address, "timeout", sent=True)
-
-    def _deliver(
-        self, address: str, kind: type[Any], body: bytes, delay: float
-    ) -> None:
-        self._fleet.timers.sleep(delay)
-        host = self._fleet.network.hosts.get(address)
-        if host is None:
-            return
-        host.gate()
-        endpoint = host.inbox.find(peers_lib.name_of(kind))
-        try:
-            endpoint.handler(codec.decode(kind, body))
-        except errors.EndivepierError:
-            return
-
-
-class _Roster:
-    """A view without heartbeats: who is up, less those that failed lately."""
-
-    def __init__(self, fleet: Fleet) -> None:
-        self._fleet = fleet
-        self._suspects: dict[str, float] = {}
-
-    def everybody(self) -> list[members.Member]:
-        now = self._fleet.timers.now()
-        return [
-            members.Member(
-                address,
-                "sidecar",
-                "plateau",
-                target,
-                POOL,
-                members.MemberState.READY,
-            )
-            for address, target in self._fleet.sites.items()
-            if self._suspects.get(address, -SUSPECT_SECONDS) + SUSPECT_SECONDS
-            <= now
-        ]
-
-    def ready(self, role: str, pool: str = "") -> list[members.Member]:
-        del role, pool
-        return self.everybody()
-
-    def suspect(self, address: str) -> None:
-        self._suspects[address] = self._fleet.timers.now()
 
 
 class Entry:
@@ -209,15 +44,14 @@
         self.host = fleet.network.add(address)
         self.base = process.Base(fleet.environment(self.host), "entry")
         table = self.base.env.platform.table
-        group = group_lib.Group(table, self.host.timers, max_rows=fleet.rows)
         self.claims = claims_lib.Claims(
             table,
             self.base.env.platform.objects,
             self.host.timers,
             self.base.ids,
-            group,
         )
-        roster: Any = _Roster(fleet)
+        self.claims.group.max_rows = fleet.rows
+        roster: Any = edges.Roster(fleet)
         self.client = client_lib.Client(
             roster, self.base.env.peers, self.host.timers
         )
@@ -285,12 +119,13 @@
         self.network = network_lib.Network(self.timers)
         self.table = table_lib.MemoryTable(self.timers, self.rng)
         self.objects = objects_lib.MemoryObjects(self.timers)
-        self.faults = Faults()
+        self.faults = edges.Faults()
+        self.pool = POOL
         self.tells_outcome = tells_outcome
         self.rows = rows
         self.unchecked = False
         self.attempts: list[checker.Attempt] = []
-        self.services: dict[str, Service] = {}
+        self.services: dict[str, edges.Service] = {}
         self.sites: dict[str, str] = {}
         self.sidecars: dict[str, parts.ServiceSidecar] = {}
         self.entries: list[Entry] = []
@@ -299,7 +134,7 @@
     def _start(self, sidecars: int, entries: int) -> None:
         for index in range(sidecars):
             name = f"ledger-{index}"
-            self.services[name] = Service(self, name)
+            self.services[name] = edges.Service(self, name)
             self.sites[f"10.0.1.{index}:1"] = name
         for index in range(entries):
             self.entries.append(Entry(self, f"10.0.0.{index}:1"))
@@ -327,7 +162,7 @@
             address=host.address,
             data_centre="plateau",
             timers=host.timers,
-            peers=_LatePeers(self, host),
+            peers=edges.LatePeers(self, host),
             inbox=host.inbox,
             platform=platform_clients.Platform(
                 host.table(table or self.table),
@@ -343,19 +178,21 @@
         host = self.network.add(address)
         target = self.sites[address]
         sidecar = parts.ServiceSidecar(
-            self.environment(host, _PausingTable(self, host)),
+            self.environment(host, edges.PausingTable(self, host)),
             target,
             self.services[target].beside(host),
         )
-        sidecar.claims._group._max_rows = self.rows
+        sidecar.claims.group.max_rows = self.rows
         self.sidecars[address] = sidecar
         gevent.spawn(sidecar.start)
 
     def start_owner(self) -> None:
         """Starts a process that passes programs' calls on."""
         host = self.network.add(OWNER)
-        roster: Any = _Roster(self)
-        client = client_lib.Client(roster, _LatePeers(self, host), host.timers)
+        roster: Any = edges.Roster(self)
+        client = client_lib.Client(
+            roster, edges.LatePeers(self, host), host.timers
+        )
         host.inbox.register(
             history_messages.ProgramServiceCall,
             messages.ServiceAnswer,
--- a/src/endivepier/effects/claims.py
+++ b/src/endivepier/effects/claims.py
@@ -116,7 +116,12 @@
 
 
 class Claims:
-    """Reads and writes the rows of claims."""
+    """Reads and writes the rows of claims.
+
+    Attributes:
+        answers: the stored answers.
+        group: writes the rows.
+    """
 
     def __init__(
         self,
@@ -124,13 +129,12 @@
         objects: ports.Objects,
         timers: timers_lib.Timers,
         ids: ids_lib.Ids,
-        group: group_lib.Group | None = None,
     ) -> None:
         self.answers = answers_lib.Answers(objects)
         self._table = table
         self._timers = timers
         self._ids = ids
-        self._group = group or group_lib.Group(table, timers)
+        self.group = group_lib.Group(table, timers)
 
     def read(self, account: str, idempotency_key: str) -> Claim | None:
         """Returns the claim of a request, or None.
@@ -194,7 +198,7 @@
         if after is not None:
             condition = ports.VersionIs(key, after)
         value = codec.encode(row)
-        version = self._group.put(condition, value, seconds=seconds)
+        version = self.group.put(condition, value, seconds=seconds)
         return Claim(key, version, row)
 
     def record(
--- a/src/endivepier/effects/client.py
+++ b/src/endivepier/effects/client.py
@@ -41,6 +41,7 @@
             errors.Refused: with the truth about whether it ran.
         """
         deadline = self._timers.now() + req.seconds
+        ran = errors.Ran.NO
         for member in self._candidates(pool, req):
             left = deadline - self._timers.now()
             if left <= 0:
@@ -55,13 +56,13 @@
                 )
             except errors.PeerUnreachable as exc:
                 self._view.suspect(exc.address)
+                if exc.sent:
+                    ran = errors.Ran.UNKNOWN
                 if exc.sent and not req.idempotent:
-                    raise _no_answer(errors.Ran.UNKNOWN) from None
+                    break
                 continue
             return answer
-        raise _no_answer(
-            errors.Ran.UNKNOWN if req.idempotent else errors.Ran.NO
-        )
+        raise _no_answer(ran)
 
     def ask_target(
         self, target: str, req: messages.AskTarget, *, seconds: float
--- a/src/endivepier/effects/group.py
+++ b/src/endivepier/effects/group.py
@@ -49,7 +49,11 @@
 
 
 class Group:
-    """Writes conditional rows, many in one transaction."""
+    """Writes conditional rows, many in one transaction.
+
+    Attributes:
+        max_rows: the most rows of one transaction.
+    """
 
     def __init__(
         self,
@@ -70,7 +74,7 @@
         self._table = table
         self._timers = timers
         self._linger = linger_seconds
-        self._max_rows = max_rows
+        self.max_rows = max_rows
         self._waiting: list[_Item] = []
         self._task: gevent.Greenlet | None = None
         self._backoff = 0.0
@@ -114,7 +118,7 @@
         batch: dict[str, _Item] = {}
         left: list[_Item] = []
         for item in self._waiting:
-            if item.key in batch or len(batch) >= self._max_rows:
+            if item.key in batch or len(batch) >= self.max_rows:
                 left.append(item)
             else:
                 batch[item.key] = item
--- a/src/endivepier/effects/recorder.py
+++ b/src/endivepier/effects/recorder.py
@@ -14,18 +14,33 @@
 
 WAIT_SECONDS = 1.0
 RETRY_SECONDS = 1.0
+MAX_PENDING = 10_000
+MAX_PENDING_BYTES = 64 * 1024 * 1024
 
 
 class Recorder:
-    """Writes outcomes; an answer waits for its own only a short time."""
+    """Writes outcomes; an answer waits for its own only a short time.
+
+    Attributes:
+        pending: how many outcomes are not written yet.
+        pending_bytes: bytes of answers that they hold in memory.
+    """
 
     def __init__(
         self, claims: claims_lib.Claims, timers: timers_lib.Timers
     ) -> None:
         self.pending = 0
+        self.pending_bytes = 0
         self._claims = claims
         self._timers = timers
 
+    def has_room(self) -> bool:
+        """Returns whether the outcomes of more requests may be held."""
+        return (
+            self.pending < MAX_PENDING
+            and self.pending_bytes < MAX_PENDING_BYTES
+        )
+
     def record(
         self,
         claim: claims_lib.Claim,
@@ -37,12 +52,15 @@
         What is at stake is only what a later request with the same key is
         told, so that the answer need not wait for a store that is down.
         """
-        written = self._go_on(lambda: self._claims.record(claim, state, answer))
+        size = 0 if answer is None else len(answer.body)
+        written = self._go_on(
+            lambda: self._claims.record(claim, state, answer), size
+        )
         self._timers.wait(written, WAIT_SECONDS)
 
     def take_back(self, row: claims_lib.ClaimRow, after: int | None) -> None:
         """Turns a claim that may stand, and is never sent, into "not run"."""
-        self._go_on(lambda: self._take_back(row, after))
+        self._go_on(lambda: self._take_back(row, after), 0)
 
     def _take_back(
         self, row: claims_lib.ClaimRow, after: int | None
@@ -54,16 +72,20 @@
         return self._claims.record(known, claims_lib.ClaimState.NOT_RUN)
 
     def _go_on(
-        self, write: Callable[[], claims_lib.Claim]
+        self, write: Callable[[], claims_lib.Claim], size: int
     ) -> gevent.event.Event:
         """Repeats `write` until it is decided; returns what tells so."""
         written = gevent.event.Event()
         self.pending += 1
-        gevent.spawn(self._repeat, write, written)
+        self.pending_bytes += size
+        gevent.spawn(self._repeat, write, size, written)
         return written
 
     def _repeat(
-        self, write: Callable[[], claims_lib.Claim], written: gevent.event.Event
+        self,
+        write: Callable[[], claims_lib.Claim],
+        size: int,
+        written: gevent.event.Event,
     ) -> None:
         try:
             while True:
@@ -77,4 +99,5 @@
                 return
         finally:
             self.pending -= 1
+            self.pending_bytes -= size
             written.set()
--- a/src/endivepier/effects/refusals.py
+++ b/src/endivepier/effects/refusals.py
@@ -23,7 +23,7 @@
     return errors.Refused(
         errors.Code.STORE_UNAVAILABLE,
         503,
-        "the claim could not be recorded, so the request was not sent",
+        "claims can't be recorded now, so the request was not sent",
         retry_after=RETRY_SECONDS,
     )
 
--- a/tests/cover/test_effects.py
+++ b/tests/cover/test_effects.py
@@ -1,5 +1,6 @@
 """Single promises about non-idempotent requests, one at a time."""
 
+import argparse
 import dataclasses
 import json
 import random
@@ -10,10 +11,13 @@
 from bench import effects_checker as checker
 from bench import effects_fleet as fleet_lib
 from endivepier import errors
+from endivepier.cli import effect
 from endivepier.effects import claims as claims_lib
 from endivepier.effects import group as group_lib
 from endivepier.effects import messages
+from endivepier.effects import recorder
 from endivepier.effects import retention
+from endivepier.internal import http_client
 from endivepier.platform import ports
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
@@ -139,6 +143,27 @@
     assert refused.ran is errors.Ran.YES
 
 
+def test_refuses_when_too_many_answers_wait_for_the_object_store(
+    fleet, monkeypatch
+):
+    monkeypatch.setattr(recorder, "MAX_PENDING_BYTES", 100_000)
+    service = fleet.services["ledger-0"].inner
+    run = service._run
+    service._run = lambda req: dataclasses.replace(run(req), body=b"x" * 60_000)
+    fleet.objects.faults.outage = True
+    runner = _sidecar(fleet).runner
+    for key in ("one", "two"):
+        answer = fleet.timers.run(runner.run, _request(key))
+        assert len(answer.body) == 60_000
+    refused = _refusal(fleet, lambda: runner.run(_request("three")))
+    assert (refused.status, refused.ran) == (503, errors.Ran.NO)
+    fleet.objects.faults.outage = False
+    fleet.timers.advance(5.0)
+    assert fleet.open_claims() == []
+    fleet.timers.run(runner.run, _request("three"))
+    assert len(service.effects) == 3
+
+
 def test_the_same_key_waits_for_the_one_that_runs(fleet):
     service = fleet.services["ledger-0"].inner
     service.faults.seconds = 1.0
@@ -264,6 +289,40 @@
         assert table.transactions == 2
 
 
+def _command(monkeypatch, fleet, *argv):
+    """Runs `endivepier effect ...` against a simulated entry host."""
+
+    def request(args, method, path, body=b""):
+        del args
+        answer = fleet.ask(method, path, body, api_fleet.OPERATOR_KEY)
+        return http_client.Answer(answer.status_code, "", answer.data)
+
+    monkeypatch.setattr(effect.client, "request", request)
+    parser = argparse.ArgumentParser()
+    effect.add_to(parser.add_subparsers())
+    args = parser.parse_args(["effect", *argv])
+    return args.run(args)
+
+
+def test_the_command_lists_shows_and_resolves(monkeypatch, capsys):
+    fleet = api_fleet.ApiFleet()
+    fleet.service.faults.lost_replies = 1
+    path = "/v1/services/ledger/postings"
+    fleet.ask("POST", path, data=b"{}", Idempotency_Key="posting/1")
+    fleet.timers.advance(61.0)
+    assert _command(monkeypatch, fleet, "list", "--account", "one") == 0
+    version = capsys.readouterr().out.splitlines()[1].split()[-1]
+    one = ("one", "posting/1")
+    assert _command(monkeypatch, fleet, "show", *one) == 0
+    assert json.loads(capsys.readouterr().out)["state"] == "dispatched"
+    found = ("--ran", "no", "--note", "not there", "--version", version)
+    assert _command(monkeypatch, fleet, "resolve", *one, *found) == 0
+    assert _command(monkeypatch, fleet, "resolve", *one, *found) == 1
+    assert "show it again" in capsys.readouterr().err
+    again = fleet.ask("POST", path, data=b"{}", Idempotency_Key="posting/1")
+    assert again.status_code == 200
+
+
 def test_operators_list_show_and_resolve_an_unknown_outcome():
     fleet = api_fleet.ApiFleet()
     fleet.service.faults.lost_replies = 1
--- a/tests/histories/test_effects.py
+++ b/tests/histories/test_effects.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bench import effects_checker as checker
+from bench import effects_edges as edges
 from bench import effects_faults as faults_lib
 from bench import effects_fleet as fleet_lib
 from endivepier import errors
@@ -93,7 +94,7 @@
         gevent.spawn(faults_lib.strike, fleet, fault)
     operator = gevent.spawn(faults_lib.operate, fleet)
     fleet.timers.sleep(BUSY_SECONDS + 40)
-    fleet.faults = fleet_lib.Faults()
+    fleet.faults = edges.Faults()
     fleet.table.faults.lost_replies = fleet.table.faults.lost_requests = 0.0
     fleet.timers.sleep(CALM_SECONDS)
     gevent.joinall(tasks)
@@ -117,7 +118,7 @@
 def run(plan, **planted):
     fleet = fleet_lib.Fleet(plan.seed, tells_outcome=plan.tells_outcome)
     fleet.unchecked = planted.get("unchecked", False)
-    fleet.faults = fleet_lib.Faults(
+    fleet.faults = edges.Faults(
         late=plan.late,
         paused=plan.paused,
         pause_seconds=plan.pause_seconds,
