What has no token yet leaves an ejected target

Change: an ejected target's calls without a token are cancelled, and the router sends them elsewhere.

The stand-in sends 64 tokens an event here, so a real engine has fewer calls without a token.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -33,6 +33,7 @@
 POOL = "engines"
 ENTRY = "entry:1"
 VIEW_SECONDS = 6.0
+SUSPECT_SECONDS = 1.0
 PROBE_SECONDS = 5.0
 CALL_SECONDS = 60.0
 TRIES = 20
@@ -148,11 +149,17 @@
         self._suspects.add(address)
 
     def beat(self) -> None:
-        """Forgets suspects that answer heartbeats."""
-        alive = {member.address for member in self._cluster.snapshot}
-        self._suspects -= alive
+        """Takes the new heartbeats over."""
         self._asked.clear()
 
+    def ask_suspects(self) -> None:
+        """Forgets suspects that answer heartbeats."""
+        self._suspects = {
+            address
+            for address in self._suspects
+            if not self._cluster.is_alive(address)
+        }
+
 
 class _Sidecar:
     """The parts of a sidecar that schedule."""
@@ -195,6 +202,7 @@
             is_ejected=self.router.is_ejected,
             looks_slow=self.router.looks_slow,
             measured=lambda: self.dispatcher.pace.measured,
+            expel=self.dispatcher.expel,
             probe=self.dispatcher.probe,
             probe_seconds=PROBE_SECONDS,
         )
@@ -268,11 +276,13 @@
     ) -> Outcome:
         """Runs all plans and returns what came out."""
         beats = self.timers.every(VIEW_SECONDS, self._beat)
+        rounds = self.timers.every(SUSPECT_SECONDS, self._ask_suspects)
         for sidecar in self._sidecars.values():
             sidecar.guard.start()
         self.timers.after(seconds / 3, lambda: self._break(fault))
         self.timers.run(self._drive, plans, None if drain else seconds)
         beats.cancel()
+        rounds.cancel()
         for sidecar in self._sidecars.values():
             sidecar.guard.stop()
         return self.outcome
@@ -300,6 +310,11 @@
             sidecar.view.beat()
         self.entry_view.beat()
 
+    def _ask_suspects(self) -> None:
+        for sidecar in self._sidecars.values():
+            sidecar.view.ask_suspects()
+        self.entry_view.ask_suspects()
+
     def _break(self, fault: Fault) -> None:
         victim = self._sidecars["sidecar:2"]
         match fault:
@@ -347,8 +362,11 @@
             self.entry_view.suspect(exc.address)
 
     def _owner(self, program_id: str) -> members.Member:
-        ready = self.entry_view.ready("sidecar")
-        return placement.ranked(program_id, ready)[0]
+        while True:
+            ready = self.entry_view.ready("sidecar")
+            if ready:
+                return placement.ranked(program_id, ready)[0]
+            self.timers.sleep(LEAST_RETRY_SECONDS)
 
     def _call(
         self,
--- a/src/endivepier/scheduling/dispatch.py
+++ b/src/endivepier/scheduling/dispatch.py
@@ -53,6 +53,7 @@
         self._metrics = metrics
         self._peers = peers
         self._probes = 0
+        self._early: set[str] = set()
 
     def register(
         self, inbox: peers_lib.Inbox, check_ready: Callable[[], None]
@@ -128,6 +129,18 @@
             raise _refusal(exc) from None
         return work_lib.Released()
 
+    def expel(self) -> None:
+        """Ends all that waits or has no token yet; it may go elsewhere."""
+        self.queue.expel()
+        for request_id in list(self._early):
+            self._metrics.count("calls_expelled")
+            gevent.spawn(self._cancel, request_id)
+
+    def _cancel(self, request_id: str) -> None:
+        # The slow engine may fail to answer this as well.
+        with contextlib.suppress(errors.TargetFailed):
+            self._engine.cancel(request_id)
+
     def probe(self) -> Iterator[target_ports.EngineEvent]:
         """Runs a small request of our own, past the queue.
 
@@ -147,7 +160,7 @@
             max_tokens=PROBE_TOKENS,
         )
         started = self._timers.now()
-        for event in self._run(req):
+        for event in self._run(req, may_move=False):
             if isinstance(event, target_ports.Finished):
                 taken = self._timers.now() - started
                 self.pace.probed(taken / event.completion_tokens)
@@ -155,13 +168,17 @@
         self._engine.release(PROBE_SESSION)
 
     def _run(
-        self, req: target_ports.Generate
+        self, req: target_ports.Generate, *, may_move: bool = True
     ) -> Iterator[target_ports.EngineEvent]:
+        if may_move:
+            self._early.add(req.request_id)
         try:
             with self.pace.running():
                 yield from self._measured(req)
         except errors.TargetFailed as exc:
             raise _refusal(exc) from None
+        finally:
+            self._early.discard(req.request_id)
 
     def _measured(
         self, req: target_ports.Generate
@@ -171,6 +188,7 @@
         first = 0.0
         for event in self._checked(req):
             now = self._timers.now()
+            self._early.discard(req.request_id)
             match event:
                 case target_ports.Token(index=0, count=count):
                     first = now - started - count * self.pace.token_seconds
--- a/src/endivepier/scheduling/ejection.py
+++ b/src/endivepier/scheduling/ejection.py
@@ -63,6 +63,7 @@
         is_ejected: Callable[[], bool],
         looks_slow: Callable[[], bool],
         measured: Callable[[], float],
+        expel: Callable[[], None],
         probe: Callable[[], Iterator[object]],
         probe_seconds: float,
     ) -> None:
@@ -74,6 +75,7 @@
             is_ejected: whether the target is ejected now.
             looks_slow: whether it seems slower than most of its pool.
             measured: when the target's pace was last measured.
+            expel: ends what waits or has no token yet.
             probe: sends a small request; its events are awaited.
             probe_seconds: the pause between two probes.
         """
@@ -82,6 +84,7 @@
         self._is_ejected = is_ejected
         self._looks_slow = looks_slow
         self._measured = measured
+        self._expel = expel
         self._probe = probe
         self._probe_seconds = probe_seconds
         self._subscription: timers_lib.Subscription | None = None
@@ -102,7 +105,7 @@
         so without probes it would look slow for ever.
         """
         if self._is_ejected():
-            self._queue.expel()
+            self._expel()
         elif self._queue.running or not self._looks_slow():
             return
         if self._timers.now() - self._measured() < self._probe_seconds:
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -74,6 +74,7 @@
             is_ejected=self.router.is_ejected,
             looks_slow=self.router.looks_slow,
             measured=lambda: self.dispatcher.pace.measured,
+            expel=self.dispatcher.expel,
             probe=self.dispatcher.probe,
             probe_seconds=policies.OwnerFirst().probe_seconds,
         )
--- a/tests/cover/test_router.py
+++ b/tests/cover/test_router.py
@@ -231,3 +231,25 @@
         if m.address in out:
             slower = [p for p in kept if p > m.token_seconds]
             assert not slower
+
+
+def test_what_has_no_token_yet_leaves_an_ejected_target():
+    profile = engine_lib.EngineProfile(prefill_tokens_per_second=500.0)
+    case = Case(dataclasses.replace(SETUP, profile=profile))
+
+    def script():
+        tasks = [
+            gevent.spawn(case.generate, call(f"r{n}", program=f"p{n}"))
+            for n in range(2)
+        ]
+        # The first one has its tokens by then, the other has none.
+        case.timers.sleep(3.0)
+        before = case.owner.engine.generated_tokens
+        assert before > 0
+        case.owner.dispatcher.expel()
+        gevent.joinall(tasks, raise_error=True)
+        assert [task.get().completion_tokens for task in tasks] == [64, 64]
+        assert case.owner.engine.generated_tokens == 64
+        assert sum(case.generated()) == 128
+
+    case.run(script)
