A call leaves a frozen target once its heartbeats are missing

Cause: a call at another sidecar's engine waited out its whole time (60 s) when that host froze or its cable was pulled.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -4,11 +4,13 @@
 
 from collections.abc import Iterator
 from collections.abc import Sequence
+import contextlib
 import dataclasses
 import enum
 import random
 
 import gevent
+import gevent.event
 
 from bench import workloads
 from endivepier import errors
@@ -120,6 +122,7 @@
         self._cluster = cluster
         self._address = address
         self._suspects: set[str] = set()
+        self._watched: list[tuple[str, gevent.event.Event]] = []
         self._asked: dict[str, members.Member] = {}
 
     def me(self) -> members.Member:
@@ -148,12 +151,29 @@
     def suspect(self, address: str) -> None:
         self._suspects.add(address)
 
+    @contextlib.contextmanager
+    def watch(self, address: str) -> Iterator[gevent.event.Event]:
+        """Tells when a member seems dead; see `membership.view.View.watch`."""
+        lost = gevent.event.Event()
+        self._watched.append((address, lost))
+        try:
+            yield lost
+        finally:
+            self._watched.remove((address, lost))
+
+    def last_said(self, address: str) -> members.Member | None:
+        return self.find(address)
+
     def beat(self) -> None:
         """Takes the new heartbeats over."""
         self._asked.clear()
 
     def ask_suspects(self) -> None:
-        """Forgets suspects that answer heartbeats."""
+        """Forgets suspects that answer, finds watched members that don't."""
+        for address, lost in list(self._watched):
+            if not self._cluster.is_alive(address):
+                self._suspects.add(address)
+                lost.set()
         self._suspects = {
             address
             for address in self._suspects
@@ -260,7 +280,8 @@
 
     def is_alive(self, address: str) -> bool:
         """Returns whether the sidecar runs."""
-        return self._sidecars[address].host.alive
+        host = self._sidecars[address].host
+        return host.alive and not host.frozen
 
     def describe(self, address: str) -> members.Member:
         """Returns the state of a sidecar now."""
--- a/src/endivepier/scheduling/router.py
+++ b/src/endivepier/scheduling/router.py
@@ -14,12 +14,14 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
+import functools
 import random
 
 from endivepier import errors
 from endivepier.internal import peers as peers_lib
 from endivepier.membership import members
 from endivepier.membership import view as view_lib
+from endivepier.membership import watched
 from endivepier.scheduling import dispatch
 from endivepier.scheduling import ejection
 from endivepier.scheduling import load as load_lib
@@ -303,12 +305,14 @@
     def _remote(
         self, member: members.Member, req: work_lib.Generate
     ) -> Generator[target_ports.EngineEvent, None, None]:
-        events = self._peers.stream(
+        ask = functools.partial(
+            self._peers.stream,
             member.address,
             req,
             target_ports.EngineEvent,
             seconds=req.work.seconds,
         )
+        events = watched.while_alive(self._view, member.address, ask)
         try:
             yield from events
         except errors.PeerUnreachable as exc:
--- a/tests/cover/test_router.py
+++ b/tests/cover/test_router.py
@@ -253,3 +253,22 @@
         assert sum(case.generated()) == 128
 
     case.run(script)
+
+
+def test_a_call_leaves_a_frozen_target_without_waiting_out_its_time():
+    case = Case()
+
+    def script():
+        rounds = case.timers.every(1.0, case.cluster._ask_suspects)
+        case.owner.engine.faults.down = True
+        task = gevent.spawn(case.generate, call("r", max_tokens=2000))
+        case.timers.sleep(0.3)
+        (busy,) = [s for s in case.sidecars if s.engine.busy]
+        busy.host.freeze()
+        started = case.timers.now()
+        finished = task.get()
+        assert finished.completion_tokens == 2000
+        assert case.timers.now() - started < 2.0 + 21.0
+        rounds.cancel()
+
+    case.run(script)
