--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -213,7 +213,7 @@
         self.services = services_lib.ServiceDispatcher(
             self.queue, self.current, env.timers, self.runner.run
         )
-        self.runner.register(env.inbox, self.services.run)
+        self.runner.register(env.inbox, self.check_ready, self.services.run)
         self.sweeper = retention.Sweeper(
             env.platform.table, env.timers, self.metrics, self._sweeps
         )
