--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -4,11 +4,13 @@
 
 from collections.abc import Iterator
 from collections.abc import Sequence
+import contextlib
 import dataclasses
 import enum
 import random
 
 import gevent
+import gevent.event
 
 from bench import workloads
 from endivepier import errors
@@ -33,6 +35,7 @@
 POOL = "engines"
 ENTRY = "entry:1"
 VIEW_SECONDS = 6.0
+SUSPECT_SECONDS = 1.0
 PROBE_SECONDS = 5.0
 CALL_SECONDS = 60.0
 TRIES = 20
@@ -119,6 +122,7 @@
         self._cluster = cluster
         self._address = address
         self._suspects: set[str] = set()
+        self._watched: list[tuple[str, gevent.event.Event]] = []
         self._asked: dict[str, members.Member] = {}
 
     def me(self) -> members.Member:
@@ -147,12 +151,35 @@
     def suspect(self, address: str) -> None:
         self._suspects.add(address)
 
+    @contextlib.contextmanager
+    def watch(self, address: str) -> Iterator[gevent.event.Event]:
+        """Tells when a member seems dead; see `membership.view.View.watch`."""
+        lost = gevent.event.Event()
+        self._watched.append((address, lost))
+        try:
+            yield lost
+        finally:
+            self._watched.remove((address, lost))
+
+    def last_said(self, address: str) -> members.Member | None:
+        return self.find(address)
+
     def beat(self) -> None:
-        """Forgets suspects that answer heartbeats."""
-        alive = {member.address for member in self._cluster.snapshot}
-        self._suspects -= alive
+        """Takes the new heartbeats over."""
         self._asked.clear()
 
+    def ask_suspects(self) -> None:
+        """Forgets suspects that answer, finds watched members that don't."""
+        for address, lost in list(self._watched):
+            if not self._cluster.is_alive(address):
+                self._suspects.add(address)
+                lost.set()
+        self._suspects = {
+            address
+            for address in self._suspects
+            if not self._cluster.is_alive(address)
+        }
+
 
 class _Sidecar:
     """The parts of a sidecar that schedule."""
@@ -195,6 +222,7 @@
             is_ejected=self.router.is_ejected,
             looks_slow=self.router.looks_slow,
             measured=lambda: self.dispatcher.pace.measured,
+            expel=self.dispatcher.expel,
             probe=self.dispatcher.probe,
             probe_seconds=PROBE_SECONDS,
         )
@@ -252,7 +280,8 @@
 
     def is_alive(self, address: str) -> bool:
         """Returns whether the sidecar runs."""
-        return self._sidecars[address].host.alive
+        host = self._sidecars[address].host
+        return host.alive and not host.frozen
 
     def describe(self, address: str) -> members.Member:
         """Returns the state of a sidecar now."""
@@ -268,11 +297,13 @@
     ) -> Outcome:
         """Runs all plans and returns what came out."""
         beats = self.timers.every(VIEW_SECONDS, self._beat)
+        rounds = self.timers.every(SUSPECT_SECONDS, self._ask_suspects)
         for sidecar in self._sidecars.values():
             sidecar.guard.start()
         self.timers.after(seconds / 3, lambda: self._break(fault))
         self.timers.run(self._drive, plans, None if drain else seconds)
         beats.cancel()
+        rounds.cancel()
         for sidecar in self._sidecars.values():
             sidecar.guard.stop()
         return self.outcome
@@ -300,6 +331,11 @@
             sidecar.view.beat()
         self.entry_view.beat()
 
+    def _ask_suspects(self) -> None:
+        for sidecar in self._sidecars.values():
+            sidecar.view.ask_suspects()
+        self.entry_view.ask_suspects()
+
     def _break(self, fault: Fault) -> None:
         victim = self._sidecars["sidecar:2"]
         match fault:
@@ -347,8 +383,11 @@
             self.entry_view.suspect(exc.address)
 
     def _owner(self, program_id: str) -> members.Member:
-        ready = self.entry_view.ready("sidecar")
-        return placement.ranked(program_id, ready)[0]
+        while True:
+            ready = self.entry_view.ready("sidecar")
+            if ready:
+                return placement.ranked(program_id, ready)[0]
+            self.timers.sleep(LEAST_RETRY_SECONDS)
 
     def _call(
         self,
