--- a/src/endivepier/effects/runner.py
+++ b/src/endivepier/effects/runner.py
@@ -120,6 +120,8 @@
             raise refusals.bad_key()
         if self._timers.wall() - req.sent > MESSAGE_SECONDS:
             raise refusals.too_old()
+        if not self._recorder.has_room():
+            raise refusals.store_down()
         # The work goes on when the one who asked hangs up, so that its
         # outcome is recorded; the context carries its trace along.
         result: gevent.event.AsyncResult = gevent.event.AsyncResult()
