Planted faults for the checker; cases; messages relayed past a cut

Change: 12 planted faults, each after a sound run of the same history; cases for outages with a lost owner, an isolated owner, graceful handover, children, receipts, wall time, large bodies, kills and cuts. An entry host that can't reach an owner asks whoever redirected it there to carry its messages. A call that was not dispatched is refused with ran "no", also when an earlier turn of its program is not safe. The histories replace all sidecars before they judge, so that only what the table has counts.

--- a/src/endivepier/entry/owners.py
+++ b/src/endivepier/entry/owners.py
@@ -18,6 +18,7 @@
 from endivepier.membership import members
 from endivepier.membership import view as view_lib
 from endivepier.ownership import placement
+from endivepier.ownership import relays
 from endivepier.telemetry import spans
 
 RETRY_SECONDS = 0.1
@@ -35,6 +36,24 @@
     failure: errors.EndivepierError | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Route:
+    """A way to a process.
+
+    Attributes:
+        address: the process.
+        via: who carries messages there; empty for the direct way.
+    """
+
+    address: str
+    via: str = ""
+
+    @property
+    def first(self) -> str:
+        """The process that messages are sent to."""
+        return self.via or self.address
+
+
 class Owners:
     """Sends messages to owners; follows redirects and waits for takeovers."""
 
@@ -47,7 +66,7 @@
         self._view = view
         self._peers = peers
         self._timers = timers
-        self._known: dict[str, str] = {}
+        self._known: dict[str, _Route] = {}
 
     def call(
         self,
@@ -70,27 +89,11 @@
         Raises:
             errors.Refused: the owner's refusal, or none could be reached.
         """
-        deadline = self._timers.now() + seconds
-        ran = errors.Ran.NO
-        while True:
-            address = self._guess(program)
-            try:
-                if address is not None:
-                    left = deadline - self._timers.now()
-                    ask = functools.partial(
-                        self._ask, address, req, reply, left
-                    )
-                    for answer in self._while_alive(address, ask):
-                        return answer
-            except errors.PeerUnreachable as exc:
-                self._lost(program, exc)
-                if exc.sent:
-                    ran = errors.Ran.UNKNOWN
-                if exc.sent and not repeatable:
-                    raise _no_answer(ran) from None
-            except errors.Refused as exc:
-                self._redirected(program, exc)
-            self._pause(deadline, ran)
+        for answer in self._answers(
+            program, req, reply, seconds, False, repeatable, streams=False
+        ):
+            return answer
+        raise _no_answer(errors.Ran.UNKNOWN)
 
     def stream(
         self,
@@ -114,18 +117,34 @@
         Raises:
             errors.Refused: the owner's refusal, or none could be reached.
         """
+        return self._answers(
+            program, req, event, seconds, restarts, True, streams=True
+        )
+
+    def _answers(
+        self,
+        program: ids_lib.ProgramId,
+        req: Any,
+        reply: Any,
+        seconds: float,
+        restarts: bool,
+        repeatable: bool,
+        *,
+        streams: bool,
+    ) -> Iterator[Any]:
+        """Yields the owner's answers; see `call` and `stream`."""
         deadline = self._timers.now() + seconds
         yielded = False
         ran = errors.Ran.NO
         while True:
-            address = self._guess(program)
+            route = self._guess(program)
             try:
-                if address is not None:
+                if route is not None:
                     left = deadline - self._timers.now()
                     ask = functools.partial(
-                        self._peers.stream, address, req, event, seconds=left
+                        self._ask, route, req, reply, left, streams
                     )
-                    for item in self._while_alive(address, ask):
+                    for item in self._while_alive(route.first, ask):
                         yielded = True
                         yield item
                     return
@@ -133,20 +152,37 @@
                 self._lost(program, exc)
                 if exc.sent:
                     ran = errors.Ran.UNKNOWN
+                if exc.sent and not repeatable:
+                    raise _no_answer(ran) from None
                 if yielded and not restarts:
                     raise _no_answer(errors.Ran.UNKNOWN) from None
             except errors.Refused as exc:
                 if yielded and not restarts:
                     raise
-                self._redirected(program, exc)
+                self._redirected(program, route, exc)
                 if exc.ran is not errors.Ran.NO:
                     ran = exc.ran
             self._pause(deadline, ran)
 
     def _ask(
-        self, address: str, req: Any, reply: type[Any], seconds: float
+        self,
+        route: _Route,
+        req: Any,
+        reply: Any,
+        seconds: float,
+        streams: bool,
     ) -> Iterator[Any]:
-        yield self._peers.call(address, req, reply, seconds=seconds)
+        """Yields the answers that come by a route."""
+        if route.via:
+            yield from relays.send(
+                self._peers, route.via, route.address, req, reply, seconds
+            )
+        elif streams:
+            yield from self._peers.stream(
+                route.address, req, reply, seconds=seconds
+            )
+        else:
+            yield self._peers.call(route.address, req, reply, seconds=seconds)
 
     def _while_alive(
         self, address: str, ask: Callable[[], Iterator[Any]]
@@ -194,14 +230,14 @@
         draining = members.MemberState.DRAINING
         return member is not None and member.state is draining
 
-    def _guess(self, program: ids_lib.ProgramId) -> str | None:
-        """Returns the address of the likely owner, or None."""
+    def _guess(self, program: ids_lib.ProgramId) -> _Route | None:
+        """Returns the way to the likely owner, or None."""
         known = self._known.get(program.shard_name)
-        if known is not None and self._view.find(known) is not None:
+        if known is not None and self._view.find(known.first) is not None:
             return known
         candidates = self._view.ready("sidecar", program.pool)
         order = placement.ranked(program.shard_name, candidates)
-        return order[0].address if order else None
+        return _Route(order[0].address) if order else None
 
     def _lost(
         self, program: ids_lib.ProgramId, exc: errors.PeerUnreachable
@@ -210,15 +246,23 @@
         self._known.pop(program.shard_name, None)
 
     def _redirected(
-        self, program: ids_lib.ProgramId, exc: errors.Refused
+        self,
+        program: ids_lib.ProgramId,
+        route: _Route | None,
+        exc: errors.Refused,
     ) -> None:
         """Notes who the owner is; raises what is not a redirect."""
         if exc.code is not errors.Code.WRONG_OWNER:
             raise exc
-        if exc.location:
-            self._known[program.shard_name] = exc.location
-        else:
-            self._known.pop(program.shard_name, None)
+        self._known.pop(program.shard_name, None)
+        if not exc.location or route is None:
+            return
+        via = ""
+        if self._view.find(exc.location) is None:
+            # Who redirects us there takes that peer for alive, so it can
+            # reach it, though we can't.
+            via = route.first
+        self._known[program.shard_name] = _Route(exc.location, via)
 
     def _pause(self, deadline: float, ran: errors.Ran) -> None:
         if self._timers.now() + RETRY_SECONDS >= deadline:
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -13,6 +13,7 @@
 from endivepier.history import replicas as replicas_lib
 from endivepier.internal import process
 from endivepier.membership import members
+from endivepier.ownership import relays as relays_lib
 from endivepier.ownership import shards as shards_lib
 from endivepier.scheduling import dispatch
 from endivepier.scheduling import queue as queue_lib
@@ -123,6 +124,7 @@
         )
         for part in (self.replicas, self.families, self.handover, self.reaper):
             part.register(env.inbox)
+        self.relays = relays_lib.Relays(env.inbox, env.peers)
         self.kernel.register("ownership", self.shards)
         self.kernel.register("reaper", self.reaper)
         self.kernel.register("handover", self.handover)
--- a/src/endivepier/sidecar/programs.py
+++ b/src/endivepier/sidecar/programs.py
@@ -122,16 +122,19 @@
         """Runs the next model call; the answer comes once it is safe."""
         with self._registry.exclusive(req.program_id, req.account) as program:
             self._confirm(program)
+            stored = program.stored
+            earlier = _earlier(stored, req)
+            if earlier is not None:
+                with registry_lib.writing(self._registry, program):
+                    self._journal.settle(stored)
+                yield from self._replay(stored, earlier)
+                return
+            # An earlier call may have left a turn that is not safe yet.
+            self._settle_before_dispatch(stored)
+            added = self._added(stored, req)
+            seconds = self._reserve(stored, req)
             with registry_lib.writing(self._registry, program):
-                # An earlier call may have left a turn that is not safe yet.
-                self._journal.settle(program.stored)
-                earlier = _earlier(program.stored, req)
-                if earlier is not None:
-                    yield from self._replay(program.stored, earlier)
-                    return
-                added = self._added(program.stored, req)
-                seconds = self._reserve(program.stored, req)
-                yield from self._run(program.stored, req, added, seconds)
+                yield from self._run(stored, req, added, seconds)
 
     def service_call(
         self, req: messages.ProgramServiceCall
@@ -142,11 +145,10 @@
             stored = program.stored
             seconds = self._open_seconds(stored.row, req.request.seconds)
             epoch = stored.epoch
-            with registry_lib.writing(self._registry, program):
-                self._cover(stored, 0)
-                row = budgets.reserve(stored.row, 0, epoch)
-                self._journal.append(stored, budgets.settle(row, 0, 0, epoch))
-                self._settle_before_dispatch(stored)
+            self._cover(stored, 0)
+            row = budgets.reserve(stored.row, 0, epoch)
+            self._journal.append(stored, budgets.settle(row, 0, 0, epoch))
+            self._settle_before_dispatch(stored)
             call = dataclasses.replace(
                 req.request, kind=stored.row.kind, seconds=seconds
             )
@@ -258,6 +260,8 @@
             self._journal.settle(stored)
         except (errors.Unavailable, errors.OutcomeUnknown):
             raise registry_lib.store_unavailable(errors.Ran.NO) from None
+        except errors.Fenced:
+            raise shards_lib.wrong_owner("", "it was lost just now") from None
 
     def _open_seconds(self, row: records.ProgramRow, asked: float) -> float:
         """Returns how long a call may take; refuses if the program is over."""
--- a/tests/common/callers.py
+++ b/tests/common/callers.py
@@ -156,9 +156,7 @@
         self.created = True
 
     def call(self, number):
-        added = (
-            target_ports.ChatMessage("user", f"{self.program} step {number}"),
-        )
+        added = self.added(number)
         call = recorder_lib.Call(
             str(self.program), f"{self.name}-{number}", added
         )
@@ -183,6 +181,11 @@
         call.ended = self.fleet.timers.now()
         self.receipt = call.answers[0].receipt
 
+    def added(self, number):
+        """Returns the messages of a call."""
+        text = f"{self.program} step {number}"
+        return (target_ports.ChatMessage("user", text),)
+
     def end(self):
         self._ask(messages.EndProgram(str(self.program), local.ACCOUNT))
         declared = self.recorder.programs[str(self.program)]
--- a/tests/common/histories.py
+++ b/tests/common/histories.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+from endivepier import errors
 from endivepier.standins import local
 from tests.common import callers
 from tests.common import checker
@@ -44,12 +45,30 @@
         gevent.joinall([trouble, *tasks], raise_error=True)
         injector.mend()
         self.fleet.timers.sleep(quiet)
+        faults = self._replace_owners()
         for caller in self.callers:
-            if caller.created:
+            if not caller.created:
+                continue
+            try:
                 caller.show()
-        return checker.judge(
-            self.recorder, self.held(), self.fleet.timers.now()
-        )
+            except (errors.Refused, callers.NoAnswer) as exc:
+                faults.append(f"{caller.program} can't be read: {exc!r}")
+        return faults + judged(self)
+
+    def _replace_owners(self):
+        """Replaces all sidecars: only what the table has is left."""
+        faults = []
+        for address, sidecar in list(self.fleet.sidecars.items()):
+            if sidecar.journal.flush(0.0):
+                continue
+            faults.append(f"{address} has unflushed turns in the quiet")
+        for address in list(self.fleet.sidecars):
+            self.fleet.kill(address)
+        self.fleet.timers.sleep(3.0)
+        for number in range(self.fleet.plan.engines):
+            self.fleet.start_engine(number)
+        self.fleet.timers.sleep(3.0)
+        return faults
 
     def held(self):
         """Returns the sessions that any engine holds."""
@@ -61,3 +80,9 @@
 
     def _wrap(self, engine):
         return self.recorder.wrap(engine)
+
+
+def judged(history):
+    """Returns the judge's findings about what was recorded."""
+    now = history.fleet.timers.now()
+    return checker.judge(history.recorder, history.held(), now)
--- /dev/null
+++ b/tests/histories/test_programs_cases.py
@@ -0,0 +1,225 @@
+"""Cases that drawn faults meet too rarely."""
+
+import gevent
+import pytest
+
+from endivepier import errors
+from endivepier.history import messages
+from endivepier.history import receipts
+from endivepier.standins import local
+from tests.common import callers
+from tests.common import faults
+from tests.common import histories
+
+SLOW = callers.Script(turns=6, max_tokens=40, duplicate=0.0)
+
+
+def _owner_of(history, caller):
+    """Returns the address of the sidecar that owns a caller's program."""
+    shard = caller.program.shard_name
+    for address, sidecar in history.fleet.sidecars.items():
+        if sidecar.shards.current(shard) is not None:
+            return address
+    return ""
+
+
+def test_turns_go_on_in_an_outage_and_outlive_their_owner():
+    history = histories.History(3, script=SLOW, programs=1)
+    answered = []
+
+    def pull_cables():
+        history.fleet.timers.sleep(0.3)
+        history.fleet.table.faults.outage = True
+        history.fleet.timers.sleep(6.0)
+        answered.append(sum(bool(c.answers) for c in history.recorder.calls))
+        history.fleet.kill(_owner_of(history, history.callers[0]))
+        history.fleet.timers.sleep(0.5)
+        history.fleet.table.faults.outage = False
+
+    history.fleet.start()
+    history.fleet.timers.after(0.0, pull_cables)
+    assert history.fleet.timers.run(lambda: history._run((), 20.0)) == []
+    assert answered[0] >= 3
+    assert all(call.answers for call in history.recorder.calls)
+
+
+def test_an_owner_without_replicas_refuses_truthfully_in_an_outage():
+    plan = local.Plan(engines=1)
+    script = callers.Script(turns=1, duplicate=0.0, end=False)
+    history = histories.History(3, plan, script, programs=1)
+    caller = history.callers[0]
+    history.fleet.start()
+    history.fleet.timers.run(caller.run)
+    history.fleet.table.faults.outage = True
+    refused = []
+
+    def ask():
+        for number in (1, 2):
+            before = len(history.recorder.runs)
+            with pytest.raises(callers.NoAnswer):
+                caller.call(number)
+            call = history.recorder.calls[-1]
+            refused.extend(call.refusals)
+        assert all(r.code is errors.Code.STORE_UNAVAILABLE for r in refused)
+        assert any(r.ran is errors.Ran.NO for r in refused)
+        assert len(history.recorder.runs) == before
+        history.fleet.table.faults.outage = False
+        history.fleet.timers.sleep(15.0)
+        caller.call(1)
+
+    history.fleet.timers.run(ask)
+
+
+def test_a_graceful_stop_hands_programs_over_without_a_pause():
+    history = histories.History(5, script=SLOW, programs=4)
+    moved = []
+
+    def stop():
+        history.fleet.timers.sleep(0.9)
+        address = _owner_of(history, history.callers[0])
+        sidecar = history.fleet.sidecars[address]
+        sidecar.drain()
+        moved.append(not sidecar.shards.held())
+        history.fleet.timers.sleep(5.0)
+        sidecar.stop()
+        history.fleet.kill(address)
+        history.fleet.restart(address)
+
+    history.fleet.start()
+    history.fleet.timers.after(0.0, stop)
+    assert history.fleet.timers.run(lambda: history._run((), 20.0)) == []
+    assert moved == [True]
+    assert history.recorder.refused == []
+    slowest = max(c.ended - c.started for c in history.recorder.calls)
+    usual = 40 * 0.01 * 1.2
+    assert slowest < usual + 0.5
+
+
+def test_children_never_use_more_than_their_parent_has():
+    script = callers.Script(
+        turns=4, budget_tokens=60, budget_calls=12, duplicate=0.3
+    )
+    history = histories.History(11, script=script, programs=4)
+    parent, *children = history.callers
+    drawn = (
+        faults.Fault("kill", 0, 0, 0.2, 1.0),
+        faults.Fault("kill", 1, 0, 0.9, 1.0),
+    )
+
+    def child(caller):
+        caller.create(parent=str(parent.program))
+        for number in range(script.turns):
+            caller.call(number)
+        caller.end()
+
+    def safely(work, *args):
+        try:
+            work(*args)
+        except (errors.Refused, callers.NoAnswer) as exc:
+            history.recorder.refused.append(exc)
+
+    def main():
+        injector = faults.Injector(history.fleet, drawn)
+        trouble = gevent.spawn(injector.run)
+        parent.create()
+        tasks = [gevent.spawn(safely, child, c) for c in children]
+        tasks.append(gevent.spawn(safely, parent.call, 0))
+        gevent.joinall([trouble, *tasks], raise_error=True)
+        injector.mend()
+        history.fleet.timers.sleep(10.0)
+        for caller in history.callers:
+            caller.show()
+
+    history.fleet.start()
+    history.fleet.timers.run(main)
+    assert histories.judged(history) == []
+    assert sum(bool(c.answers) for c in history.recorder.calls) >= 6
+    parent_row = history.recorder.final[str(parent.program)].program
+    assert parent_row.tokens <= 60
+
+
+def test_refuses_a_receipt_that_its_history_does_not_lead_to():
+    script = callers.Script(turns=2, duplicate=0.0, end=False)
+    history = histories.History(5, script=script, programs=1)
+    caller = history.callers[0]
+    history.fleet.start()
+    history.fleet.timers.run(caller.run)
+    signer = receipts.Receipts(local.SECRET)
+    foreign = receipts.Receipt(str(caller.program), 5, "0" * 64)
+    caller.receipt = signer.sign(foreign)
+    runs = len(history.recorder.runs)
+    with pytest.raises(errors.Refused) as refused:
+        history.fleet.timers.run(caller.call, 2)
+    assert refused.value.code is errors.Code.HISTORY_MISMATCH
+    assert refused.value.ran is errors.Ran.NO
+    assert len(history.recorder.runs) == runs
+
+
+def test_a_call_is_cut_at_the_end_of_the_wall_budget():
+    script = callers.Script(
+        turns=1, max_tokens=900, budget_seconds=2.0, duplicate=0.0
+    )
+    history = histories.History(5, script=script, programs=1)
+    assert history.run() == []
+    ((_, exc),) = history.recorder.refused
+    assert exc.code is errors.Code.BUDGET_EXHAUSTED
+    row = history.recorder.final[str(history.callers[0].program)].program
+    assert row.tokens >= sum(run.tokens for run in history.recorder.runs)
+
+
+def test_large_bodies_go_to_one_object_and_come_back_whole():
+    script = callers.Script(turns=2, duplicate=0.0, end=False)
+    history = histories.History(5, script=script, programs=2)
+
+    def long_call(caller, number):
+        text = f"{caller.program} step {number} " + "x" * 100_000
+        return (callers.target_ports.ChatMessage("user", text),)
+
+    for caller in history.callers:
+        caller.added = lambda number, c=caller: long_call(c, number)
+    assert history.run() == []
+    assert 1 <= history.fleet.objects.puts <= 4
+    rows = history.fleet.table.peek("turn/")
+    assert len(rows) == 4
+    assert max(len(row.value) for row in rows) < 2000
+
+
+def test_a_lost_owner_makes_nobody_wait_long():
+    history = histories.History(9, script=SLOW, programs=6)
+
+    def kill():
+        history.fleet.timers.sleep(1.0)
+        address = _owner_of(history, history.callers[0])
+        history.fleet.kill(address)
+        history.fleet.timers.sleep(6.0)
+        history.fleet.restart(address)
+
+    history.fleet.start()
+    history.fleet.timers.after(0.0, kill)
+    assert history.fleet.timers.run(lambda: history._run((), 20.0)) == []
+    assert history.recorder.refused == []
+    assert max(c.ended - c.started for c in history.recorder.calls) < 5.0
+
+
+def test_an_owner_that_an_entry_host_cannot_reach_is_asked_by_way_of_another():
+    history = histories.History(9, script=SLOW, programs=3)
+
+    def cut():
+        history.fleet.timers.sleep(0.5)
+        owner = _owner_of(history, history.callers[0])
+        for entry in list(history.fleet.entries):
+            history.fleet.network.cut(entry, owner)
+
+    history.fleet.start()
+    history.fleet.timers.after(0.0, cut)
+    assert history.fleet.timers.run(lambda: history._run((), 20.0)) == []
+    assert history.recorder.refused == []
+    assert max(c.ended - c.started for c in history.recorder.calls) < 5.0
+
+
+def test_ends_only_once_and_shows_it():
+    history = histories.History(2, programs=1)
+    assert history.run() == []
+    view = history.recorder.final[str(history.callers[0].program)]
+    assert isinstance(view, messages.ProgramView)
+    assert view.program.status.value == "ended"
--- /dev/null
+++ b/tests/histories/test_programs_planted.py
@@ -0,0 +1,142 @@
+"""For each promise, a planted fault that the checker must catch."""
+
+import contextlib
+
+import pytest
+
+from endivepier.history import budgets
+from endivepier.history import commits
+from endivepier.history import journal
+from endivepier.history import turns
+from endivepier.platform import ports
+from endivepier.sidecar import programs
+from endivepier.sidecar import reaper
+from endivepier.sidecar import registry
+from tests.common import callers
+from tests.common import faults
+from tests.common import histories
+
+SCRIPT = callers.Script(turns=5, duplicate=0.7)
+POOR = callers.Script(turns=6, budget_tokens=10, duplicate=0.0)
+BRIEF = callers.Script(turns=6, pause=1.0, budget_seconds=2.5, duplicate=0.0)
+NOTHING = ()
+SLOW = callers.Script(turns=5, max_tokens=40, duplicate=0.0)
+FREEZE = (faults.Fault("freeze", 0, 0, 0.7, 4.0),)
+OUTAGE = (
+    faults.Fault("outage", 0, 0, 0.2, 8.0),
+    faults.Fault("kill", 0, 0, 2.0, 3.0),
+)
+
+
+def _truncates_history(monkeypatch):
+    whole = turns.conversation
+    monkeypatch.setattr(
+        turns, "conversation", lambda given: whole(given[: len(given) // 2])
+    )
+
+
+def _mixes_histories(monkeypatch):
+    whole, seen = turns.conversation, []
+
+    def mixed(given):
+        seen.append(whole(given))
+        return max(seen, key=len)
+
+    monkeypatch.setattr(turns, "conversation", mixed)
+
+
+def _swaps_turns(monkeypatch):
+    whole = turns.conversation
+    monkeypatch.setattr(turns, "conversation", lambda given: whole(given[::-1]))
+
+
+def _runs_calls_at_the_same_time(monkeypatch):
+    @contextlib.contextmanager
+    def unlocked(self, program_id, account):
+        yield self.find(program_id, account)
+
+    monkeypatch.setattr(registry.Registry, "exclusive", unlocked)
+
+
+def _forgets_call_ids(monkeypatch):
+    monkeypatch.setattr(programs, "_earlier", lambda stored, req: None)
+    monkeypatch.setattr(
+        programs.Programs, "_check_receipt", lambda self, stored, req: None
+    )
+
+
+def _cuts_answers(monkeypatch):
+    whole = programs.Programs._answer
+
+    def cut(self, stored, turn, cached):
+        answer = whole(self, stored, turn, cached)
+        object.__setattr__(answer, "text", answer.text[:-4])
+        return answer
+
+    monkeypatch.setattr(programs.Programs, "_answer", cut)
+
+
+def _gives_answers_to_others(monkeypatch):
+    whole, seen = programs.Programs._answer, []
+
+    def other(self, stored, turn, cached):
+        seen.append(whole(self, stored, turn, cached))
+        return seen[len(seen) // 2]
+
+    monkeypatch.setattr(programs.Programs, "_answer", other)
+
+
+def _ignores_token_budgets(monkeypatch):
+    monkeypatch.setattr(budgets, "left_tokens", lambda row: 10**6)
+
+
+def _ignores_wall_time(monkeypatch):
+    monkeypatch.setattr(budgets, "left_seconds", lambda row, now: 100.0)
+
+
+def _acknowledges_before_it_is_durable(monkeypatch):
+    monkeypatch.setattr(journal.Journal, "settle", lambda self, stored: None)
+
+
+def _commits_without_conditions(monkeypatch):
+    whole = commits._transaction
+
+    def bare(name, group):
+        return ports.Transaction((), whole(name, group).writes)
+
+    monkeypatch.setattr(commits, "_transaction", bare)
+
+
+def _keeps_engine_memory(monkeypatch):
+    monkeypatch.setattr(reaper.Reaper, "_release", lambda self, name: None)
+
+
+PLANTED = [
+    (_truncates_history, SCRIPT, NOTHING, "not the history so far"),
+    (_mixes_histories, SCRIPT, NOTHING, "a foreign message"),
+    (_swaps_turns, SCRIPT, NOTHING, "not the history so far"),
+    (_runs_calls_at_the_same_time, SCRIPT, NOTHING, "c0-"),
+    (_forgets_call_ids, SCRIPT, NOTHING, "a duplicate got another answer"),
+    (_cuts_answers, SCRIPT, NOTHING, "not what an engine said"),
+    (_gives_answers_to_others, SCRIPT, NOTHING, "got the answer of"),
+    (_ignores_token_budgets, POOR, NOTHING, "of 10 tokens"),
+    (_ignores_wall_time, BRIEF, NOTHING, "ran after its time"),
+    (_acknowledges_before_it_is_durable, SLOW, OUTAGE, "lost"),
+    (_commits_without_conditions, SLOW, FREEZE, "is over"),
+    (_keeps_engine_memory, SCRIPT, NOTHING, "holds its prefix"),
+]
+
+
+@pytest.mark.parametrize(
+    ("plant", "script", "drawn", "finding"),
+    PLANTED,
+    ids=[row[0].__name__.strip("_") for row in PLANTED],
+)
+def test_the_checker_catches(monkeypatch, plant, script, drawn, finding):
+    quiet = 20.0
+    sound = histories.History(7, script=script).run(drawn, quiet)
+    assert sound == []
+    plant(monkeypatch)
+    found = histories.History(7, script=script).run(drawn, quiet)
+    assert found
+    assert any(finding in text for text in found), found
