--- a/src/endivepier/entry/owners.py
+++ b/src/endivepier/entry/owners.py
@@ -2,38 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 import functools
 from typing import Any
 
-import gevent.event
-import gevent.queue
-
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import peers as peers_lib
-from endivepier.membership import members
 from endivepier.membership import view as view_lib
 from endivepier.ownership import placement
 from endivepier.ownership import relays
-from endivepier.telemetry import spans
+from endivepier.ownership import watched
 
 RETRY_SECONDS = 0.1
-MAX_WAITING_EVENTS = 64
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _End:
-    """The last item of a stream.
-
-    Attributes:
-        failure: how the stream broke off; None if it is whole.
-    """
-
-    failure: errors.EndivepierError | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,7 +127,9 @@
                     ask = functools.partial(
                         self._ask, route, req, reply, left, streams
                     )
-                    for item in self._while_alive(route.first, ask):
+                    for item in watched.while_alive(
+                        self._view, route.first, ask
+                    ):
                         yielded = True
                         yield item
                     return
@@ -184,52 +169,6 @@
         else:
             yield self._peers.call(route.address, req, reply, seconds=seconds)
 
-    def _while_alive(
-        self, address: str, ask: Callable[[], Iterator[Any]]
-    ) -> Iterator[Any]:
-        """Yields what `ask` yields; gives up once the peer seems dead.
-
-        A frozen peer keeps its connections open. Its missing heartbeats show
-        that it is not merely slow.
-
-        Raises:
-            errors.PeerUnreachable: as `ask` does, or the peer seems dead.
-        """
-        items: gevent.queue.Queue = gevent.queue.Queue(MAX_WAITING_EVENTS)
-        arrived = gevent.event.Event()
-        with self._view.watch(address) as lost:
-            lost.rawlink(lambda _: arrived.set())
-            task = spans.spawn(_pull, ask, items, arrived)
-            try:
-                while True:
-                    arrived.wait()
-                    arrived.clear()
-                    while not items.empty():
-                        item = items.get_nowait()
-                        match item:
-                            case _End():
-                                if item.failure is not None:
-                                    raise item.failure
-                                return
-                            case _:
-                                yield item
-                    if lost.is_set() and not self._is_draining(address):
-                        raise errors.PeerUnreachable(
-                            address, "it answers no heartbeats", sent=True
-                        )
-            finally:
-                task.kill(block=False)
-
-    def _is_draining(self, address: str) -> bool:
-        """Returns whether a peer is stopping gracefully.
-
-        It takes no new connections then, and so no heartbeats, while it
-        finishes what runs; the connection that is open tells if it ends.
-        """
-        member = self._view.last_said(address)
-        draining = members.MemberState.DRAINING
-        return member is not None and member.state is draining
-
     def _guess(self, program: ids_lib.ProgramId) -> _Route | None:
         """Returns the way to the likely owner, or None."""
         known = self._known.get(program.shard_name)
@@ -270,23 +209,6 @@
         self._timers.sleep(RETRY_SECONDS)
 
 
-def _pull(
-    ask: Callable[[], Iterator[Any]],
-    items: gevent.queue.Queue,
-    arrived: gevent.event.Event,
-) -> None:
-    """Puts what `ask` yields into a queue, then how it ended."""
-    end = _End(None)
-    try:
-        for item in ask():
-            items.put(item)
-            arrived.set()
-    except errors.EndivepierError as exc:
-        end = _End(exc)
-    items.put(end)
-    arrived.set()
-
-
 def _no_answer(ran: errors.Ran) -> errors.Refused:
     return errors.Refused(
         errors.Code.NOT_READY,
--- a/src/endivepier/ownership/relays.py
+++ b/src/endivepier/ownership/relays.py
@@ -16,6 +16,8 @@
 
 from endivepier.internal import codec
 from endivepier.internal import peers as peers_lib
+from endivepier.membership import view as view_lib
+from endivepier.ownership import watched
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,13 +48,24 @@
 class Relays:
     """Carries messages on for others."""
 
-    def __init__(self, inbox: peers_lib.Inbox, peers: peers_lib.Peers) -> None:
+    def __init__(
+        self,
+        inbox: peers_lib.Inbox,
+        peers: peers_lib.Peers,
+        view: view_lib.View,
+    ) -> None:
         self._inbox = inbox
         self._peers = peers
+        self._view = view
         inbox.register_stream(Relay, Relayed, self.carry)
 
     def carry(self, req: Relay) -> Iterator[Relayed]:
         """Sends the message on and yields what comes back."""
+        return watched.while_alive(
+            self._view, req.address, lambda: self._ask(req)
+        )
+
+    def _ask(self, req: Relay) -> Iterator[Relayed]:
         endpoint = self._inbox.find(req.name)
         message = codec.decode(endpoint.request, req.body)
         if not endpoint.streams:
--- a/src/endivepier/ownership/shards.py
+++ b/src/endivepier/ownership/shards.py
@@ -271,11 +271,24 @@
         """Refuses to take the shard from an owner that is alive."""
         if row.owner == self._me.address:
             return
-        owner = self._view.find(row.owner)
+        owner = self._probe(row.owner)
         if owner is not None and owner.incarnation == row.incarnation:
             raise wrong_owner(row.owner, "it has another owner")
         self._check_preferred(shard)
 
+    def _probe(self, address: str) -> members.Member | None:
+        """Returns the member at `address` if it answers now, else None.
+
+        Whoever asks here for a shard of another owner may have found that
+        owner dead, so what this process last heard of it is not enough.
+        """
+        started = self._timers.now()
+        member = self._view.probe(address)
+        timeout = view_lib.HEARTBEAT_TIMEOUT_SECONDS
+        if member is not None and self._timers.now() - started >= timeout:
+            member = self._view.probe(address)
+        return member
+
     def _check_preferred(self, shard: str) -> None:
         """Leaves the shard to the first candidate, if that is another."""
         first = self.preferred(shard)
