--- a/src/endivepier/entry/owners.py
+++ b/src/endivepier/entry/owners.py
@@ -128,7 +128,7 @@
                         self._ask, route, req, reply, left, streams
                     )
                     for item in watched.while_alive(
-                        self._view, route.first, ask
+                        self._view, self._timers, route.first, ask
                     ):
                         yielded = True
                         yield item
--- a/src/endivepier/ownership/relays.py
+++ b/src/endivepier/ownership/relays.py
@@ -14,6 +14,7 @@
 
 import pydantic
 
+from endivepier import timers as timers_lib
 from endivepier.internal import codec
 from endivepier.internal import peers as peers_lib
 from endivepier.membership import view as view_lib
@@ -53,16 +54,18 @@
         inbox: peers_lib.Inbox,
         peers: peers_lib.Peers,
         view: view_lib.View,
+        timers: timers_lib.Timers,
     ) -> None:
         self._inbox = inbox
         self._peers = peers
         self._view = view
+        self._timers = timers
         inbox.register_stream(Relay, Relayed, self.carry)
 
     def carry(self, req: Relay) -> Iterator[Relayed]:
         """Sends the message on and yields what comes back."""
         return watched.while_alive(
-            self._view, req.address, lambda: self._ask(req)
+            self._view, self._timers, req.address, lambda: self._ask(req)
         )
 
     def _ask(self, req: Relay) -> Iterator[Relayed]:
--- a/src/endivepier/ownership/watched.py
+++ b/src/endivepier/ownership/watched.py
@@ -11,11 +11,13 @@
 import gevent.queue
 
 from endivepier import errors
+from endivepier import timers as timers_lib
 from endivepier.membership import members
 from endivepier.membership import view as view_lib
 from endivepier.telemetry import spans
 
 MAX_WAITING_EVENTS = 64
+SILENCE_SECONDS = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,15 +32,19 @@
 
 
 def while_alive(
-    view: view_lib.View, address: str, ask: Callable[[], Iterator[Any]]
+    view: view_lib.View,
+    timers: timers_lib.Timers,
+    address: str,
+    ask: Callable[[], Iterator[Any]],
 ) -> Iterator[Any]:
     """Yields what `ask` yields; gives up once the peer seems dead.
 
     A frozen peer keeps its connections open. Its missing heartbeats show that
-    it is not merely slow.
+    it is not merely slow, unless events still arrive.
 
     Args:
         view: tells whether the peer answers heartbeats.
+        timers: the timer service.
         address: the peer.
         ask: asks the peer and yields its answers.
 
@@ -50,11 +56,14 @@
     with view.watch(address) as lost:
         lost.rawlink(lambda _: arrived.set())
         task = spans.spawn(_pull, ask, items, arrived)
+        last = timers.now()
         try:
             while True:
-                arrived.wait()
+                suspected = lost.is_set()
+                timers.wait(arrived, SILENCE_SECONDS if suspected else None)
                 arrived.clear()
                 while not items.empty():
+                    last = timers.now()
                     item = items.get_nowait()
                     match item:
                         case _End():
@@ -63,7 +72,13 @@
                             return
                         case _:
                             yield item
-                if lost.is_set() and not _is_draining(view, address):
+                if not lost.is_set():
+                    continue
+                if view.find(address) is not None:
+                    lost.clear()
+                elif _is_draining(view, address):
+                    continue
+                elif timers.now() - last >= SILENCE_SECONDS:
                     raise errors.PeerUnreachable(
                         address, "it answers no heartbeats", sent=True
                     )
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -124,7 +124,9 @@
         )
         for part in (self.replicas, self.families, self.handover, self.reaper):
             part.register(env.inbox)
-        self.relays = relays_lib.Relays(env.inbox, env.peers, self.view)
+        self.relays = relays_lib.Relays(
+            env.inbox, env.peers, self.view, env.timers
+        )
         self.kernel.register("ownership", self.shards)
         self.kernel.register("reaper", self.reaper)
         self.kernel.register("handover", self.handover)
