--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -6,6 +6,7 @@
 
 from endivepier.effects import claims as claims_lib
 from endivepier.effects import client as client_lib
+from endivepier.effects import retention
 from endivepier.effects import runner as runner_lib
 from endivepier.entry import owners as owners_lib
 from endivepier.history import journal as journal_lib
@@ -16,6 +17,8 @@
 from endivepier.ownership import relays as relays_lib
 from endivepier.ownership import shards as shards_lib
 from endivepier.scheduling import dispatch
+from endivepier.scheduling import ejection
+from endivepier.scheduling import policies
 from endivepier.scheduling import queue as queue_lib
 from endivepier.scheduling import router as router_lib
 from endivepier.sidecar import families as families_lib
@@ -55,9 +58,19 @@
             env.timers, slots=limits.slots, limit=limits.waiting
         )
         self.dispatcher = dispatch.Dispatcher(
-            engine, self.queue, env.timers, self.metrics
+            engine, self.queue, env.timers, self.metrics, env.peers
         )
-        self.router = router_lib.Router(self.dispatcher, env.peers, self.view)
+        self.router = router_lib.Router(
+            self.dispatcher, env.peers, self.view, rng=env.rng
+        )
+        self.guard = ejection.Guard(
+            self.queue,
+            env.timers,
+            is_ejected=self.router.is_ejected,
+            probe=self.dispatcher.probe,
+            probe_seconds=policies.OwnerFirst().probe_seconds,
+        )
+        self.kernel.register("ejection", self.guard)
         self.shards = shards_lib.Shards(
             table,
             self.committer,
@@ -99,7 +112,7 @@
             receipts=receipts_lib.Receipts(env.fleet_secret),
             router=self.router,
             current=self.current,
-            services=client_lib.Client(self.view, env.peers),
+            services=client_lib.Client(self.view, env.peers, env.timers),
             timers=env.timers,
             ids=self.ids,
         )
@@ -135,12 +148,17 @@
 
     def describe(self) -> members.Member:
         """Returns what this sidecar says of itself, with its load."""
-        queue = getattr(self, "queue", None)
         member = super().describe()
-        if queue is None:
+        if not hasattr(self, "dispatcher"):
             return member
+        queue = self.queue
         return dataclasses.replace(
-            member, queued=queue.queued, running=queue.running
+            member,
+            queued=queue.queued,
+            running=queue.running,
+            slots=queue.slots,
+            service_seconds=queue.service_seconds,
+            token_seconds=self.dispatcher.pace.token_seconds,
         )
 
 
@@ -155,7 +173,30 @@
     ) -> None:
         super().__init__(env, "sidecar", target)
         self.claims = claims_lib.Claims(
-            env.platform.table, self.committer, self.ids
+            env.platform.table, env.platform.objects, env.timers, self.ids
+        )
+        self.runner = runner_lib.Runner(
+            target,
+            service,
+            self.claims,
+            env.timers,
+            self.ids,
+            self.metrics,
+            self._checks_fence,
         )
-        self.runner = runner_lib.Runner(service, self.claims, self.ids)
         self.runner.register(env.inbox)
+        self.sweeper = retention.Sweeper(
+            env.platform.table, env.timers, self.metrics, self._sweeps
+        )
+        self.kernel.register("claims", self.sweeper)
+        self.kernel.register("effects", self.runner)
+
+    def _checks_fence(self) -> bool:
+        target = self.current.state.targets.get(self._target)
+        return target is not None and target.checks_fence
+
+    def _sweeps(self) -> bool:
+        """Returns whether this sidecar sweeps expired claims now."""
+        me = self.describe()
+        ready = self.view.ready("sidecar", me.pool)
+        return bool(me.pool and ready) and ready[0].address == me.address
