--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 import dataclasses
 
 from endivepier.effects import claims as claims_lib
@@ -18,9 +19,12 @@
 from endivepier.ownership import shards as shards_lib
 from endivepier.scheduling import dispatch
 from endivepier.scheduling import ejection
+from endivepier.scheduling import leases as leases_lib
+from endivepier.scheduling import orders
 from endivepier.scheduling import policies
 from endivepier.scheduling import queue as queue_lib
 from endivepier.scheduling import router as router_lib
+from endivepier.scheduling import services as services_lib
 from endivepier.sidecar import families as families_lib
 from endivepier.sidecar import handover as handover_lib
 from endivepier.sidecar import programs as programs_lib
@@ -28,6 +32,8 @@
 from endivepier.sidecar import registry as registry_lib
 from endivepier.targets import ports as target_ports
 
+SERVICE_SLOTS = 64
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueueLimits:
@@ -67,10 +73,24 @@
             self.queue,
             env.timers,
             is_ejected=self.router.is_ejected,
+            looks_slow=self.router.looks_slow,
+            measured=lambda: self.dispatcher.pace.measured,
             probe=self.dispatcher.probe,
             probe_seconds=policies.OwnerFirst().probe_seconds,
         )
         self.kernel.register("ejection", self.guard)
+        self.orderer = orders.Orderer(
+            engine,
+            target,
+            leases_lib.Leases(
+                table, self.committer, env.timers, self.ids, self.incarnation
+            ),
+            env.timers,
+            self.metrics,
+            pool=lambda: self.describe().pool,
+            wanted=self._models,
+        )
+        self.kernel.register("orders", self.orderer)
         self.shards = shards_lib.Shards(
             table,
             self.committer,
@@ -146,6 +166,12 @@
         self.dispatcher.register(env.inbox, self.check_ready)
         self.programs.register(env.inbox)
 
+    def _models(self) -> Sequence[str]:
+        """Returns the models that the engines of this pool should have."""
+        pool = self.describe().pool
+        models = self.current.state.models.values()
+        return [model.name for model in models if model.pool == pool]
+
     def describe(self) -> members.Member:
         """Returns what this sidecar says of itself, with its load."""
         member = super().describe()
@@ -184,7 +210,13 @@
             self.metrics,
             self._checks_fence,
         )
-        self.runner.register(env.inbox)
+        self.queue = queue_lib.Queue(
+            env.timers, slots=SERVICE_SLOTS, limit=QueueLimits().waiting
+        )
+        self.services = services_lib.ServiceDispatcher(
+            self.queue, self.current, env.timers, self.runner.run
+        )
+        self.runner.register(env.inbox, self.check_ready, self.services.run)
         self.sweeper = retention.Sweeper(
             env.platform.table, env.timers, self.metrics, self._sweeps
         )
@@ -200,3 +232,17 @@
         me = self.describe()
         ready = self.view.ready("sidecar", me.pool)
         return bool(me.pool and ready) and ready[0].address == me.address
+
+    def describe(self) -> members.Member:
+        """Returns what this sidecar says of itself, with its load."""
+        member = super().describe()
+        if not hasattr(self, "services"):
+            return member
+        queue = self.queue
+        return dataclasses.replace(
+            member,
+            queued=queue.queued,
+            running=queue.running,
+            slots=queue.slots,
+            service_seconds=queue.service_seconds,
+        )
