Check the key again just before a request is sent

Cause: a host suspended between the check of the key and the request ran a posting for a key that had been withdrawn 60 s before. Change: guard.recheck compares key and clock after the limiter's wait, just before anything leaves the entry host; a test that fails without it.

--- a/src/endivepier/entry/callers.py
+++ b/src/endivepier/entry/callers.py
@@ -108,6 +108,7 @@
         created = self._timers.wall()
         with self._guard.watching(req, caller, progress):
             self._limiter.admit(caller.account)
+            self._guard.recheck(caller, progress)
             progress.ran = errors.Ran.UNKNOWN
             if single:
                 program = self._create_single(caller, body)
@@ -143,6 +144,7 @@
         with self._guard.watching(req, caller, progress):
             if caller.account:
                 self._limiter.admit(caller.account)
+            self._guard.recheck(caller, progress)
             progress.ran = errors.Ran.UNKNOWN
             answer = self._call_service(req, route, caller, program, full)
         return werkzeug.wrappers.Response(
--- a/src/endivepier/entry/guard.py
+++ b/src/endivepier/entry/guard.py
@@ -106,10 +106,18 @@
         with self.watching(req, caller, progress):
             for event in events:
                 # Some time may have passed unseen, as in a frozen host.
-                self._recheck(caller, progress)
+                self.recheck(caller, progress)
                 yield event
 
-    def _recheck(self, caller: keys_lib.Caller, progress: Progress) -> None:
+    def recheck(self, caller: keys_lib.Caller, progress: Progress) -> None:
+        """Refuses a request that may not go on.
+
+        For the moment before a step that can't be taken back, since the task
+        may have been suspended for long.
+
+        Raises:
+            errors.Refused: as for `watching`.
+        """
         self._auth.check_serving(progress.ran)
         if not self._auth.holds(caller):
             raise _withdrawn(progress.ran)
@@ -118,7 +126,7 @@
         self, req: web.Request, caller: keys_lib.Caller, progress: Progress
     ) -> watches_lib.Ended | None:
         try:
-            self._recheck(caller, progress)
+            self.recheck(caller, progress)
         except errors.Refused as exc:
             self._metrics.count("requests_ended", reason=exc.code.value)
             return watches_lib.Ended(exc)
@@ -129,9 +137,11 @@
 
     def _changed(self, old: state_lib.State, new: state_lib.State) -> None:
         """Ends what the withdrawn keys still do."""
-        if old.keys is new.keys or not old.keys.keys() - new.keys.keys():
+        if old.keys is new.keys:
             return
         gone = frozenset(old.keys.keys() - new.keys.keys())
+        if not gone:
+            return
         self._watches.sweep()
         self._timers.after(CLOSE_SECONDS, lambda: self._close(gone))
 
--- a/tests/cover/test_configuration_authority.py
+++ b/tests/cover/test_configuration_authority.py
@@ -4,6 +4,10 @@
 
 import pytest
 
+from endivepier.configuration import current as current_lib
+from endivepier.configuration import keys
+from endivepier.configuration import store as store_lib
+from endivepier.platform import commit
 from tests.common import api_fleet
 
 ONE, TWO = api_fleet.KEYS["one"], api_fleet.KEYS["two"]
@@ -143,3 +147,36 @@
         answer = fleet.ask("GET", path, b"", TWO)
         assert answer.status_code == 403
         assert "one" not in json.loads(answer.text)["detail"].split()
+
+
+def test_a_key_withdrawn_during_a_pause_runs_nothing_afterwards(monkeypatch):
+    fleet = api_fleet.ApiFleet()
+    host = fleet.network.hosts["10.0.0.1:1"]
+    other = store_lib.Store(
+        fleet.table,
+        fleet.objects,
+        commit.Committer(fleet.table, fleet.timers, fleet.rng),
+        fleet.timers,
+    )
+
+    def pause(account, *unused):
+        """The host is suspended between the key's check and the request."""
+        host.freeze()
+        digest = keys.digest_of(ONE)
+        accepted = other.apply(
+            f"[withdrawn]\nkeys = ['{digest}']\n",
+            "withdraw",
+            current_lib.Current(),
+            lambda: None,
+        )
+        fleet.timers.sleep(60.0)
+        host.thaw()
+        return accepted
+
+    monkeypatch.setattr(fleet.entry.limiter, "admit", pause)
+    answer = fleet.ask(
+        "POST", "/v1/services/ledger/postings", b"{}", Idempotency_Key="late"
+    )
+    assert answer.status_code in (401, 503), answer.text
+    assert answer.json["ran"] == "no"
+    assert fleet.service.effects == []
