--- a/src/endivepier/configuration/snapshots.py
+++ b/src/endivepier/configuration/snapshots.py
@@ -60,6 +60,15 @@
         state: state_lib.State = codec.decode(state_lib.State, body)
         return state
 
+    def newest_revision(self, upto: int) -> int:
+        """Returns the revision of the newest snapshot not after `upto`, or 0.
+
+        Raises:
+            errors.Unavailable: the table did not answer.
+        """
+        best = self._find(upto)
+        return 0 if best is None else best.revision
+
     def has_any(self, since: int) -> bool:
         """Returns whether there is a snapshot of `since` or later.
 
--- a/src/endivepier/configuration/store.py
+++ b/src/endivepier/configuration/store.py
@@ -30,6 +30,7 @@
 CHANGE_PREFIX = "config/change/"
 APPLY_SECONDS = 10.0
 PAGE_ROWS = 500
+FORGOTTEN_ROWS = 4
 RETAINED_REVISIONS = 100_000
 SNAPSHOT_TRIES = 8
 MAX_BEHIND = snapshots_lib.SNAPSHOT_EVERY
@@ -310,18 +311,23 @@
         return Accepted(delta.revision, delta.change_id)
 
     def _outdated(self, revision: int) -> Sequence[ports.Write]:
-        """Returns the writes that forget the revision that is too old."""
-        old = revision - RETAINED_REVISIONS
-        if old <= 0:
-            return ()
-        row = self._table.get(delta_key(old))
-        if row is None:
+        """Returns the writes that forget revisions no longer kept.
+
+        The oldest revision that is kept can be shown only from a snapshot
+        before it, so the deltas after that snapshot stay.
+        """
+        oldest = revision - RETAINED_REVISIONS
+        if oldest <= 0:
             return ()
-        delta = codec.decode(changes_lib.Delta, row.value)
-        return (
-            ports.Delete(row.key),
-            ports.Delete(CHANGE_PREFIX + delta.change_id),
-        )
+        covered = self._snapshots.newest_revision(oldest)
+        writes: list[ports.Write] = []
+        for row in self._table.scan(DELTA_PREFIX, limit=FORGOTTEN_ROWS):
+            delta = codec.decode(changes_lib.Delta, row.value)
+            if delta.revision <= covered:
+                writes.append(ports.Delete(row.key))
+                change_key = CHANGE_PREFIX + delta.change_id
+                writes.append(ports.Delete(change_key))
+        return writes
 
 
 def _check_change_id(change_id: str) -> None:
