--- a/src/endivepier/daemons/entry.py
+++ b/src/endivepier/daemons/entry.py
@@ -17,7 +17,9 @@
         call_seconds=cfg.call_seconds,
         bootstrap_digest=cfg.bootstrap_digest,
     )
-    app = web.App(body_limit=cfg.body_limit, tracer=shell.tracer)
+    app = web.App(
+        body_limit=cfg.body_limit, tracer=shell.tracer, metrics=entry.metrics
+    )
     entry.add_to(app)
     health.add_to(app, entry)
     health.add_to(shell.app, entry)
--- a/src/endivepier/internal/web.py
+++ b/src/endivepier/internal/web.py
@@ -28,6 +28,7 @@
 from endivepier import timers as timers_lib
 from endivepier.internal import codec
 from endivepier.internal import problems
+from endivepier.telemetry import metrics as metrics_lib
 from endivepier.telemetry import spans
 
 SOCKET_KEY = "endivepier.socket"
@@ -127,14 +128,20 @@
     """A WSGI application made of routes."""
 
     def __init__(
-        self, *, body_limit: int, tracer: spans.Tracer | None = None
+        self,
+        *,
+        body_limit: int,
+        tracer: spans.Tracer | None = None,
+        metrics: metrics_lib.Metrics | None = None,
     ) -> None:
         """Makes an application without routes.
 
         Args:
             body_limit: the largest request body, in bytes.
             tracer: makes each request a span; None for no spans here.
+            metrics: counts refusals; None for no count here.
         """
+        self._metrics = metrics
         self._tracer = tracer
         self._map = werkzeug.routing.Map(merge_slashes=False)
         self._handlers: dict[str, Handler] = {}
@@ -199,11 +206,11 @@
             endpoint, args = self._map.bind_to_environ(environ).match()
             return self._handlers[endpoint](req, **args)
         except errors.Refused as exc:
-            return problem_response(exc)
+            return self._refused(exc)
         except werkzeug.exceptions.RequestEntityTooLarge:
-            return problem_response(self._too_large())
+            return self._refused(self._too_large())
         except werkzeug.exceptions.HTTPException as exc:
-            return problem_response(_from_http(exc))
+            return self._refused(_from_http(exc))
         except gevent.GreenletExit:
             raise
         except Exception:
@@ -217,6 +224,13 @@
                 )
             )
 
+    def _refused(self, exc: errors.Refused) -> werkzeug.wrappers.Response:
+        if self._metrics is not None:
+            self._metrics.count(
+                "refusals", code=exc.code.value, ran=exc.ran.value
+            )
+        return problem_response(exc)
+
     def _check(self, req: Request) -> None:
         """Refuses requests whose length is ambiguous or too large."""
         coded = "HTTP_TRANSFER_ENCODING" in req.environ
