--- a/bench/effects_faults.py
+++ b/bench/effects_faults.py
@@ -51,27 +51,39 @@
 
 
 def strike(fleet: effects_fleet.Fleet, fault: Fault) -> None:
-    """Lets a fault begin and end."""
+    """Lets a fault begin and end; notes if it could not."""
+    try:
+        _strike(fleet, fault)
+    except Exception as exc:
+        fleet.crashes.append(exc)
+        raise
+
+
+def _strike(fleet: effects_fleet.Fleet, fault: Fault) -> None:
     address = sorted(fleet.sites)[fault.index % len(fleet.sites)]
     entry = fleet.entries[fault.index % len(fleet.entries)]
     service = fleet.services[fleet.sites[address]].inner
     network = fleet.network
     fleet.timers.sleep(fault.at)
+    host = network.hosts.get(address)
+    if host is None:
+        # An earlier fault has it down.
+        return
     match fault.kind:
         case Kind.KILL:
-            network.hosts[address].kill()
+            host.kill()
             fleet.timers.sleep(fault.seconds)
             fleet.start_sidecar(address)
         case Kind.FREEZE:
-            fleet.freeze(network.hosts[address], fault.seconds)
+            fleet.freeze(host, fault.seconds)
         case Kind.REPLACE:
             # The old process goes on later, beside the new one.
-            fleet.freeze(network.hosts[address], fault.seconds)
+            fleet.freeze(host, fault.seconds)
             fleet.start_sidecar(address)
         case Kind.DRAIN:
             fleet.sidecars[address].drain()
             fleet.sidecars[address].stop()
-            network.hosts[address].kill()
+            host.kill()
             fleet.start_sidecar(address)
         case Kind.FREEZE_ENTRY:
             fleet.freeze(entry.host, fault.seconds)
--- a/bench/effects_fleet.py
+++ b/bench/effects_fleet.py
@@ -92,6 +92,8 @@
     """The hosts, the platform, the services and what all edges recorded.
 
     Attributes:
+        attempts: what callers sent and were told.
+        crashes: what entry hosts raised that is no answer.
         unchecked: plants a fault: sidecars send however late it is.
     """
 
@@ -125,6 +127,7 @@
         self.rows = rows
         self.unchecked = False
         self.attempts: list[checker.Attempt] = []
+        self.crashes: list[Exception] = []
         self.services: dict[str, edges.Service] = {}
         self.sites: dict[str, str] = {}
         self.sidecars: dict[str, parts.ServiceSidecar] = {}
@@ -271,6 +274,9 @@
         except errors.Refused as exc:
             entry.host.gate()
             told, answer = checker.Told(exc.ran.value), b""
+        except Exception as exc:
+            self.crashes.append(exc)
+            raise
         if self.timers.now() - attempt.start <= GIVE_UP_SECONDS:
             attempt.end = self.timers.now()
             attempt.told = told
