--- a/src/endivepier/entry/callers.py
+++ b/src/endivepier/entry/callers.py
@@ -85,7 +85,7 @@
 
     def create(self, req: web.Request) -> werkzeug.wrappers.Response:
         """Creates a program."""
-        caller = self._caller(req)
+        caller = self._admitted(req)
         body = codec.decode(documents.NewProgram, req.get_data())
         message = self._new_program(caller, body)
         view = self._ask_owner(req, caller, message, errors.Ran.UNKNOWN)
@@ -95,14 +95,14 @@
         self, req: web.Request, program: str
     ) -> werkzeug.wrappers.Response:
         """Shows a program, its history and its budget."""
-        caller = self._caller(req)
+        caller = self._admitted(req)
         message = messages.ShowProgram(program, caller.account)
         view = self._ask_owner(req, caller, message, errors.Ran.NO)
         return web.json_response(_program_document(view))
 
     def end(self, req: web.Request, program: str) -> werkzeug.wrappers.Response:
         """Ends a program."""
-        caller = self._caller(req)
+        caller = self._admitted(req)
         message = messages.EndProgram(program, caller.account)
         view = self._ask_owner(req, caller, message, errors.Ran.UNKNOWN)
         return web.json_response(_program_document(view))
@@ -111,15 +111,13 @@
         self, req: web.Request, program: str = ""
     ) -> werkzeug.wrappers.Response:
         """Makes the next model call of a program, or a single one."""
-        caller = self._caller(req)
+        caller = self._admitted(req)
         body = codec.decode(documents.ChatRequest, req.get_data())
         program = program or req.headers.get(PROGRAM_HEADER, "")
-        progress = guard_lib.Progress()
+        progress = guard_lib.Progress(errors.Ran.UNKNOWN)
         single = not program
         created = self._timers.wall()
         with self._guard.watching(req, caller, progress):
-            self._limiter.admit(caller.account)
-            progress.ran = errors.Ran.UNKNOWN
             if single:
                 program = self._create_single(caller, body)
             call = self._model_call(req, caller, body, program)
@@ -147,14 +145,11 @@
             self._auth.check_serving()
             caller = keys_lib.Caller("", "", state_lib.Role.CALLER)
         else:
-            caller = self._caller(req)
+            caller = self._admitted(req)
         query = req.query_string.decode("latin-1")
         full = "/" + path + ("?" + query if query else "")
-        progress = guard_lib.Progress()
+        progress = guard_lib.Progress(errors.Ran.UNKNOWN)
         with self._guard.watching(req, caller, progress):
-            if caller.account:
-                self._limiter.admit(caller.account)
-            progress.ran = errors.Ran.UNKNOWN
             answer = self._call_service(req, route, caller, program, full)
         return werkzeug.wrappers.Response(
             answer.body,
@@ -167,18 +162,36 @@
         self, req: web.Request, pool: str, key: str
     ) -> werkzeug.wrappers.Response:
         """Shows what is known of a non-idempotent request."""
-        caller = self._caller(req)
-        del pool  # A key names the same request at all pools.
         # What a refusal here says must not be taken for the outcome.
         progress = guard_lib.Progress(errors.Ran.UNKNOWN)
+        caller = self._admitted(req, progress)
+        del pool  # A key names the same request at all pools.
+        with self._guard.watching(req, caller, progress):
+            outcome = self._attempts.look_up(caller.account, key)
+        return web.json_response(outcome)
+
+    def _admitted(
+        self, req: web.Request, progress: guard_lib.Progress | None = None
+    ) -> keys_lib.Caller:
+        """Takes a token for the request, before its body is looked at.
+
+        Requests of every kind cost one token, so that none of them can be
+        used to get around the account's rate.
+
+        Args:
+            req: the request.
+            progress: what a refusal says of the request's effect; by default
+                that it has none.
+        """
+        caller = self._caller(req)
+        progress = progress or guard_lib.Progress()
         with self._guard.watching(req, caller, progress):
             try:
                 self._limiter.admit(caller.account)
             except errors.Refused as exc:
-                exc.ran = errors.Ran.UNKNOWN
+                exc.ran = progress.ran
                 raise
-            outcome = self._attempts.look_up(caller.account, key)
-        return web.json_response(outcome)
+        return caller
 
     def _caller(self, req: web.Request) -> keys_lib.Caller:
         caller = self._auth.caller(req.headers.get("Authorization"))
--- a/src/endivepier/scheduling/router.py
+++ b/src/endivepier/scheduling/router.py
@@ -115,7 +115,7 @@
             choice = self._choose(req, tried)
             begun = False
             try:
-                for event in self._send(choice, req):
+                for event in self._send(choice, req, len(tried)):
                     begun = True
                     yield event
                 return
@@ -129,6 +129,12 @@
         me = self._view.me()
         return me.address in self._ejected(self._view.ready("sidecar", me.pool))
 
+    def looks_slow(self) -> bool:
+        """Returns whether that target seems slower than most of its pool."""
+        me = self._view.me()
+        pool = self._view.ready("sidecar", me.pool)
+        return ejection.looks_slow(pool, me.address)
+
     def release(self, session: str) -> bool:
         """Frees the engine memory of a program that has ended.
 
@@ -192,10 +198,37 @@
         if len(others) > CANDIDATES:
             others = self._rng.sample(others, CANDIDATES)
         choices = [self._cost(policy, req, m, place) for m in home + others]
-        best = min(choices, key=lambda choice: choice.seconds)
-        if home and choices[0].seconds <= best.seconds + policy.gain_seconds:
-            return choices[0]
-        return best
+        if not home:
+            return min(choices, key=lambda choice: choice.seconds)
+        bound = choices[0].seconds - policy.gain_seconds
+        for choice in sorted(choices[1:], key=lambda c: c.seconds):
+            if choice.seconds >= bound:
+                break
+            checked = self._check(policy, req, choice, place)
+            if checked is not None and checked.seconds < bound:
+                return checked
+        return choices[0]
+
+    def _check(
+        self,
+        policy: policies.OwnerFirst,
+        req: work_lib.Generate,
+        choice: _Choice,
+        place: _Place | None,
+    ) -> _Choice | None:
+        """Asks a target for its load before a call leaves its home for it.
+
+        Heartbeats may be many seconds old, and a call that leaves its prefix
+        for a target which is busy as well loses twice.
+        """
+        if not policy.asks:
+            return choice
+        if choice.member.address == self._view.me().address:
+            return choice
+        member = self._view.probe(choice.member.address)
+        if member is None or member.state is not members.MemberState.READY:
+            return None
+        return self._cost(policy, req, member, place)
 
     def _cost(
         self,
@@ -229,10 +262,17 @@
                 return frozenset()
 
     def _send(
-        self, choice: _Choice, req: work_lib.Generate
+        self, choice: _Choice, req: work_lib.Generate, attempt: int
     ) -> Iterator[target_ports.EngineEvent]:
         """Runs the call at a target and notes where its prefix is then."""
-        req = dataclasses.replace(req, prefix_at=choice.prefix_at)
+        # A second try has a name of its own, so that what ends the first one
+        # can't end it as well.
+        request = dataclasses.replace(
+            req.request, request_id=f"{req.request.request_id}-{attempt}"
+        )
+        req = dataclasses.replace(
+            req, request=request, prefix_at=choice.prefix_at
+        )
         me = self._view.me()
         if choice.member.address == me.address:
             events = self._dispatcher.generate(req)
