--- a/bench/slopes_cpu.py
+++ b/bench/slopes_cpu.py
@@ -15,13 +15,20 @@
 from bench import fitting
 from bench import processes
 from bench import slopes_messages
+from endivepier.entry import operators
 from endivepier.internal import http_client
+from endivepier.internal import http_peers
+from endivepier.membership import members
+from endivepier.telemetry import spans
 
 NOTE = "bench/slopes-note.toml"
 DAEMONS = ("entry", "sidecar1", "sidecar2")
 CALLS = (100, 200, 400)
 TOKENS = (20, 60, 180)
 TOKEN_CALLS = 24
+HEARTBEATS = (500, 1000, 2000)
+REVISIONS = (10, 20, 40)
+SETTLE_SECONDS = 2.0
 CONCURRENT = 8
 IDLE_SECONDS = 5.0
 STAT_UTIME_FIELD = 13
@@ -48,6 +55,8 @@
             [tokens * TOKEN_CALLS for tokens in TOKENS],
             lambda total: load.chat(TOKEN_CALLS, total // TOKEN_CALLS),
         )
+        _slope(seed, fleet, "heartbeat", HEARTBEATS, _beats(fleet))
+        _slope(seed, fleet, "revision", REVISIONS, _revisions(fleet))
         _resident(seed, fleet)
 
 
@@ -89,6 +98,43 @@
             raise RuntimeError(answer.body.decode())
 
 
+def _beats(fleet: processes.Processes) -> Callable[[int], None]:
+    """Returns what sends heartbeats to every daemon."""
+    secret = fleet.environ["ENDIVEPIER_FLEET_SECRET"]
+    peers = http_peers.HttpPeers(secret, spans.Tracer("bench"))
+    beat = members.Heartbeat("127.0.0.1:1", 1)
+
+    def send(count: int) -> None:
+        for _ in range(count):
+            for name in DAEMONS:
+                peers.call(fleet.at[name], beat, members.Member, seconds=5.0)
+
+    return send
+
+
+def _revisions(fleet: processes.Processes) -> Callable[[int], None]:
+    """Returns what applies release notes and waits until they are followed."""
+    client = http_client.HttpClient(fleet.url)
+
+    def apply(count: int) -> None:
+        for number in range(count):
+            note = (
+                '[[changed.accounts]]\nname = "bank-one"\n'
+                f"rate = {100000.0 + number}\nburst = 100000.0\n"
+            )
+            headers = {
+                "Authorization": f"Bearer {processes.OPERATOR_KEY}",
+                operators.CHANGE_ID_HEADER: uuid.uuid4().hex,
+            }
+            path = "/v1/operators/releases"
+            answer = client.request("POST", path, note.encode(), headers)
+            if answer.status != 201:
+                raise RuntimeError(answer.body.decode())
+        time.sleep(SETTLE_SECONDS)
+
+    return apply
+
+
 def cpu_seconds(pid: int) -> float:
     """Returns the processor time that a process has used."""
     stat = pathlib.Path(f"/proc/{pid}/stat").read_text()
--- a/bench/slopes_memory.py
+++ b/bench/slopes_memory.py
@@ -12,19 +12,38 @@
 from endivepier.configuration import current as current_lib
 from endivepier.configuration import keys
 from endivepier.configuration import state as state_lib
+from endivepier.history import messages
+from endivepier.history import records
 from endivepier.internal import codec
+from endivepier.internal import ids as ids_lib
 from endivepier.membership import members
 from endivepier.membership import view as view_lib
 from endivepier.platform import ports
+from endivepier.sidecar import parts
 from endivepier.standins import clock
+from endivepier.standins import engine as engine_lib
 from endivepier.standins import hosts as hosts_lib
+from endivepier.standins import simulation as simulation_lib
+from endivepier.targets import ports as target_ports
 
 ACCOUNTS = (1000, 2000, 4000)
 MEMBERS = (1000, 2000, 4000)
+PROGRAMS = (100, 200, 400)
+TURN_TEXT = "read the cheque " * 60
+BOOT_SECONDS = 10.0
+CALL_SECONDS = 30.0
+NOTE_STATE = state_lib.State(
+    1,
+    accounts={"one": state_lib.Account("one", 1e6, 1e6)},
+    pools={"pool": state_lib.Pool("pool", state_lib.PoolKind.ENGINE)},
+    targets={"engine": state_lib.Target("engine", "pool")},
+    models={"model": state_lib.Model("model", "pool")},
+)
 
 
 def run(seed: int) -> None:
     """Measures and prints slopes."""
+    _emit(seed, "program with one turn at its owner", PROGRAMS, _programs)
     _emit(seed, "account with a key in force", ACCOUNTS, _state)
     _emit(seed, "configuration object (target)", ACCOUNTS, _targets)
     _emit(seed, "member in the view", MEMBERS, _view)
@@ -56,6 +75,53 @@
     return float(after - before)
 
 
+def _programs(size: int) -> simulation_lib.Simulation:
+    """Returns a sidecar that has made one call for each of its programs."""
+    simulation = simulation_lib.Simulation(1)
+    host = ports.Host(
+        "10.0.0.1:1", "dc", "sidecar", "engine", ports.HostState.LIVE
+    )
+    engine = engine_lib.MemoryEngine(
+        simulation.timers,
+        "engine",
+        ["model"],
+        engine_lib.EngineProfile(batch=64, tokens_per_event=64),
+    )
+    made = simulation.boot(
+        host,
+        lambda env: parts.EngineSidecar(
+            env, "engine", engine, parts.QueueLimits(64, size)
+        ),
+    )
+    made.current.advance(NOTE_STATE)
+    simulation.timers.advance(BOOT_SECONDS)
+    assert isinstance(made, parts.EngineSidecar)
+    for number in range(size):
+        simulation.timers.run(lambda n=number: _one_program(made, n))
+    # What the platform's stand-ins hold is not the process's.
+    simulation.table._rows.clear()
+    return simulation
+
+
+def _one_program(sidecar: parts.EngineSidecar, number: int) -> None:
+    program = ids_lib.ProgramId("pool", number % 64, f"{number:024x}")
+    budget = records.Budget(1000, 10, 1e6)
+    sidecar.programs.create(
+        messages.CreateProgram(str(program), "one", "model", "kind", budget)
+    )
+    call = messages.ModelCall(
+        program_id=str(program),
+        account="one",
+        call_id=str(number),
+        messages=(target_ports.ChatMessage("user", TURN_TEXT),),
+        whole=False,
+        max_tokens=64,
+        seconds=CALL_SECONDS,
+    )
+    for _ in sidecar.programs.model_call(call):
+        pass
+
+
 def _state(size: int) -> current_lib.Current:
     """Returns a configuration as a process has it after reading it."""
     accounts = {}
