--- a/src/endivepier/sidecar/reaper.py
+++ b/src/endivepier/sidecar/reaper.py
@@ -126,7 +126,7 @@
         """Returns whether a program is over or was not used for long."""
         lease = self._registry.lease(program_id)
         now = self._timers.wall()
-        program = self._registry.peek(program_id)
+        program = self._registry.current(program_id, lease)
         if program is not None:
             if program.running:
                 return False
--- a/src/endivepier/sidecar/registry.py
+++ b/src/endivepier/sidecar/registry.py
@@ -94,6 +94,10 @@
         """Returns a program if it is in memory."""
         return self._programs.get(program_id)
 
+    def current(self, program_id: str, lease: leases.Lease) -> Program | None:
+        """Returns a program if memory has it as of this ownership."""
+        return self._usable(program_id, lease)
+
     def programs(self, shard: str) -> list[tuple[str, Program]]:
         """Returns a shard's programs that are in memory."""
         prefix = shard + "."
--- a/tests/histories/test_programs_cases.py
+++ b/tests/histories/test_programs_cases.py
@@ -223,3 +223,14 @@
     view = history.recorder.final[str(history.callers[0].program)]
     assert isinstance(view, messages.ProgramView)
     assert view.program.status.value == "ended"
+
+
+def test_memory_of_an_earlier_ownership_does_not_hide_that_a_program_ended():
+    # Seed 5177: the program ended at another owner while this one was frozen,
+    # and the shard came back here by a handover.
+    script = callers.Script(turns=6, budget_tokens=30, duplicate=0.3)
+    drawn = (
+        faults.Fault("freeze", 2, 0, 0.4130173027145192, 4.757000974934299),
+        faults.Fault("lost_replies", 3, 0, 0.12073439861480884, 1.83),
+    )
+    assert histories.History(5177, script=script).run(drawn) == []
