--- a/src/endivepier/entry/callers.py
+++ b/src/endivepier/entry/callers.py
@@ -114,10 +114,12 @@
         caller = self._admitted(req)
         body = codec.decode(documents.ChatRequest, req.get_data())
         program = program or req.headers.get(PROGRAM_HEADER, "")
-        progress = guard_lib.Progress(errors.Ran.UNKNOWN)
+        progress = guard_lib.Progress()
         single = not program
         created = self._timers.wall()
         with self._guard.watching(req, caller, progress):
+            self._guard.recheck(caller, progress)
+            progress.ran = errors.Ran.UNKNOWN
             if single:
                 program = self._create_single(caller, body)
             call = self._model_call(req, caller, body, program)
@@ -148,8 +150,10 @@
             caller = self._admitted(req)
         query = req.query_string.decode("latin-1")
         full = "/" + path + ("?" + query if query else "")
-        progress = guard_lib.Progress(errors.Ran.UNKNOWN)
+        progress = guard_lib.Progress()
         with self._guard.watching(req, caller, progress):
+            self._guard.recheck(caller, progress)
+            progress.ran = errors.Ran.UNKNOWN
             answer = self._call_service(req, route, caller, program, full)
         return werkzeug.wrappers.Response(
             answer.body,
--- a/src/endivepier/entry/owners.py
+++ b/src/endivepier/entry/owners.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-import dataclasses
 import functools
 from typing import Any
 
@@ -12,9 +11,9 @@
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import peers as peers_lib
 from endivepier.membership import view as view_lib
+from endivepier.membership import watched
 from endivepier.ownership import placement
 from endivepier.ownership import relays
-from endivepier.ownership import watched
 
 RETRY_SECONDS = 0.1
 
--- a/src/endivepier/ownership/relays.py
+++ b/src/endivepier/ownership/relays.py
@@ -18,7 +18,7 @@
 from endivepier.internal import codec
 from endivepier.internal import peers as peers_lib
 from endivepier.membership import view as view_lib
-from endivepier.ownership import watched
+from endivepier.membership import watched
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
