--- a/src/endivepier/entry/owners.py
+++ b/src/endivepier/entry/owners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+import dataclasses
 import functools
 from typing import Any
 
