--- a/bench/limit_world.py
+++ b/bench/limit_world.py
@@ -25,6 +25,7 @@
 from endivepier.standins import table as table_lib
 
 LATENCY_SECONDS = 0.0015
+UNLIST_SECONDS = 1.0
 MAX_CLOCK_START_SECONDS = 1e6
 LIMIT_MESSAGES = frozenset(
     ("Borrow", "Renew", "Return", "Take", "Vouch", "Consent")
@@ -191,7 +192,11 @@
         """Ends an entry host at once."""
         self.entries.pop(address)
         self.hosts.pop(address).kill()
-        self.host_list.remove(address)
+        self.timers.after(UNLIST_SECONDS, lambda: self._unlist(address))
+
+    def _unlist(self, address: str) -> None:
+        if address not in self.hosts:
+            self.host_list.remove(address)
 
     def stop(self, address: str) -> None:
         """Stops an entry host gracefully."""
--- a/src/endivepier/internal/process.py
+++ b/src/endivepier/internal/process.py
@@ -111,8 +111,7 @@
 
     def _sees(self, holder: rows.Process) -> bool:
         """Returns whether a share-holder of the limits answers."""
-        member = self.view.find(holder.address)
-        return member is not None and member.incarnation == holder.incarnation
+        return self.view.find(holder.address) is not None
 
     def effective_state(self) -> members.MemberState:
         """Returns the state that others and the balancer shall see.
--- a/src/endivepier/limits/agreement.py
+++ b/src/endivepier/limits/agreement.py
@@ -34,11 +34,12 @@
 ASK_SECONDS = 0.5
 COMMIT_SECONDS = 2.0
 JOIN_SECONDS = 0.4
+REJOIN_SECONDS = 20.0
 SETTLE_SECONDS = 2.0
 SPREAD_SECONDS = 2.0
+WITNESS_SECONDS = 5.0
 ABANDON_AFTER_SECONDS = 10.0
 CONCURRENT_QUESTIONS = 16
-HOLDER_ROLE = "entry"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,6 +90,8 @@
         self._head: ports.Row | None = None
         self._last_read = -math.inf
         self._misfit_since = math.inf
+        self._judged = 0
+        self._was_holder = False
         self._handle: timers_lib.Handle | None = None
         self._stopped = False
 
@@ -148,6 +151,7 @@
             return False
         if epoch is not None:
             self._rights.follow(epoch, started)
+            self._was_holder |= self._rights.is_holder()
             self._last_read = started
         return True
 
@@ -183,12 +187,19 @@
     def _adapt(self) -> None:
         """Proposes other holders or witnesses if these stay unfit."""
         now = self._timers.now()
+        if self._rights.epoch.number != self._judged:
+            # Another's change deserves its time, or they would go on forever.
+            self._judged = self._rights.epoch.number
+            self._misfit_since = math.inf
         holders = self._wanted_holders()
         if holders is None and self._witnesses_fit():
             self._misfit_since = math.inf
             return
         self._misfit_since = min(self._misfit_since, now)
-        if now - self._misfit_since >= self._patience():
+        patience = self._patience()
+        if holders is None:
+            patience += WITNESS_SECONDS
+        if now - self._misfit_since >= patience:
             self._propose(holders or self._rights.epoch.holders)
 
     def _wanted_holders(self) -> tuple[rows.Process, ...] | None:
@@ -196,14 +207,16 @@
         holders = self._rights.epoch.holders
         if self._rights.me not in holders:
             return self._joined()
-        ready = {
-            rows.Process(member.address, member.incarnation)
-            for member in self._view.ready(HOLDER_ROLE)
-        }
-        ready.add(self._rights.me)
-        if ready == set(holders):
-            return None
-        return _in_order(ready)
+        kept = tuple(item for item in holders if self._is_there(item))
+        return None if kept == holders else kept
+
+    def _is_there(self, holder: rows.Process) -> bool:
+        """Returns whether a holder, or a later incarnation, answers.
+
+        A later incarnation takes the place of the earlier one by itself. Who
+        drains hands back by itself.
+        """
+        return self._view.find(holder.address) is not None
 
     def _joined(self) -> tuple[rows.Process, ...]:
         """Returns the holders with this process in addition.
@@ -224,7 +237,8 @@
         holders = self._rights.epoch.holders
         me = self._rights.me
         if me not in holders:
-            return 0.0
+            # Who was removed although it is there would be removed again.
+            return REJOIN_SECONDS if self._was_holder else 0.0
         rank = list(holders).index(me) / len(holders)
         return SETTLE_SECONDS + SPREAD_SECONDS * rank
 
@@ -250,6 +264,7 @@
             holders=holders,
             witnesses=self._choose_witnesses(),
             lapse_seconds=max(lapse, self._rights.settled_in()),
+            earlier=self._rights.predecessors(),
         )
         try:
             self._write(epoch)
--- a/src/endivepier/limits/bucket.py
+++ b/src/endivepier/limits/bucket.py
@@ -228,6 +228,10 @@
         """The own fraction that is not lent, as of the last touch."""
         return max(0.0, self._own - self.fraction_lent)
 
+    def is_overlent(self) -> bool:
+        """Returns whether peers have more than this process holds now."""
+        return self.fraction_lent > self._own + ROUNDING
+
     @property
     def fraction(self) -> float:
         """What refills here: the fraction that is kept or borrowed."""
--- a/src/endivepier/limits/lending.py
+++ b/src/endivepier/limits/lending.py
@@ -107,6 +107,10 @@
         seconds = min(req.seconds, LONG_SECONDS, self._rights.seconds_left())
         if bucket.waiters or short or not seconds > 0:
             return messages.Renewed(0.0)
+        if bucket.is_overlent():
+            # The share has become smaller since the loan was granted. What
+            # is too much must be over when the others' shares become larger.
+            return messages.Renewed(0.0)
         over = now + leases.certainly_over(seconds)
         loan.until = max(loan.until, over)
         self._over_at = max(self._over_at, over)
--- a/src/endivepier/limits/limiter.py
+++ b/src/endivepier/limits/limiter.py
@@ -29,6 +29,7 @@
 MAX_WAIT_SECONDS = 1.0
 # A little less, since the wait that is expected may come out longer.
 EXPECTED_WAIT_SECONDS = 0.95
+SHORTEST_PAUSE_SECONDS = 0.0005
 MAX_STALE_SECONDS = 0.1
 MAX_RETRY_AFTER_SECONDS = 60.0
 NO_SHARE_RETRY_SECONDS = 1.0
@@ -204,6 +205,9 @@
 
     def _serve(self, account: str, bucket: bucket_lib.Bucket) -> None:
         """Admits and refuses whom it can, then waits for the next token."""
+        # A new event each time, since waiting leaves a link on it.
+        wake = gevent.event.Event()
+        bucket.wake = wake
         self._touched(account)
         while bucket.waiters and bucket.take():
             waiter = bucket.waiters.popleft()
@@ -224,10 +228,7 @@
             pause = min(pause, max(missing / speed, 0.0) * 1.002 + 1e-6)
         if self._lends() and not bucket.sweeping:
             pause = min(pause, bucket.sweep_at - now)
-        wake = bucket.wake
-        if wake is not None:
-            self._timers.wait(wake, max(pause, 1e-6))
-            wake.clear()
+        self._timers.wait(wake, max(pause, SHORTEST_PAUSE_SECONDS))
 
     def _refuse_hopeless(self, bucket: bucket_lib.Bucket, now: float) -> None:
         """Refuses those for whom no token can come in time, the last first."""
@@ -300,6 +301,8 @@
         if self._borrower.wanted(account, bucket) is None:
             return
         bucket.sweeping = True
+        # However the sweep ends, the next one is not at the same moment.
+        bucket.sweep_at = now + lending.SWEEP_PAUSE_SECONDS
         gevent.spawn(self._sweep, account, bucket)
 
     def _sweep(self, account: str, bucket: bucket_lib.Bucket) -> None:
--- a/src/endivepier/limits/rights.py
+++ b/src/endivepier/limits/rights.py
@@ -8,8 +8,8 @@
 * Whoever learns of a new epoch uses at most the smaller of its old and new
   fraction until a lease time has passed. Then nobody follows the old epoch
   any more, so the larger fraction may start.
-* Whoever did not follow the epoch just before the new one uses nothing until
-  then, since the epochs that it missed may have been smaller.
+* An epoch's row names its recent predecessors. Whoever missed one of them and
+  does not find it there uses nothing until then, since it may have given less.
 """
 
 from __future__ import annotations
@@ -41,9 +41,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Bound:
-    """Until `until`, not more than what `epoch` gives; None gives nothing."""
+    """Until `until`, not more than `epoch` gives; None gives nothing."""
 
-    epoch: rows.Epoch | None
+    epoch: rows.Predecessor | None
     until: float
 
 
@@ -72,6 +72,7 @@
         self._per_account = per_account
         self._until = -math.inf
         self._bounds: list[_Bound] = []
+        self._recent: dict[int, _Bound] = {}
         self._given_up = False
         self._cache: dict[tuple[int, str], float] = {}
         self._listeners: list[Callable[[Change], object]] = []
@@ -110,6 +111,23 @@
         now = self._timers.now()
         return max([0.0, *(bound.until - now for bound in self._bounds)])
 
+    def predecessors(self) -> tuple[rows.Predecessor, ...]:
+        """Returns the epochs whose rights may be in use, this one included."""
+        now = self._timers.now()
+        self._recent = {
+            number: bound
+            for number, bound in self._recent.items()
+            if now < bound.until
+        }
+        known = {
+            number: bound.epoch
+            for number, bound in self._recent.items()
+            if bound.epoch is not None
+        }
+        number = self.epoch.number
+        known[number] = rows.Predecessor(number, self.epoch.holders)
+        return tuple(known[item] for item in sorted(known))
+
     def is_holder(self) -> bool:
         """Returns whether this process is a holder in this epoch."""
         return self.me in self.epoch.holders and not self._given_up
@@ -153,17 +171,33 @@
     def _advance(self, epoch: rows.Epoch) -> None:
         self._tell(Change.FRACTIONS)
         now = self._timers.now()
-        old = self.epoch
-        follows = epoch.number == old.number + 1 and now < self._until
         # The first epoch has no predecessor whose rights could be in use.
         if epoch.number > 1:
             until = now + leases.certainly_over(epoch.lapse_seconds)
-            self._bounds.append(_Bound(old if follows else None, until))
+            for earlier in self._limits_of(epoch, now):
+                self._bounds.append(_Bound(earlier, until))
+            for item in (
+                *epoch.earlier,
+                rows.Predecessor(self.epoch.number, self.epoch.holders),
+            ):
+                self._recent[item.number] = _Bound(item, until)
         self.epoch = epoch
         self.began = max([now, *(bound.until for bound in self._bounds)])
         self.starts_full = False
         self._cache.clear()
 
+    def _limits_of(
+        self, epoch: rows.Epoch, now: float
+    ) -> Sequence[rows.Predecessor | None]:
+        """Returns the epochs that limit this process for a lease time."""
+        old = self.epoch
+        known = {item.number: item for item in epoch.earlier}
+        known[old.number] = rows.Predecessor(old.number, old.holders)
+        missed = range(old.number, epoch.number)
+        if now >= self._until or any(item not in known for item in missed):
+            return [None]
+        return [known[item] for item in missed]
+
     def _restart(self, now: float) -> None:
         """Begins anew after a time without rights."""
         first = self._until == -math.inf and self.epoch.number == 1
@@ -171,7 +205,9 @@
         self.began = max([now, *(bound.until for bound in self._bounds)])
         self._tell(Change.LAPSED)
 
-    def _share(self, epoch: rows.Epoch, account: str) -> float:
+    def _share(
+        self, epoch: rows.Epoch | rows.Predecessor, account: str
+    ) -> float:
         if self.me not in epoch.holders:
             return 0.0
         count = self._per_account
--- a/src/endivepier/limits/rows.py
+++ b/src/endivepier/limits/rows.py
@@ -39,6 +39,19 @@
     write_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Predecessor:
+    """An earlier epoch whose rights may still be in use.
+
+    Attributes:
+        number: its number.
+        holders: its share-holders.
+    """
+
+    number: int
+    holders: tuple[Process, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Epoch:
     """The share-holders from one change to the next.
@@ -51,12 +64,14 @@
             followed while the table can't be read.
         lapse_seconds: how long after this epoch was written the rights of
             earlier ones may still be used.
+        earlier: those epochs, as far as their proposer knew them.
     """
 
     number: int = 0
     holders: tuple[Process, ...] = ()
     witnesses: tuple[Process, ...] = ()
     lapse_seconds: float = 0.0
+    earlier: tuple[Predecessor, ...] = ()
 
     @property
     def vouches_needed(self) -> int:
--- /dev/null
+++ b/tests/histories/test_limits.py
@@ -0,0 +1,305 @@
+import random
+
+import gevent
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from bench import limit_world
+from endivepier.configuration import state as state_lib
+from endivepier.limits import bucket as bucket_lib
+from endivepier.limits import leases
+from endivepier.limits import lending
+from endivepier.limits import messages
+from endivepier.standins import network as network_lib
+from tests.common import windows
+
+HOSTS = [f"10.0.0.{number}:7000" for number in range(1, 6)]
+LOADS = ("even", "skewed", "bursts")
+FOLLOW_SECONDS = 0.3
+
+accounts_of = st.lists(
+    st.tuples(
+        st.sampled_from([0.5, 2.0, 10.0, 40.0]),
+        st.sampled_from([1.0, 3.0, 10.0, 40.0]),
+        st.sampled_from(LOADS),
+        st.sampled_from([0.8, 3.0]),
+    ),
+    min_size=1,
+    max_size=8,
+)
+faults_of = st.lists(
+    st.tuples(
+        st.sampled_from(
+            (
+                *("kill", "restart", "stop", "start", "freeze", "thaw"),
+                *("cut", "cut off", "mend", "outage", "end outage"),
+                *("lose", "slow", "rate", "burst"),
+            )
+        ),
+        st.integers(0, len(HOSTS) - 1),
+        st.integers(0, len(HOSTS) - 1),
+        st.floats(0.05, 6.0),
+    ),
+    max_size=14,
+)
+
+
+class History:
+    """Runs loads and faults, and keeps what was admitted and allowed."""
+
+    def __init__(self, accounts, seed):
+        declared = {
+            f"account-{number}": state_lib.Account(
+                f"account-{number}", rate, burst
+            )
+            for number, (rate, burst, _, _) in enumerate(accounts)
+        }
+        self.world = limit_world.World(
+            declared, seed, drift=leases.MAX_CLOCK_DRIFT
+        )
+        self.loads = dict(zip(declared, accounts, strict=True))
+        self.rng = random.Random(seed)
+        self.allowed = {
+            name: [windows.Allowance(0.0, item.rate, item.burst)]
+            for name, item in declared.items()
+        }
+        self.running = True
+
+    def run(self, faults, seconds=4.0):
+        self.world.timers.run(self._run, faults, seconds)
+
+    def excess(self):
+        return {
+            name: windows.excess(
+                [
+                    item.time
+                    for item in self.world.decisions
+                    if item.account == name and item.admitted
+                ],
+                allowed,
+            )
+            for name, allowed in self.allowed.items()
+        }
+
+    def _run(self, faults, seconds):
+        timers = self.world.timers
+        for address in HOSTS[:4]:
+            self.world.start(address)
+        clients = [gevent.spawn(self._client, name) for name in self.loads]
+        timers.sleep(self.rng.uniform(0.0, 8.0))
+        for kind, one, other, pause in faults:
+            self._fault(kind, HOSTS[one], HOSTS[other])
+            timers.sleep(pause)
+        timers.sleep(seconds)
+        self.running = False
+        for host in self.world.hosts.values():
+            host.thaw()
+        gevent.joinall(clients, timeout=None)
+
+    def _client(self, name):
+        """Offers a load that is a multiple of the rate, in its shape."""
+        rate, burst, shape, multiple = self.loads[name]
+        while self.running:
+            count = int(burst) if shape == "bursts" else 1
+            self.world.timers.sleep(
+                self.rng.expovariate(rate * multiple / count)
+            )
+            for _ in range(count):
+                hosts = sorted(self.world.entries)
+                if not hosts:
+                    continue
+                host = hosts[0] if shape == "skewed" else self.rng.choice(hosts)
+                gevent.spawn(self.world.request, host, name)
+
+    def _fault(self, kind, one, other):
+        world, faults = self.world, self.world.table.faults
+        here = world.hosts.get(one)
+        match kind:
+            case "kill" if here is not None:
+                world.kill(one)
+            case "restart" if here is not None:
+                world.kill(one)
+                gevent.spawn(world.start, one)
+            case "stop" if here is not None and not here.frozen:
+                gevent.spawn(self._stop, one)
+            case "start" if here is None:
+                gevent.spawn(world.start, one)
+            case "freeze" if here is not None:
+                here.freeze()
+            case "thaw":
+                for host in world.hosts.values():
+                    host.thaw()
+            case "cut" if one != other:
+                world.network.cut(one, other)
+            case "cut off":
+                world.network.cut(one, network_lib.PLATFORM)
+            case "mend":
+                world.network.mend_all()
+                world.lost = 0.0
+                faults.lost_replies = faults.lost_requests = 0.0
+                faults.read_seconds, faults.write_seconds = 0.001, 0.004
+            case "outage":
+                faults.outage = True
+            case "end outage":
+                faults.outage = False
+            case "lose":
+                world.lost = faults.lost_replies = 0.3
+                faults.lost_requests = 0.2
+            case "slow":
+                faults.read_seconds, faults.write_seconds = 1.0, 2.0
+            case "rate":
+                self._change("account-0", rate=self.rng.choice([1.0, 20.0]))
+            case "burst":
+                self._change("account-0", burst=self.rng.choice([1.0, 20.0]))
+
+    def _stop(self, address):
+        entry = self.world.entries[address]
+        entry.drain()
+        if self.world.entries.get(address) is entry:
+            self.world.kill(address)
+
+    def _change(self, name, **fields):
+        """Changes a rate; the hosts follow one by one, within a time."""
+        spans = self.allowed[name]
+        now = self.world.timers.now()
+        if now < spans[-1].since:
+            return
+        old = spans[-1]
+        new = windows.Allowance(
+            now + FOLLOW_SECONDS,
+            fields.get("rate", old.rate),
+            fields.get("burst", old.burst),
+        )
+        both = windows.Allowance(
+            now, max(old.rate, new.rate), max(old.burst, new.burst)
+        )
+        spans.extend([both, new])
+        self.world.state = state_lib.State(
+            revision=self.world.state.revision + 1,
+            accounts={
+                **self.world.state.accounts,
+                name: state_lib.Account(name, new.rate, new.burst),
+            },
+        )
+        state = self.world.state
+        for entry in self.world.entries.values():
+            delay = self.rng.uniform(0.0, FOLLOW_SECONDS * 0.9)
+            self.world.timers.after(
+                delay, lambda entry=entry: entry.current.advance(state)
+            )
+
+
+@hypothesis.given(
+    accounts=accounts_of, faults=faults_of, seed=st.integers(0, 10**6)
+)
+@hypothesis.settings(max_examples=10)
+def test_no_window_admits_more_than_rate_and_burst(accounts, faults, seed):
+    history = History(accounts, seed)
+    history.run(faults)
+    assert not any(history.excess().values()), history.excess()
+
+
+BUSY = [
+    (2.0, 40.0, "bursts", 3.0),
+    (1.0, 40.0, "even", 8.0),
+    (10.0, 40.0, "skewed", 3.0),
+    (10.0, 40.0, "even", 1.2),
+]
+
+
+def _start_full(monkeypatch):
+    plain = bucket_lib.Bucket.touch
+
+    def touch(self, now, own):
+        started = self._own == 0.0 and own > 0.0
+        plain(self, now, own)
+        if started:
+            self.level = own * self.burst
+
+    made = bucket_lib.Bucket.__init__
+
+    def init(self, *args, full):
+        made(self, *args, full=True)
+
+    monkeypatch.setattr(bucket_lib.Bucket, "touch", touch)
+    monkeypatch.setattr(bucket_lib.Bucket, "__init__", init)
+
+
+def _keep_what_is_lent(monkeypatch):
+    plain = lending.Lender._grant
+
+    def grant(self, bucket, fraction, tokens, seconds):
+        level = bucket.level
+        lent = plain(self, bucket, fraction, tokens, seconds)
+        bucket.lent.clear()
+        bucket.level = level
+        return lent
+
+    monkeypatch.setattr(lending.Lender, "_grant", grant)
+
+
+def _keep_shares_past_their_lapse(monkeypatch):
+    monkeypatch.setattr(leases, "usable", lambda seconds: seconds * 1000)
+
+
+def _start_before_others_lapse(monkeypatch):
+    monkeypatch.setattr(leases, "certainly_over", lambda seconds: 0.0)
+
+
+def _keep_a_loan_that_was_returned(monkeypatch):
+    plain = lending.Borrower._give_back
+
+    def give_back(self, account, bucket, loan):
+        plain(self, account, bucket, loan)
+        if loan not in bucket.borrowed:
+            loan.until += 10.0
+            bucket.borrowed.append(loan)
+
+    monkeypatch.setattr(lending.Borrower, "_give_back", give_back)
+
+
+def _add_a_lost_loan_again(monkeypatch):
+    plain = lending.Borrower._call
+
+    def call(self, lender, req, reply):
+        answer = plain(self, lender, req, reply)
+        if answer is None and reply is messages.Lent:
+            return messages.Lent(1, 0.25, 10.0, 3.0)
+        return answer
+
+    monkeypatch.setattr(lending.Borrower, "_call", call)
+
+
+RESTARTS = [("restart", n % 4, 0, 5.0) for n in range(6)]
+FREEZES = [
+    *(("freeze", 0, 0, 0.0), ("kill", 1, 0, 9.0), ("thaw", 0, 0, 0.5)),
+    *(("freeze", 2, 0, 9.0), ("thaw", 0, 0, 3.0)),
+]
+CUTS = [
+    *(("cut off", 0, 0, 0.0), ("cut", 0, 1, 0.0), ("cut", 0, 2, 0.0)),
+    *(("cut", 0, 3, 12.0), ("mend", 0, 0, 3.0)),
+]
+QUIET = [("mend", 0, 0, 15.0)]
+LOSSES = [("lose", 0, 0, 6.0), ("mend", 0, 0, 6.0)]
+
+
+@pytest.mark.parametrize(
+    ("plant", "faults"),
+    [
+        (_start_full, RESTARTS),
+        (_keep_what_is_lent, QUIET),
+        (_keep_shares_past_their_lapse, CUTS),
+        (_start_before_others_lapse, RESTARTS),
+        (_keep_a_loan_that_was_returned, LOSSES),
+        (_add_a_lost_loan_again, LOSSES),
+    ],
+)
+def test_the_checker_catches_a_planted_fault(monkeypatch, plant, faults):
+    sound = History(BUSY, 1)
+    sound.run(faults)
+    assert not any(sound.excess().values())
+    plant(monkeypatch)
+    broken = History(BUSY, 1)
+    broken.run(faults)
+    assert any(broken.excess().values())
