--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -4,11 +4,13 @@
 
 from collections.abc import Iterator
 from collections.abc import Sequence
+import contextlib
 import dataclasses
 import enum
 import random
 
 import gevent
+import gevent.event
 
 from bench import workloads
 from endivepier import errors
@@ -32,7 +34,8 @@
 MODEL = "model"
 POOL = "engines"
 ENTRY = "entry:1"
-VIEW_SECONDS = 1.0
+VIEW_SECONDS = 6.0
+SUSPECT_SECONDS = 1.0
 PROBE_SECONDS = 5.0
 CALL_SECONDS = 60.0
 TRIES = 20
@@ -119,6 +122,8 @@
         self._cluster = cluster
         self._address = address
         self._suspects: set[str] = set()
+        self._watched: list[tuple[str, gevent.event.Event]] = []
+        self._asked: dict[str, members.Member] = {}
 
     def me(self) -> members.Member:
         return self._cluster.describe(self._address)
@@ -126,11 +131,19 @@
     def ready(self, role: str, pool: str = "") -> list[members.Member]:
         del role, pool
         return [
-            member
+            self._asked.get(member.address, member)
             for member in self._cluster.snapshot
             if member.address not in self._suspects
         ]
 
+    def probe(self, address: str) -> members.Member | None:
+        self._cluster.timers.sleep(2 * LATENCY_SECONDS)
+        if not self._cluster.is_alive(address):
+            self._suspects.add(address)
+            return None
+        self._asked[address] = self._cluster.describe(address)
+        return self._asked[address]
+
     def find(self, address: str) -> members.Member | None:
         found = [m for m in self.ready("") if m.address == address]
         return found[0] if found else None
@@ -138,10 +151,34 @@
     def suspect(self, address: str) -> None:
         self._suspects.add(address)
 
+    @contextlib.contextmanager
+    def watch(self, address: str) -> Iterator[gevent.event.Event]:
+        """Tells when a member seems dead; see `membership.view.View.watch`."""
+        lost = gevent.event.Event()
+        self._watched.append((address, lost))
+        try:
+            yield lost
+        finally:
+            self._watched.remove((address, lost))
+
+    def last_said(self, address: str) -> members.Member | None:
+        return self.find(address)
+
     def beat(self) -> None:
-        """Forgets suspects that answer heartbeats."""
-        alive = {member.address for member in self._cluster.snapshot}
-        self._suspects -= alive
+        """Takes the new heartbeats over."""
+        self._asked.clear()
+
+    def ask_suspects(self) -> None:
+        """Forgets suspects that answer, finds watched members that don't."""
+        for address, lost in list(self._watched):
+            if not self._cluster.is_alive(address):
+                self._suspects.add(address)
+                lost.set()
+        self._suspects = {
+            address
+            for address in self._suspects
+            if not self._cluster.is_alive(address)
+        }
 
 
 class _Sidecar:
@@ -183,6 +220,9 @@
             self.queue,
             timers,
             is_ejected=self.router.is_ejected,
+            looks_slow=self.router.looks_slow,
+            measured=lambda: self.dispatcher.pace.measured,
+            expel=self.dispatcher.expel,
             probe=self.dispatcher.probe,
             probe_seconds=PROBE_SECONDS,
         )
@@ -238,6 +278,11 @@
         }
         self._beat()
 
+    def is_alive(self, address: str) -> bool:
+        """Returns whether the sidecar runs."""
+        host = self._sidecars[address].host
+        return host.alive and not host.frozen
+
     def describe(self, address: str) -> members.Member:
         """Returns the state of a sidecar now."""
         return self._sidecars[address].describe()
@@ -252,11 +297,13 @@
     ) -> Outcome:
         """Runs all plans and returns what came out."""
         beats = self.timers.every(VIEW_SECONDS, self._beat)
+        rounds = self.timers.every(SUSPECT_SECONDS, self._ask_suspects)
         for sidecar in self._sidecars.values():
             sidecar.guard.start()
         self.timers.after(seconds / 3, lambda: self._break(fault))
         self.timers.run(self._drive, plans, None if drain else seconds)
         beats.cancel()
+        rounds.cancel()
         for sidecar in self._sidecars.values():
             sidecar.guard.stop()
         return self.outcome
@@ -284,6 +331,11 @@
             sidecar.view.beat()
         self.entry_view.beat()
 
+    def _ask_suspects(self) -> None:
+        for sidecar in self._sidecars.values():
+            sidecar.view.ask_suspects()
+        self.entry_view.ask_suspects()
+
     def _break(self, fault: Fault) -> None:
         victim = self._sidecars["sidecar:2"]
         match fault:
@@ -331,8 +383,11 @@
             self.entry_view.suspect(exc.address)
 
     def _owner(self, program_id: str) -> members.Member:
-        ready = self.entry_view.ready("sidecar")
-        return placement.ranked(program_id, ready)[0]
+        while True:
+            ready = self.entry_view.ready("sidecar")
+            if ready:
+                return placement.ranked(program_id, ready)[0]
+            self.timers.sleep(LEAST_RETRY_SECONDS)
 
     def _call(
         self,
--- a/src/endivepier/entry/callers.py
+++ b/src/endivepier/entry/callers.py
@@ -162,22 +162,35 @@
         self, req: web.Request, pool: str, key: str
     ) -> werkzeug.wrappers.Response:
         """Shows what is known of a non-idempotent request."""
-        caller = self._admitted(req)
+        # What a refusal here says must not be taken for the outcome.
+        progress = guard_lib.Progress(errors.Ran.UNKNOWN)
+        caller = self._admitted(req, progress)
         del pool  # A key names the same request at all pools.
-        progress = guard_lib.Progress()
         with self._guard.watching(req, caller, progress):
             outcome = self._attempts.look_up(caller.account, key)
         return web.json_response(outcome)
 
-    def _admitted(self, req: web.Request) -> keys_lib.Caller:
+    def _admitted(
+        self, req: web.Request, progress: guard_lib.Progress | None = None
+    ) -> keys_lib.Caller:
         """Takes a token for the request, before its body is looked at.
 
         Requests of every kind cost one token, so that none of them can be
         used to get around the account's rate.
+
+        Args:
+            req: the request.
+            progress: what a refusal says of the request's effect; by default
+                that it has none.
         """
         caller = self._caller(req)
-        with self._guard.watching(req, caller, guard_lib.Progress()):
-            self._limiter.admit(caller.account)
+        progress = progress or guard_lib.Progress()
+        with self._guard.watching(req, caller, progress):
+            try:
+                self._limiter.admit(caller.account)
+            except errors.Refused as exc:
+                exc.ran = progress.ran
+                raise
         return caller
 
     def _caller(self, req: web.Request) -> keys_lib.Caller:
