--- a/bench/config.py
+++ b/bench/config.py
@@ -51,8 +51,9 @@
 LAST_BYTE_BOUND_SECONDS = 3.0
 IN_FORCE_BOUND_SECONDS = 5.0
 
-ROUNDS = 7
-FULL_ROUNDS = 30
+SAMPLES = 100
+FULL_SAMPLES = 400
+MAX_ROUNDS = 100
 STREAMS = 16
 WAITING = 8
 STREAM_TOKENS = 20000
@@ -178,8 +179,13 @@
     return sent
 
 
-def measure_withdrawals(seed: int, rounds: int) -> None:
-    """Times the last byte of streams, and of calls that wait in queues."""
+def measure_withdrawals(seed: int, samples: int) -> None:
+    """Times the last byte of streams, and of calls that wait in queues.
+
+    Args:
+        seed: the seed of the run.
+        samples: how many streams to end, at least.
+    """
     rng = random.Random(seed)
     fleet = fleet_lib.Fleet()
     fleet.start_platform()
@@ -193,7 +199,9 @@
     fleet_lib.wait_until_ready(fleet, fleet.timers, READY_SECONDS)
     for announced in (True, False):
         ends = _Ends()
-        for _ in range(rounds):
+        for _ in range(MAX_ROUNDS):
+            if len(ends.streaming) >= samples:
+                break
             with _announcements(announced):
                 _withdraw_round(fleet, rng, ends)
         how = "" if announced else ", announcements lost"
@@ -435,7 +443,7 @@
 def main() -> None:
     """Runs all measurements."""
     args = figures.parser(__doc__).parse_args()
-    measure_withdrawals(args.seed, FULL_ROUNDS if args.full else ROUNDS)
+    measure_withdrawals(args.seed, FULL_SAMPLES if args.full else SAMPLES)
     notes = FULL_NOTES if args.full else NOTES
     largest = [measure_size(args.seed, size, notes) for size in SIZES]
     slope = statistics.linear_regression(SIZES, largest).slope
