--- a/src/endivepier/effects/runner.py
+++ b/src/endivepier/effects/runner.py
@@ -80,13 +80,13 @@
         Args:
             inbox: the handlers of this process.
             check_ready: raises unless this process takes new work.
-            run: carries a request out in its turn; `self.run` if None.
+            run: what runs a request in the place of `run`, to queue it.
         """
-        in_turn = run or self.run
+        queued = run or self.run
 
         def handle(req: messages.CallService) -> messages.ServiceAnswer:
             check_ready()
-            return in_turn(req)
+            return queued(req)
 
         inbox.register(messages.CallService, messages.ServiceAnswer, handle)
         inbox.register(messages.AskTarget, messages.Outcome, self.ask_target)
