--- a/src/endivepier/effects/runner.py
+++ b/src/endivepier/effects/runner.py
@@ -80,13 +80,13 @@
         Args:
             inbox: the handlers of this process.
             check_ready: raises unless this process takes new work.
-            run: what runs a request in the place of `run`, to queue it.
+            run: carries a request out in its turn; `self.run` if None.
         """
-        queued = run or self.run
+        in_turn = run or self.run
 
         def handle(req: messages.CallService) -> messages.ServiceAnswer:
             check_ready()
-            return queued(req)
+            return in_turn(req)
 
         inbox.register(messages.CallService, messages.ServiceAnswer, handle)
         inbox.register(messages.AskTarget, messages.Outcome, self.ask_target)
@@ -120,6 +120,8 @@
             raise refusals.bad_key()
         if self._timers.wall() - req.sent > MESSAGE_SECONDS:
             raise refusals.too_old()
+        if not self._recorder.has_room():
+            raise refusals.store_down()
         # The work goes on when the one who asked hangs up, so that its
         # outcome is recorded; the context carries its trace along.
         result: gevent.event.AsyncResult = gevent.event.AsyncResult()
--- a/src/endivepier/scheduling/router.py
+++ b/src/endivepier/scheduling/router.py
@@ -312,7 +312,9 @@
             target_ports.EngineEvent,
             seconds=req.work.seconds,
         )
-        events = watched.while_alive(self._view, member.address, ask)
+        events = watched.while_alive(
+            self._view, self._timers, member.address, ask
+        )
         try:
             yield from events
         except errors.PeerUnreachable as exc:
