--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -213,6 +213,7 @@
             self.dispatcher,
             self.host.peers,
             self.view,  # type: ignore[arg-type]
+            timers,
             policy=setup.route,
             rng=random.Random(f"router-{number}-{seed}"),
         )
--- a/src/endivepier/scheduling/router.py
+++ b/src/endivepier/scheduling/router.py
@@ -18,6 +18,7 @@
 import random
 
 from endivepier import errors
+from endivepier import timers as timers_lib
 from endivepier.internal import peers as peers_lib
 from endivepier.membership import members
 from endivepier.membership import view as view_lib
@@ -75,6 +76,7 @@
         dispatcher: dispatch.Dispatcher,
         peers: peers_lib.Peers,
         view: view_lib.View,
+        timers: timers_lib.Timers,
         *,
         policy: policies.RoutePolicy | None = None,
         rng: random.Random | None = None,
@@ -85,12 +87,14 @@
             dispatcher: the way to the engine beside this sidecar.
             peers: the way to other sidecars.
             view: which of them are there.
+            timers: the timer service.
             policy: how to choose; the owner's engine first if None.
             rng: the source of random numbers.
         """
         self._dispatcher = dispatcher
         self._peers = peers
         self._view = view
+        self._timers = timers
         self._policy = policy or policies.OwnerFirst()
         self._rng = rng or random.Random(0)
         self._loads = load_lib.Loads()
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -67,7 +67,7 @@
             engine, self.queue, env.timers, self.metrics, env.peers
         )
         self.router = router_lib.Router(
-            self.dispatcher, env.peers, self.view, rng=env.rng
+            self.dispatcher, env.peers, self.view, env.timers, rng=env.rng
         )
         self.guard = ejection.Guard(
             self.queue,
