Count the users' measures; split the callers' interface

A call id over 200 characters was cut, so that two calls whose ids differ only after that got one answer. Timers.wait left a link on its event each time.

Change: sidecar/measures.py counts program_seconds, recomputed_tokens and completed_service; entry/admission.py, entry/services.py and sidecar/matching.py hold what was cut out; a long call id is refused; a wait leaves nothing behind.

Conclusion: the four measures can be read from /metrics.

--- a/src/endivepier/entry/callers.py
+++ b/src/endivepier/entry/callers.py
@@ -1,4 +1,4 @@
-"""The callers' interface: programs, model calls, calls to services."""
+"""The callers' interface: programs and their model calls."""
 
 from __future__ import annotations
 
@@ -11,10 +11,7 @@
 from endivepier import errors
 from endivepier.configuration import keys as keys_lib
 from endivepier.configuration import state as state_lib
-from endivepier.effects import attempts as attempts_lib
-from endivepier.effects import claims as claims_lib
-from endivepier.effects import client as client_lib
-from endivepier.effects import messages as effect_messages
+from endivepier.entry import admission as admission_lib
 from endivepier.entry import chat
 from endivepier.entry import documents
 from endivepier.entry import guard as guard_lib
@@ -25,15 +22,12 @@
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import process
 from endivepier.internal import web
-from endivepier.limits import limiter as limiter_lib
 from endivepier.targets import ports as target_ports
 
 CALL_ID_HEADER = "X-Endivepier-Call-Id"
-PROGRAM_HEADER = "X-Endivepier-Program"
 RECEIPT_HEADER = "X-Endivepier-Receipt"
 HISTORY_HEADER = "X-Endivepier-History"
 TURN_HEADER = "X-Endivepier-Turn"
-IDEMPOTENCY_HEADER = "Idempotency-Key"
 APPEND = "append"
 DEFAULT_MAX_TOKENS = 64
 SINGLE_CALL_SECONDS = 3600.0
@@ -46,27 +40,15 @@
     def __init__(
         self,
         base: process.Base,
-        authenticator: keys_lib.Authenticator,
-        limiter: limiter_lib.Limiter,
+        admission: admission_lib.Admission,
         owners: owners_lib.Owners,
         guard: guard_lib.Guard,
         call_seconds: float,
     ) -> None:
         self._base = base
-        self._auth = authenticator
-        self._limiter = limiter
+        self._admission = admission
         self._owners = owners
         self._guard = guard
-        env = base.env
-        self._services = client_lib.Client(base.view, env.peers, env.timers)
-        self._attempts = attempts_lib.Attempts(
-            claims_lib.Claims(
-                env.platform.table, env.platform.objects, env.timers, base.ids
-            ),
-            self._services,
-            base.current,
-            env.timers,
-        )
         self._seconds = call_seconds
         self._timers = base.env.timers
 
@@ -78,14 +60,10 @@
         app.route("DELETE", one, self.end)
         app.route("POST", "/v1/chat/completions", self.chat)
         app.route("POST", one + "/chat/completions", self.chat)
-        app.route("GET", "/v1/effects/<pool>/<path:key>", self.look_up)
-        for method in ("GET", "POST", "PUT", "PATCH", "DELETE"):
-            app.route(method, "/v1/services/<path:path>", self.service)
-            app.route(method, one + "/services/<path:path>", self.service)
 
     def create(self, req: web.Request) -> werkzeug.wrappers.Response:
         """Creates a program."""
-        caller = self._admitted(req)
+        caller = self._admission.admit(req)
         body = codec.decode(documents.NewProgram, req.get_data())
         message = self._new_program(caller, body)
         view = self._ask_owner(req, caller, message, errors.Ran.UNKNOWN)
@@ -95,14 +73,14 @@
         self, req: web.Request, program: str
     ) -> werkzeug.wrappers.Response:
         """Shows a program, its history and its budget."""
-        caller = self._admitted(req)
+        caller = self._admission.admit(req)
         message = messages.ShowProgram(program, caller.account)
         view = self._ask_owner(req, caller, message, errors.Ran.NO)
         return web.json_response(_program_document(view))
 
     def end(self, req: web.Request, program: str) -> werkzeug.wrappers.Response:
         """Ends a program."""
-        caller = self._admitted(req)
+        caller = self._admission.admit(req)
         message = messages.EndProgram(program, caller.account)
         view = self._ask_owner(req, caller, message, errors.Ran.UNKNOWN)
         return web.json_response(_program_document(view))
@@ -111,9 +89,9 @@
         self, req: web.Request, program: str = ""
     ) -> werkzeug.wrappers.Response:
         """Makes the next model call of a program, or a single one."""
-        caller = self._admitted(req)
+        caller = self._admission.admit(req)
         body = codec.decode(documents.ChatRequest, req.get_data())
-        program = program or req.headers.get(PROGRAM_HEADER, "")
+        program = program or req.headers.get(admission_lib.PROGRAM_HEADER, "")
         progress = guard_lib.Progress()
         single = not program
         created = self._timers.wall()
@@ -133,81 +111,6 @@
             chat.STREAM_TYPE,
         )
 
-    def service(
-        self, req: web.Request, path: str, program: str = ""
-    ) -> werkzeug.wrappers.Response:
-        """Calls a plain service."""
-        route = self._base.current.state.route_for("/" + path)
-        if route is None:
-            raise errors.Refused(
-                errors.Code.NOT_FOUND, 404, f"no route serves {'/' + path!r}"
-            )
-        program = program or req.headers.get(PROGRAM_HEADER, "")
-        if route.open and not program:
-            self._auth.check_serving()
-            caller = keys_lib.Caller("", "", state_lib.Role.CALLER)
-        else:
-            caller = self._admitted(req)
-        query = req.query_string.decode("latin-1")
-        full = "/" + path + ("?" + query if query else "")
-        progress = guard_lib.Progress()
-        with self._guard.watching(req, caller, progress):
-            self._guard.recheck(caller, progress)
-            progress.ran = errors.Ran.UNKNOWN
-            answer = self._call_service(req, route, caller, program, full)
-        return werkzeug.wrappers.Response(
-            answer.body,
-            status=answer.status,
-            headers={"X-Endivepier-Replayed": str(answer.replayed).lower()},
-            content_type=answer.content_type,
-        )
-
-    def look_up(
-        self, req: web.Request, pool: str, key: str
-    ) -> werkzeug.wrappers.Response:
-        """Shows what is known of a non-idempotent request."""
-        # What a refusal here says must not be taken for the outcome.
-        progress = guard_lib.Progress(errors.Ran.UNKNOWN)
-        caller = self._admitted(req, progress)
-        del pool  # A key names the same request at all pools.
-        with self._guard.watching(req, caller, progress):
-            outcome = self._attempts.look_up(caller.account, key)
-        return web.json_response(outcome)
-
-    def _admitted(
-        self, req: web.Request, progress: guard_lib.Progress | None = None
-    ) -> keys_lib.Caller:
-        """Takes a token for the request, before its body is looked at.
-
-        Requests of every kind cost one token, so that none of them can be
-        used to get around the account's rate.
-
-        Args:
-            req: the request.
-            progress: what a refusal says of the request's effect; by default
-                that it has none.
-        """
-        caller = self._caller(req)
-        progress = progress or guard_lib.Progress()
-        with self._guard.watching(req, caller, progress):
-            try:
-                self._limiter.admit(caller.account)
-            except errors.Refused as exc:
-                exc.ran = progress.ran
-                raise
-        return caller
-
-    def _caller(self, req: web.Request) -> keys_lib.Caller:
-        caller = self._auth.caller(req.headers.get("Authorization"))
-        if caller.role is not state_lib.Role.CALLER:
-            raise errors.Refused(
-                errors.Code.FORBIDDEN,
-                403,
-                "this is an operator's key; use a client account's key",
-            )
-        self._guard.note(req, caller)
-        return caller
-
     def _ask_owner(
         self,
         req: web.Request,
@@ -282,10 +185,15 @@
         program: str,
     ) -> messages.ModelCall:
         call_id = req.headers.get(CALL_ID_HEADER, "") or self._base.ids.unique()
+        if len(call_id) > documents.MAX_ID:
+            raise _bad(
+                f"{CALL_ID_HEADER} has {len(call_id)} characters; send at most "
+                f"{documents.MAX_ID}"
+            )
         return messages.ModelCall(
             program_id=program,
             account=caller.account,
-            call_id=call_id[: documents.MAX_ID],
+            call_id=call_id,
             messages=tuple(
                 target_ports.ChatMessage(message.role, message.content)
                 for message in body.messages
@@ -337,47 +245,6 @@
                     answer = event
         return answer
 
-    def _call_service(
-        self,
-        req: web.Request,
-        route: state_lib.Route,
-        caller: keys_lib.Caller,
-        program: str,
-        path: str,
-    ) -> effect_messages.ServiceAnswer:
-        idempotency_key = req.headers.get(IDEMPOTENCY_HEADER, "")
-        idempotent = route.idempotent or req.method == "GET"
-        call = effect_messages.CallService(
-            account=caller.account,
-            program_id=program,
-            kind="standard",
-            method=req.method,
-            path=path,
-            body=req.get_data(),
-            content_type=req.content_type or "application/octet-stream",
-            idempotent=idempotent,
-            idempotency_key="" if idempotent else idempotency_key,
-            seconds=self._seconds,
-        )
-        return self._attempts.run(
-            call, lambda attempt: self._send(route.pool, program, attempt)
-        )
-
-    def _send(
-        self, pool: str, program: str, call: effect_messages.CallService
-    ) -> effect_messages.ServiceAnswer:
-        if not program:
-            return self._services.send(pool, call)
-        step = messages.ProgramServiceCall(program, call.account, pool, call)
-        answer: effect_messages.ServiceAnswer = self._owners.call(
-            ids_lib.parse_program(program),
-            step,
-            effect_messages.ServiceAnswer,
-            seconds=call.seconds,
-            repeatable=call.idempotent,
-        )
-        return answer
-
 
 def _whole_response(
     answer: messages.Answer, model: str, created: float
--- a/src/endivepier/entry/parts.py
+++ b/src/endivepier/entry/parts.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 from endivepier.configuration import keys as keys_lib
+from endivepier.effects import attempts as attempts_lib
+from endivepier.effects import claims as claims_lib
+from endivepier.effects import client as client_lib
+from endivepier.entry import admission as admission_lib
 from endivepier.entry import callers as callers_lib
 from endivepier.entry import effects as effects_lib
 from endivepier.entry import guard as guard_lib
 from endivepier.entry import operators as operators_lib
 from endivepier.entry import owners as owners_lib
+from endivepier.entry import services as services_lib
 from endivepier.internal import process
 from endivepier.internal import web
 from endivepier.limits import agreement as agreement_lib
@@ -37,14 +42,13 @@
         self.guard = guard_lib.Guard(
             self.authenticator, self.current, env.timers, self.metrics
         )
+        self.admission = admission_lib.Admission(
+            self.authenticator, self.limiter, self.guard
+        )
         self.callers = callers_lib.Callers(
-            self,
-            self.authenticator,
-            self.limiter,
-            self.owners,
-            self.guard,
-            call_seconds,
+            self, self.admission, self.owners, self.guard, call_seconds
         )
+        self.services = self._make_services(call_seconds)
         self.operators = operators_lib.Operators(
             self, self.authenticator, bootstrap_digest
         )
@@ -52,6 +56,22 @@
             self, self.operators.require_operator
         )
 
+    def _make_services(self, call_seconds: float) -> services_lib.Services:
+        env = self.env
+        client = client_lib.Client(self.view, env.peers, env.timers)
+        claims = claims_lib.Claims(
+            env.platform.table, env.platform.objects, env.timers, self.ids
+        )
+        return services_lib.Services(
+            self,
+            self.admission,
+            self.owners,
+            self.guard,
+            client,
+            attempts_lib.Attempts(claims, client, self.current, env.timers),
+            call_seconds,
+        )
+
     def _add_limits(self, policy: policies.Policy) -> None:
         env = self.env
         self.rights = rights_lib.Rights(
@@ -89,5 +109,6 @@
     def add_to(self, app: web.App) -> None:
         """Adds the routes for callers and operators."""
         self.callers.add_to(app)
+        self.services.add_to(app)
         self.operators.add_to(app)
         self.effects.add_to(app)
--- /dev/null
+++ b/src/endivepier/sidecar/measures.py
@@ -0,0 +1,53 @@
+"""Counts what the users measure: latency, wasted cache, completed service."""
+
+from __future__ import annotations
+
+from endivepier import timers as timers_lib
+from endivepier.configuration import current as current_lib
+from endivepier.history import journal as journal_lib
+from endivepier.history import records
+from endivepier.targets import ports as target_ports
+from endivepier.telemetry import metrics as metrics_lib
+
+
+class Measures:
+    """Counts for the programs that this sidecar owns.
+
+    Labels by account are bounded: a sidecar owns programs of few accounts.
+    """
+
+    def __init__(
+        self,
+        metrics: metrics_lib.Metrics,
+        current: current_lib.Current,
+        timers: timers_lib.Timers,
+    ) -> None:
+        self._metrics = metrics
+        self._current = current
+        self._timers = timers
+
+    def program_ended(self, row: records.ProgramRow) -> None:
+        """Counts a whole program's latency."""
+        seconds = max(0.0, self._timers.wall() - row.created)
+        self._metrics.observe("program_seconds", seconds, kind=row.kind)
+
+    def call_done(
+        self, stored: journal_lib.Stored, event: target_ports.Finished
+    ) -> None:
+        """Counts a model call before its turn is added to the history.
+
+        What an engine had read or written for the turn before and did not
+        find in its cache again is wasted.
+        """
+        known = 0
+        if stored.turns:
+            last = stored.turns[-1]
+            known = last.prompt_tokens + last.completion_tokens
+        wasted = max(0, min(known, event.prompt_tokens) - event.cached_tokens)
+        self._metrics.count("recomputed_tokens", wasted)
+        self.service_done(stored.row)
+
+    def service_done(self, row: records.ProgramRow) -> None:
+        """Counts a completed request for its account, weighted by kind."""
+        worth = self._current.state.weight_of_kind(row.kind)
+        self._metrics.count("completed_service", worth, account=row.account)
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -27,6 +27,7 @@
 from endivepier.scheduling import services as services_lib
 from endivepier.sidecar import families as families_lib
 from endivepier.sidecar import handover as handover_lib
+from endivepier.sidecar import measures as measures_lib
 from endivepier.sidecar import programs as programs_lib
 from endivepier.sidecar import reaper as reaper_lib
 from endivepier.sidecar import registry as registry_lib
@@ -136,6 +137,9 @@
             services=client_lib.Client(self.view, env.peers, env.timers),
             timers=env.timers,
             ids=self.ids,
+            measures=measures_lib.Measures(
+                self.metrics, self.current, env.timers
+            ),
         )
         self.handover = handover_lib.Handover(
             self.shards,
--- a/src/endivepier/sidecar/programs.py
+++ b/src/endivepier/sidecar/programs.py
@@ -22,6 +22,8 @@
 from endivepier.scheduling import router as router_lib
 from endivepier.scheduling import work as work_lib
 from endivepier.sidecar import families as families_lib
+from endivepier.sidecar import matching
+from endivepier.sidecar import measures as measures_lib
 from endivepier.sidecar import registry as registry_lib
 from endivepier.targets import ports as target_ports
 from endivepier.targets import tokens
@@ -45,6 +47,7 @@
         services: client_lib.Client,
         timers: timers_lib.Timers,
         ids: ids_lib.Ids,
+        measures: measures_lib.Measures,
     ) -> None:
         self._registry = registry
         self._shards = shards
@@ -56,6 +59,8 @@
         self._services = services
         self._timers = timers
         self._ids = ids
+        self._measures = measures
+        self._matcher = matching.Matcher(registry, journal, receipts)
 
     def register(self, inbox: peers_lib.Inbox) -> None:
         """Takes the messages about programs."""
@@ -112,6 +117,7 @@
                         ended=self._timers.wall(),
                     )
                     self._journal.append(stored, row)
+                    self._measures.program_ended(row)
                 self._journal.settle(stored)
             self._families.child_ended(stored.row)
         return self._view_of(stored)
@@ -123,7 +129,7 @@
         with self._registry.exclusive(req.program_id, req.account) as program:
             self._confirm(program)
             stored = program.stored
-            earlier = _earlier(stored, req)
+            earlier = matching.earlier(stored, req)
             if earlier is not None:
                 with registry_lib.writing(self._registry, program):
                     self._journal.settle(stored)
@@ -131,7 +137,7 @@
                 return
             # An earlier call may have left a turn that is not safe yet.
             self._settle_before_dispatch(stored)
-            added = self._added(stored, req)
+            added = self._matcher.added(stored, req)
             seconds = self._reserve(stored, req)
             with registry_lib.writing(self._registry, program):
                 yield from self._run(stored, req, added, seconds)
@@ -152,7 +158,9 @@
             call = dataclasses.replace(
                 req.request, kind=stored.row.kind, seconds=seconds
             )
-            return self._services.send(req.pool, call)
+            answer = self._services.send(req.pool, call)
+            self._measures.service_done(stored.row)
+            return answer
 
     def _run(
         self,
@@ -175,6 +183,7 @@
                         used = None
                         answer = "".join(text)
                         turn = self._turn(stored, req, added, answer, event)
+                        self._measures.call_done(stored, event)
                         self._finish(stored, req, turn)
                         yield self._answer(stored, turn, event.cached_tokens)
         except errors.Refused as exc:
@@ -347,64 +356,9 @@
         yield messages.Chunk(turn.answer)
         yield self._answer(stored, turn, 0)
 
-    def _added(
-        self, stored: journal_lib.Stored, req: messages.ModelCall
-    ) -> tuple[target_ports.ChatMessage, ...]:
-        """Returns what the call adds, once its history is found to be ours."""
-        if req.receipt:
-            self._check_receipt(stored, req)
-        if not req.whole:
-            return req.messages
-        known = turns_lib.conversation(stored.turns)
-        if req.messages[: len(known)] != known:
-            raise _mismatch("the messages don't start with the history")
-        return req.messages[len(known) :]
-
-    def _check_receipt(
-        self, stored: journal_lib.Stored, req: messages.ModelCall
-    ) -> None:
-        """Refuses to run on a history that the caller has not seen.
-
-        If the receipt is ahead of the history here, some other process has
-        written it: the shard is given up, and who asks next reads the table.
-        """
-        receipt = self._receipts.check(req.receipt)
-        if receipt.program_id != req.program_id:
-            raise _mismatch("the receipt is of another program")
-        row = stored.row
-        if (receipt.turn, receipt.digest) == (row.turn, row.digest):
-            return
-        if receipt.turn > row.turn and not self._journal.is_open(stored):
-            self._registry.reload(req.program_id, stored)
-            row = stored.row
-            if (receipt.turn, receipt.digest) == (row.turn, row.digest):
-                return
-        raise _mismatch(
-            f"the receipt is of turn {receipt.turn}, the history is at "
-            f"turn {row.turn}"
-        )
-
     def _view_of(self, stored: journal_lib.Stored) -> messages.ProgramView:
         row = stored.row
         receipt = receipts_lib.Receipt(row.program_id, row.turn, row.digest)
         return messages.ProgramView(
             row, stored.turns, self._receipts.sign(receipt)
         )
-
-
-def _earlier(
-    stored: journal_lib.Stored, req: messages.ModelCall
-) -> records.TurnRow | None:
-    """Returns the turn that the same call made before, or None."""
-    for turn in stored.turns:
-        if turn.call_id == req.call_id:
-            return turn
-    return None
-
-
-def _mismatch(detail: str) -> errors.Refused:
-    return errors.Refused(
-        errors.Code.HISTORY_MISMATCH,
-        409,
-        f"{detail}; read the history and send the call again",
-    )
--- a/src/endivepier/timers.py
+++ b/src/endivepier/timers.py
@@ -100,12 +100,17 @@
         if seconds <= 0:
             return bool(event.is_set())
         woken = gevent.event.Event()
-        event.rawlink(lambda _: woken.set())
+
+        def wake(_: object) -> None:
+            woken.set()
+
+        event.rawlink(wake)
         handle = self.after(seconds, woken.set)
         try:
             woken.wait()
         finally:
             handle.cancel()
+            event.unlink(wake)
         return bool(event.is_set())
 
     @contextlib.contextmanager
--- a/tests/cover/test_callers_interface.py
+++ b/tests/cover/test_callers_interface.py
@@ -273,3 +273,13 @@
         assert answer.json["ran"] == "no"
         assert "Traceback" not in answer.text
         assert fleet.rows() == before
+
+
+def test_refuses_a_call_id_that_is_too_long_rather_than_cutting_it(fleet):
+    path = _create(fleet) + "/chat/completions"
+    for end in ("a", "b"):
+        long = "x" * documents.MAX_ID + end
+        answer = fleet.ask(
+            "POST", path, json.dumps(CHAT), X_Endivepier_Call_Id=long
+        )
+        _check_problem(answer, 400, "bad_request")
--- /dev/null
+++ b/tests/cover/test_measures.py
@@ -0,0 +1,35 @@
+import json
+
+from tests.common import api_fleet
+
+
+def _turn(fleet, path, text):
+    body = {
+        "model": "model",
+        "messages": [{"role": "user", "content": text}],
+        "max_tokens": 3,
+    }
+    answer = fleet.ask(
+        *("POST", path + "/chat/completions", json.dumps(body)),
+        X_Endivepier_History="append",
+    )
+    assert answer.status_code == 200, answer.text
+    return answer.json["usage"]["prompt_tokens"]
+
+
+def test_counts_latency_wasted_cache_and_completed_service():
+    fleet = api_fleet.ApiFleet()
+    metrics = fleet.sidecars[0].metrics
+    created = fleet.ask("POST", "/v1/programs", '{"template": "template"}')
+    path = "/v1/programs/" + created.json["id"]
+    prompt = _turn(fleet, path, "one")
+    _turn(fleet, path, "two")
+    assert metrics.value("recomputed_tokens") == 0
+    fleet.engine.release(created.json["id"])
+    _turn(fleet, path, "three")
+    assert metrics.value("recomputed_tokens") > prompt
+    assert metrics.value("completed_service", account="one") == 3
+    for _ in range(2):
+        fleet.ask("DELETE", path)
+    text = metrics.render().decode()
+    assert 'endivepier_program_seconds_count{kind="standard"} 1' in text
--- a/tests/cover/test_timers.py
+++ b/tests/cover/test_timers.py
@@ -52,6 +52,14 @@
     assert run(main) == (False, True, True)
 
 
+def test_a_wait_leaves_nothing_behind_on_its_event():
+    virtual = clock.VirtualTimers()
+    event = gevent.event.Event()
+    for _ in range(3):
+        virtual.run(virtual.wait, event, 0.1)
+    assert event.linkcount() == 0
+
+
 def test_a_cancelled_subscription_does_not_fire_again():
     virtual = clock.VirtualTimers()
     fired = []
