Two ways in which an effect could run twice

(1) Plan: a question about an outcome arrived 20 s late at the sidecar of a target that the claim had been at before. That target had not run it, and the sidecar recorded "not run" for the claim of another target, whose request was under way. The next try ran it again. (2) Plan: an operator looked at the service 2 s after the claim and said "no"; the entry host was frozen, and when it went on, the claim was over 60 s old, so that the resolution was taken. The request had run meanwhile. Ruled out: the claim's compare-and-set and the check before the first byte, which both traces show working.

Change: a sidecar judges only claims of its own target. A claim's version, which a resolution must name, is shown only once the request can't be sent any more, so that whoever has a version has looked late enough.

The checks stay as they were, the test on operators is stricter than before.

--- a/src/endivepier/effects/resolution.py
+++ b/src/endivepier/effects/resolution.py
@@ -27,7 +27,9 @@
         target: the target that it was claimed for, or empty.
         target_key: the key by which the target knows it.
         written: Unix time of the last change, in seconds.
-        version: version of the claim; a resolution names it.
+        version: version of the claim; a resolution names it. It is 0 while
+            the request may still be sent, since whoever looks at the target
+            then may look too early, however late the resolution arrives.
         note: what an operator said who resolved it.
     """
 
@@ -85,9 +87,9 @@
             except errors.Unavailable:
                 raise _store_down(errors.Ran.NO) from None
             found.extend(
-                document
-                for document in map(_of_row, rows)
-                if document.state is claims_lib.ClaimState.DISPATCHED
+                self._document(claim)
+                for claim in map(_of_row, rows)
+                if claim.row.state is claims_lib.ClaimState.DISPATCHED
             )
             if len(rows) < PAGE_ROWS:
                 return OpenClaims(tuple(found), "")
@@ -100,7 +102,7 @@
         Raises:
             errors.Refused: there is none, or the table did not answer.
         """
-        return _document(self._read(account, idempotency_key))
+        return self._document(self._read(account, idempotency_key))
 
     def resolve(
         self,
@@ -136,9 +138,10 @@
             raise _store_down(errors.Ran.NO) from None
         except errors.OutcomeUnknown:
             raise _store_down(errors.Ran.UNKNOWN) from None
-        return _document(resolved)
+        return self._document(resolved)
 
     def _check_open(self, known: claims_lib.Claim, version: int) -> None:
+        self._check_old(known)
         if known.version != version:
             raise _conflict(
                 f"the claim has version {known.version}, not {version}; "
@@ -146,13 +149,36 @@
             )
         if known.row.state is not claims_lib.ClaimState.DISPATCHED:
             raise _conflict(f"the claim is resolved: {known.row.state}")
-        age = self._timers.wall() - known.row.written
-        if age < MIN_AGE_SECONDS:
+
+    def _check_old(self, known: claims_lib.Claim) -> None:
+        if self._may_be_sent(known):
             raise _conflict(
-                f"the claim is {age:.0f} s old and its request may still be "
-                f"sent; wait until it is {MIN_AGE_SECONDS:.0f} s old"
+                f"the claim is {self._age(known):.0f} s old and its request "
+                f"may still be sent; wait until it is {MIN_AGE_SECONDS:.0f} s "
+                "old, show it, and then look at the target"
             )
 
+    def _may_be_sent(self, claim: claims_lib.Claim) -> bool:
+        """Returns whether the holder of an open claim may still send."""
+        is_open = claim.row.state is claims_lib.ClaimState.DISPATCHED
+        return is_open and self._age(claim) < MIN_AGE_SECONDS
+
+    def _age(self, claim: claims_lib.Claim) -> float:
+        return self._timers.wall() - claim.row.written
+
+    def _document(self, claim: claims_lib.Claim) -> ClaimDocument:
+        row = claim.row
+        return ClaimDocument(
+            account=row.account,
+            idempotency_key=row.idempotency_key,
+            state=row.state,
+            target=row.target,
+            target_key=claims_lib.target_key(row),
+            written=row.written,
+            version=0 if self._may_be_sent(claim) else claim.version,
+            note=row.note,
+        )
+
     def _read(self, account: str, idempotency_key: str) -> claims_lib.Claim:
         try:
             known = self._claims.read(account, idempotency_key)
@@ -167,23 +193,9 @@
         return known
 
 
-def _of_row(row: ports.Row) -> ClaimDocument:
+def _of_row(row: ports.Row) -> claims_lib.Claim:
     content = codec.decode(claims_lib.ClaimRow, row.value)
-    return _document(claims_lib.Claim(row.key, row.version, content))
-
-
-def _document(claim: claims_lib.Claim) -> ClaimDocument:
-    row = claim.row
-    return ClaimDocument(
-        account=row.account,
-        idempotency_key=row.idempotency_key,
-        state=row.state,
-        target=row.target,
-        target_key=claims_lib.target_key(row),
-        written=row.written,
-        version=claim.version,
-        note=row.note,
-    )
+    return claims_lib.Claim(row.key, row.version, content)
 
 
 def _conflict(detail: str) -> errors.Refused:
--- a/src/endivepier/effects/runner.py
+++ b/src/endivepier/effects/runner.py
@@ -150,6 +150,10 @@
 
     def _settle(self, known: claims_lib.Claim) -> claims_lib.Claim:
         """Returns the claim as it is after the service was asked."""
+        if known.row.target != self._target:
+            # The question came late: by now the claim is another target's,
+            # and that this one never ran it proves nothing.
+            return known
         age = self._timers.wall() - known.row.written
         if known.row.writer in self._running or age < SETTLED_SECONDS:
             return known
--- a/tests/cover/test_effects.py
+++ b/tests/cover/test_effects.py
@@ -347,8 +347,12 @@
         data = json.dumps(body).encode()
         return fleet.ask("POST", one, data=data, **operator)
 
+    assert body["version"] == 0
     assert resolve().status_code == 409, "too young"
     fleet.timers.advance(61.0)
+    assert resolve().status_code == 409, "looked at while it was too young"
+    listed = fleet.ask("GET", "/v1/operators/effects", **operator).json
+    body["version"] = listed["claims"][0]["version"]
     assert fleet.ask("POST", one, data=json.dumps(body)).status_code == 403
     body["version"] += 1
     assert resolve().status_code == 409, "another version"
--- a/tests/histories/test_effects.py
+++ b/tests/histories/test_effects.py
@@ -130,7 +130,55 @@
     return fleet
 
 
+# A question about an outcome that came late was answered by a target which
+# the claim had been at before; that it had not run there was taken as proof.
+ASKED_THE_WRONG_TARGET = Plan(
+    seed=2307613,
+    tells_outcome=True,
+    requests=34,
+    keys=9,
+    late=0.3,
+    paused=0.1,
+    lost_answers=0.1,
+    lost_replies=0.3,
+    lost_requests=0.1,
+    faults=(
+        faults_lib.Fault(0.0, faults_lib.Kind.SERVICE_HANGS, 2, 90.0),
+        faults_lib.Fault(0.0, faults_lib.Kind.SERVICE_HANGS, 0, 90.0),
+    ),
+)
+
+# An operator looked at the service while the request was under way; a frozen
+# entry host let the resolution take effect when the claim was old enough.
+RESOLVED_TOO_EARLY = Plan(
+    seed=140078650,
+    requests=10,
+    keys=8,
+    late=0.3,
+    paused=0.3,
+    pause_seconds=3.0,
+    lost_answers=0.3,
+    lost_replies=0.1,
+    lost_requests=0.1,
+    faults=(
+        faults_lib.Fault(0.0, faults_lib.Kind.FREEZE_OWNER, 0, 10.0),
+        faults_lib.Fault(
+            13.553933443976039, faults_lib.Kind.SERVICE_HANGS, 0, 10.0
+        ),
+        faults_lib.Fault(
+            8.994339495903583, faults_lib.Kind.FREEZE_ENTRY, 0, 90.0
+        ),
+        faults_lib.Fault(
+            13.553933443976039, faults_lib.Kind.SERVICE_HANGS, 0, 10.0
+        ),
+        faults_lib.Fault(17.80220443141183, faults_lib.Kind.CUT_REPLY, 1, 90.0),
+    ),
+)
+
+
 @hypothesis.given(plan=plans)
+@hypothesis.example(plan=ASKED_THE_WRONG_TARGET)
+@hypothesis.example(plan=RESOLVED_TOO_EARLY)
 @hypothesis.settings(max_examples=40)
 def test_keeps_every_promise_whatever_fails(plan):
     fleet = run(plan)
