The planted fault of forgotten call ids, at its new place

Change: the test patches sidecar/matching.py. The demo kills its host after one second, while more programs are under way, and prints how many effects ran.

Tried and reverted: a new key towards the target for every attempt that did not run, against a target that has ruled a key out although the record of it was lost. It breaks the fence: a target compares fencing numbers by key, and test_a_target_that_checks_fences_refuses_the_older_attempt failed.

--- a/src/endivepier/standins/demo.py
+++ b/src/endivepier/standins/demo.py
@@ -19,7 +19,7 @@
 from endivepier.standins import fleet as fleet_lib
 
 READY_SECONDS = 10.0
-FAULT_SECONDS = 2.0
+FAULT_SECONDS = 1.0
 TRIES = 60
 RETRY_SECONDS = 0.25
 WITHDRAWAL_SECONDS = 3.0
@@ -111,6 +111,7 @@
         answered: those that were answered.
         refusals: refusals by code.
         broken: promises that broke, in words.
+        run: how many of them ran at a service.
     """
 
     latencies: dict[str, list[float]]
@@ -119,6 +120,7 @@
     answered: set[str]
     refusals: collections.Counter[str]
     broken: list[str]
+    run: int = 0
 
 
 class _Caller:
@@ -334,6 +336,7 @@
     twice = [key for key, count in runs.items() if count > 1]
     if twice:
         tally.broken.append(f"{len(twice)} effects ran more than once")
+    tally.run = len(runs)
     missing = [key for key in tally.answered if not runs[key]]
     if missing:
         tally.broken.append(f"{len(missing)} answered effects never ran")
@@ -354,7 +357,10 @@
                 f"{p99:.2f}",
             )
         )
-    print(f"effects: {len(tally.asked)} asked, {len(tally.answered)} answered")
+    print(
+        f"effects: {len(tally.asked)} asked, {tally.run} run, "
+        f"{len(tally.answered)} answered"
+    )
     print(f"refusals that were retried: {dict(tally.refusals) or 'none'}")
     for promise in tally.broken:
         print(f"BROKEN: {promise}")
--- a/tests/histories/test_programs_planted.py
+++ b/tests/histories/test_programs_planted.py
@@ -9,6 +9,7 @@
 from endivepier.history import journal
 from endivepier.history import turns
 from endivepier.platform import ports
+from endivepier.sidecar import matching
 from endivepier.sidecar import programs
 from endivepier.sidecar import reaper
 from endivepier.sidecar import registry
@@ -69,9 +70,9 @@
 
 
 def _forgets_call_ids(monkeypatch):
-    monkeypatch.setattr(programs, "_earlier", lambda stored, req: None)
+    monkeypatch.setattr(matching, "earlier", lambda stored, req: None)
     monkeypatch.setattr(
-        programs.Programs, "_check_receipt", lambda self, stored, req: None
+        matching.Matcher, "_check_receipt", lambda self, stored, req: None
     )
 
 
