--- a/src/endivepier/cli/main.py
+++ b/src/endivepier/cli/main.py
@@ -40,11 +40,6 @@
         description="A scheduler for agent programs: in order, on budget, "
         "nothing lost, nothing twice.",
     )
-    parser.add_argument(
-        "--version",
-        action="version",
-        version="endivepier " + importlib.metadata.version("endivepier"),
-    )
     commands = parser.add_subparsers(
         title="commands", dest="command", required=True
     )
@@ -59,9 +54,22 @@
         standin,
     ):
         module.add_to(commands)
+    _add_version(parser)
     return parser
 
 
+def _add_version(parser: argparse.ArgumentParser) -> None:
+    """Adds `--version` to a parser and to all below it."""
+    version = importlib.metadata.version("endivepier")
+    parser.add_argument(
+        "--version", action="version", version=f"endivepier {version}"
+    )
+    for action in parser._actions:
+        if isinstance(action, argparse._SubParsersAction):
+            for below in action.choices.values():
+                _add_version(below)
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """Runs the command and returns its exit code."""
     args = make_parser().parse_args(argv)
--- /dev/null
+++ b/tests/cover/test_command.py
@@ -0,0 +1,34 @@
+import os
+import subprocess
+import sys
+
+import pytest
+
+
+def _run(*args):
+    environ = {
+        name: value
+        for name, value in os.environ.items()
+        if not name.startswith("ENDIVEPIER_")
+    }
+    return subprocess.run(
+        [sys.executable, "-m", "endivepier.cli.main", *args],
+        capture_output=True,
+        text=True,
+        env=environ,
+    )
+
+
+@pytest.mark.parametrize("command", [[], ["entry"], ["release", "apply"]])
+def test_every_command_tells_its_version(command):
+    told = _run(*command, "--version")
+    assert told.returncode == 0
+    assert told.stdout.startswith("endivepier 0.")
+
+
+def test_wrong_settings_end_a_daemon_with_exit_code_2():
+    told = _run("entry", "--listen", "localhost:80", "--data-centre", "x")
+    assert told.returncode == 2
+    assert "--listen (ENDIVEPIER_LISTEN) is 'localhost:80'" in told.stderr
+    assert "set --fleet-secret or ENDIVEPIER_FLEET_SECRET" in told.stderr
+    assert "Traceback" not in told.stderr
