--- a/bench/config.py
+++ b/bench/config.py
@@ -42,10 +42,10 @@
 from endivepier.internal import codec
 from endivepier.internal import http_client
 from endivepier.internal import process
-from endivepier.platform import ports
 from endivepier.standins import engine as engine_lib
 from endivepier.standins import fleet as fleet_lib
 from endivepier.standins import simulation
+from endivepier.storage import ports
 
 BENCH = "config"
 LAST_BYTE_BOUND_SECONDS = 3.0
--- a/bench/effects_edges.py
+++ b/bench/effects_edges.py
@@ -13,9 +13,9 @@
 from endivepier.internal import codec
 from endivepier.internal import peers as peers_lib
 from endivepier.membership import members
-from endivepier.platform import ports
 from endivepier.standins import network as network_lib
 from endivepier.standins import service as service_lib
+from endivepier.storage import ports
 from endivepier.targets import ports as target_ports
 
 if typing.TYPE_CHECKING:
@@ -115,7 +115,7 @@
         self.scan = fleet.table.scan
 
     def transact(self, txn: ports.Transaction) -> int:
-        """Commits a transaction; see `platform.ports.Table.transact`."""
+        """Commits a transaction; see `storage.ports.Table.transact`."""
         version = self._fleet.table.transact(txn)
         faults = self._fleet.faults
         if self._fleet.chance(faults.paused):
--- a/bench/effects_fleet.py
+++ b/bench/effects_fleet.py
@@ -21,15 +21,15 @@
 from endivepier.effects import messages
 from endivepier.history import messages as history_messages
 from endivepier.internal import codec
-from endivepier.internal import platform_clients
 from endivepier.internal import process
-from endivepier.platform import ports
 from endivepier.sidecar import parts
 from endivepier.standins import clock
 from endivepier.standins import hosts as hosts_lib
 from endivepier.standins import network as network_lib
 from endivepier.standins import objects as objects_lib
 from endivepier.standins import table as table_lib
+from endivepier.storage import clients as storage_clients
+from endivepier.storage import ports
 
 POOL = "ledger"
 OWNER = "10.0.2.1:1"
@@ -167,7 +167,7 @@
             timers=host.timers,
             peers=edges.LatePeers(self, host),
             inbox=host.inbox,
-            platform=platform_clients.Platform(
+            platform=storage_clients.Platform(
                 host.table(table or self.table),
                 host.objects(self.objects),
                 hosts_lib.MemoryHostList(self.timers),
--- a/bench/limit_world.py
+++ b/bench/limit_world.py
@@ -14,15 +14,15 @@
 from endivepier.configuration import state as state_lib
 from endivepier.entry import parts
 from endivepier.internal import peers as peers_lib
-from endivepier.internal import platform_clients
 from endivepier.internal import process
 from endivepier.limits import policies
-from endivepier.platform import ports
 from endivepier.standins import clock
 from endivepier.standins import hosts as hosts_lib
 from endivepier.standins import network as network_lib
 from endivepier.standins import objects as objects_lib
 from endivepier.standins import table as table_lib
+from endivepier.storage import clients as storage_clients
+from endivepier.storage import ports
 
 LATENCY_SECONDS = 0.0015
 UNLIST_SECONDS = 1.0
@@ -173,7 +173,7 @@
             ),
             peers=_CountingPeers(self, host.peers),
             inbox=host.inbox,
-            platform=platform_clients.Platform(
+            platform=storage_clients.Platform(
                 table=host.table(self.table),
                 objects=host.objects(self._objects),
                 hosts=self.host_list,
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -23,10 +23,10 @@
 from endivepier.internal import codec
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import loop
-from endivepier.platform import ports
 from endivepier.sidecar import parts
 from endivepier.standins import engine as engine_lib
 from endivepier.standins import local
+from endivepier.storage import ports
 from endivepier.targets import ports as target_ports
 
 BENCH = "recovery"
--- a/bench/slopes_memory.py
+++ b/bench/slopes_memory.py
@@ -19,12 +19,12 @@
 from endivepier.limits import bucket as bucket_lib
 from endivepier.membership import members
 from endivepier.membership import view as view_lib
-from endivepier.platform import ports
 from endivepier.sidecar import parts
 from endivepier.standins import clock
 from endivepier.standins import engine as engine_lib
 from endivepier.standins import hosts as hosts_lib
 from endivepier.standins import simulation as simulation_lib
+from endivepier.storage import ports
 from endivepier.targets import ports as target_ports
 
 ACCOUNTS = (1000, 2000, 4000)
--- a/bench/slopes_messages.py
+++ b/bench/slopes_messages.py
@@ -16,10 +16,10 @@
 from endivepier.internal import process
 from endivepier.internal import web
 from endivepier.membership import members
-from endivepier.platform import ports
 from endivepier.sidecar import parts as sidecar_parts
 from endivepier.standins import engine
 from endivepier.standins import simulation as simulation_lib
+from endivepier.storage import ports
 from endivepier.telemetry import spans
 
 BENCH = "slopes"
--- a/src/endivepier/cli/standin.py
+++ b/src/endivepier/cli/standin.py
@@ -15,13 +15,13 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.internal import web
-from endivepier.platform import ports
 from endivepier.standins import engine
 from endivepier.standins import hosts
 from endivepier.standins import objects
 from endivepier.standins import servers
 from endivepier.standins import service
 from endivepier.standins import table
+from endivepier.storage import ports
 
 
 def add_to(commands: Any) -> None:
--- a/src/endivepier/configuration/relays.py
+++ b/src/endivepier/configuration/relays.py
@@ -14,7 +14,7 @@
 
 import xxhash
 
-from endivepier.platform import ports
+from endivepier.storage import ports
 
 ROOTS = 2
 FAN_OUT = 32
--- a/src/endivepier/configuration/snapshots.py
+++ b/src/endivepier/configuration/snapshots.py
@@ -12,7 +12,7 @@
 from endivepier import errors
 from endivepier.configuration import state as state_lib
 from endivepier.internal import codec
-from endivepier.platform import ports
+from endivepier.storage import ports
 
 SNAPSHOT_PREFIX = "config/snapshot/"
 OBJECT_PREFIX = "config-snapshot-"
--- a/src/endivepier/configuration/store.py
+++ b/src/endivepier/configuration/store.py
@@ -22,8 +22,8 @@
 from endivepier.configuration import snapshots as snapshots_lib
 from endivepier.configuration import state as state_lib
 from endivepier.internal import codec
-from endivepier.platform import commit
-from endivepier.platform import ports
+from endivepier.storage import commit
+from endivepier.storage import ports
 
 HEAD_KEY = "config/head"
 DELTA_PREFIX = "config/delta/"
--- a/src/endivepier/daemons/common.py
+++ b/src/endivepier/daemons/common.py
@@ -14,9 +14,9 @@
 from endivepier import timers as timers_lib
 from endivepier.internal import http_peers
 from endivepier.internal import peers as peers_lib
-from endivepier.internal import platform_clients
 from endivepier.internal import process
 from endivepier.internal import web
+from endivepier.storage import clients as storage_clients
 from endivepier.telemetry import spans
 
 INTERNAL_BODY_BYTES = 256 * 1024 * 1024
@@ -52,7 +52,7 @@
         timers=timers,
         peers=http_peers.HttpPeers(secret, tracer),
         inbox=inbox,
-        platform=platform_clients.over_http(cfg, tracer),
+        platform=storage_clients.over_http(cfg, tracer),
         rng=random.SystemRandom(),
         fleet_secret=secret,
     )
--- a/src/endivepier/effects/answers.py
+++ b/src/endivepier/effects/answers.py
@@ -8,7 +8,7 @@
 
 from endivepier import errors
 from endivepier.effects import messages
-from endivepier.platform import ports
+from endivepier.storage import ports
 
 INLINE_BYTES = 8 * 1024
 PREFIX = "answer/"
--- a/src/endivepier/effects/claims.py
+++ b/src/endivepier/effects/claims.py
@@ -24,7 +24,7 @@
 from endivepier.effects import messages
 from endivepier.internal import codec
 from endivepier.internal import ids as ids_lib
-from endivepier.platform import ports
+from endivepier.storage import ports
 
 PREFIX = "claim/"
 MAX_KEY = 200
--- a/src/endivepier/effects/group.py
+++ b/src/endivepier/effects/group.py
@@ -14,7 +14,7 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.platform import ports
+from endivepier.storage import ports
 
 LINGER_SECONDS = 0.002
 MAX_ROWS = 64
--- a/src/endivepier/effects/resolution.py
+++ b/src/endivepier/effects/resolution.py
@@ -9,7 +9,7 @@
 from endivepier.effects import claims as claims_lib
 from endivepier.effects import refusals
 from endivepier.internal import codec
-from endivepier.platform import ports
+from endivepier.storage import ports
 
 PAGE_ROWS = 1000
 MAX_PAGES = 5
--- a/src/endivepier/effects/retention.py
+++ b/src/endivepier/effects/retention.py
@@ -15,7 +15,7 @@
 from endivepier import timers as timers_lib
 from endivepier.effects import claims as claims_lib
 from endivepier.internal import codec
-from endivepier.platform import ports
+from endivepier.storage import ports
 from endivepier.telemetry import metrics as metrics_lib
 
 RETENTION_SECONDS = 7 * 86400.0
--- a/src/endivepier/history/commits.py
+++ b/src/endivepier/history/commits.py
@@ -17,7 +17,7 @@
 from endivepier.internal import codec
 from endivepier.internal import ids as ids_lib
 from endivepier.ownership import leases
-from endivepier.platform import ports
+from endivepier.storage import ports
 
 ROW_BYTES = 32 * 1024
 FIRST_BACKOFF_SECONDS = 0.02
--- a/src/endivepier/history/journal.py
+++ b/src/endivepier/history/journal.py
@@ -22,7 +22,7 @@
 from endivepier.internal import ids as ids_lib
 from endivepier.ownership import leases
 from endivepier.ownership import shards as shards_lib
-from endivepier.platform import ports
+from endivepier.storage import ports
 from endivepier.telemetry import metrics as metrics_lib
 
 SAFE_SECONDS = 10.0
--- a/src/endivepier/history/turns.py
+++ b/src/endivepier/history/turns.py
@@ -9,7 +9,7 @@
 from endivepier import timers as timers_lib
 from endivepier.history import records
 from endivepier.internal import codec
-from endivepier.platform import ports
+from endivepier.storage import ports
 from endivepier.targets import ports as target_ports
 
 SCAN_ROWS = 32
--- a/src/endivepier/internal/process.py
+++ b/src/endivepier/internal/process.py
@@ -18,12 +18,12 @@
 from endivepier.configuration import store as store_lib
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import peers as peers_lib
-from endivepier.internal import platform_clients
 from endivepier.limits import rows
 from endivepier.limits import witness as witness_lib
 from endivepier.membership import members
 from endivepier.membership import view as view_lib
-from endivepier.platform import commit
+from endivepier.storage import clients as storage_clients
+from endivepier.storage import commit
 from endivepier.telemetry import metrics as metrics_lib
 
 RETRY_SECONDS = 1.0
@@ -49,7 +49,7 @@
     timers: timers_lib.Timers
     peers: peers_lib.Peers
     inbox: peers_lib.Inbox
-    platform: platform_clients.Platform
+    platform: storage_clients.Platform
     rng: random.Random
     fleet_secret: str
 
--- a/src/endivepier/limits/agreement.py
+++ b/src/endivepier/limits/agreement.py
@@ -26,8 +26,8 @@
 from endivepier.limits import witness as witness_lib
 from endivepier.membership import members
 from endivepier.membership import view as view_lib
-from endivepier.platform import commit
-from endivepier.platform import ports
+from endivepier.storage import commit
+from endivepier.storage import ports
 
 POLL_SECONDS = 1.0
 READ_SECONDS = 1.5
--- a/src/endivepier/membership/view.py
+++ b/src/endivepier/membership/view.py
@@ -28,7 +28,7 @@
 from endivepier import timers as timers_lib
 from endivepier.internal import peers as peers_lib
 from endivepier.membership import members
-from endivepier.platform import ports
+from endivepier.storage import ports
 
 ROUND_SECONDS = 1.0
 HEARTBEAT_TIMEOUT_SECONDS = 0.5
--- a/src/endivepier/ownership/leases.py
+++ b/src/endivepier/ownership/leases.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from endivepier.platform import ports
+from endivepier.storage import ports
 
 ROW_PREFIX = "shard/"
 
--- a/src/endivepier/ownership/shards.py
+++ b/src/endivepier/ownership/shards.py
@@ -20,8 +20,8 @@
 from endivepier.membership import view as view_lib
 from endivepier.ownership import leases
 from endivepier.ownership import placement
-from endivepier.platform import commit
-from endivepier.platform import ports
+from endivepier.storage import commit
+from endivepier.storage import ports
 from endivepier.telemetry import metrics as metrics_lib
 
 TAKEOVER_SECONDS = 5.0
--- a/src/endivepier/scheduling/leases.py
+++ b/src/endivepier/scheduling/leases.py
@@ -13,8 +13,8 @@
 from endivepier import timers as timers_lib
 from endivepier.internal import codec
 from endivepier.internal import ids as ids_lib
-from endivepier.platform import commit
-from endivepier.platform import ports
+from endivepier.storage import commit
+from endivepier.storage import ports
 
 COMMIT_SECONDS = 2.0
 
--- a/src/endivepier/sidecar/reaper.py
+++ b/src/endivepier/sidecar/reaper.py
@@ -17,9 +17,9 @@
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import peers as peers_lib
 from endivepier.ownership import shards as shards_lib
-from endivepier.platform import ports
 from endivepier.sidecar import families
 from endivepier.sidecar import registry as registry_lib
+from endivepier.storage import ports
 from endivepier.targets import ports as target_ports
 from endivepier.telemetry import metrics as metrics_lib
 
--- a/src/endivepier/standins/fleet.py
+++ b/src/endivepier/standins/fleet.py
@@ -21,13 +21,13 @@
 from endivepier.daemons import entry as entry_daemon
 from endivepier.daemons import sidecar as sidecar_daemon
 from endivepier.internal import web
-from endivepier.platform import ports as platform_ports
 from endivepier.standins import engine as engine_lib
 from endivepier.standins import hosts as hosts_lib
 from endivepier.standins import objects as objects_lib
 from endivepier.standins import servers
 from endivepier.standins import service as service_lib
 from endivepier.standins import table as table_lib
+from endivepier.storage import ports as platform_ports
 
 LOOPBACK = "127.0.0.1"
 SECRET_BYTES = 24
--- a/src/endivepier/standins/hosts.py
+++ b/src/endivepier/standins/hosts.py
@@ -6,13 +6,13 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.platform import ports
+from endivepier.storage import ports
 
 DEFAULT_LAG_SECONDS = 2.0
 
 
 class MemoryHostList:
-    """A `platform.ports.HostList` in memory."""
+    """A `storage.ports.HostList` in memory."""
 
     def __init__(
         self,
@@ -39,7 +39,7 @@
         self._timers.after(self._lag, lambda: self._shown.pop(address, None))
 
     def hosts(self) -> Sequence[ports.Host]:
-        """Returns the list; see `platform.ports.HostList.hosts`."""
+        """Returns the list; see `storage.ports.HostList.hosts`."""
         if self.outage:
             raise errors.Unavailable("the host list is down")
         return list(self._shown.values())
--- a/src/endivepier/standins/local.py
+++ b/src/endivepier/standins/local.py
@@ -16,10 +16,7 @@
 from endivepier.configuration import current as current_lib
 from endivepier.configuration import store as store_lib
 from endivepier.entry import parts as entry_parts
-from endivepier.internal import platform_clients
 from endivepier.internal import process
-from endivepier.platform import commit
-from endivepier.platform import ports as platform_ports
 from endivepier.sidecar import parts as sidecar_parts
 from endivepier.standins import clock
 from endivepier.standins import engine as engine_lib
@@ -28,6 +25,9 @@
 from endivepier.standins import objects as objects_lib
 from endivepier.standins import service as service_lib
 from endivepier.standins import table as table_lib
+from endivepier.storage import clients as storage_clients
+from endivepier.storage import commit
+from endivepier.storage import ports as platform_ports
 from endivepier.targets import ports as target_ports
 
 MODEL = "local"
@@ -230,7 +230,7 @@
             timers=host.timers,
             peers=host.peers,
             inbox=host.inbox,
-            platform=platform_clients.Platform(
+            platform=storage_clients.Platform(
                 table=host.table(self.table),
                 objects=host.objects(self.objects),
                 hosts=self.hosts,
--- a/src/endivepier/standins/network.py
+++ b/src/endivepier/standins/network.py
@@ -21,7 +21,7 @@
 from endivepier import timers as timers_lib
 from endivepier.internal import codec
 from endivepier.internal import peers as peers_lib
-from endivepier.platform import ports
+from endivepier.storage import ports
 
 PLATFORM = "platform"
 
@@ -325,7 +325,7 @@
         self._inner = inner
 
     def get(self, key: str) -> ports.Row | None:
-        """Returns a row; see `platform.ports.Table.get`."""
+        """Returns a row; see `storage.ports.Table.get`."""
         self._reach()
         row = self._inner.get(key)
         self._reach()
@@ -334,14 +334,14 @@
     def scan(
         self, prefix: str, *, after: str = "", limit: int = 1000
     ) -> Sequence[ports.Row]:
-        """Returns rows; see `platform.ports.Table.scan`."""
+        """Returns rows; see `storage.ports.Table.scan`."""
         self._reach()
         rows = self._inner.scan(prefix, after=after, limit=limit)
         self._reach()
         return rows
 
     def transact(self, txn: ports.Transaction) -> int:
-        """Commits a transaction; see `platform.ports.Table.transact`."""
+        """Commits a transaction; see `storage.ports.Table.transact`."""
         self._reach()
         version = self._inner.transact(txn)
         self._host.gate()
@@ -368,13 +368,13 @@
         self._inner = inner
 
     def put(self, name: str, body: bytes) -> None:
-        """Stores a body; see `platform.ports.Objects.put`."""
+        """Stores a body; see `storage.ports.Objects.put`."""
         self._reach()
         self._inner.put(name, body)
         self._reach()
 
     def get(self, name: str) -> bytes | None:
-        """Returns a body; see `platform.ports.Objects.get`."""
+        """Returns a body; see `storage.ports.Objects.get`."""
         self._reach()
         body = self._inner.get(name)
         self._reach()
--- a/src/endivepier/standins/objects.py
+++ b/src/endivepier/standins/objects.py
@@ -22,7 +22,7 @@
 
 
 class MemoryObjects:
-    """A `platform.ports.Objects` in memory."""
+    """A `storage.ports.Objects` in memory."""
 
     def __init__(self, timers: timers_lib.Timers) -> None:
         self.faults = ObjectFaults()
@@ -32,14 +32,14 @@
         self._bodies: dict[str, bytes] = {}
 
     def put(self, name: str, body: bytes) -> None:
-        """Stores a body; see `platform.ports.Objects.put`."""
+        """Stores a body; see `storage.ports.Objects.put`."""
         self._call()
         self.puts += 1
         if self._bodies.setdefault(name, body) != body:
             raise errors.ConditionFailed(name)
 
     def get(self, name: str) -> bytes | None:
-        """Returns a body; see `platform.ports.Objects.get`."""
+        """Returns a body; see `storage.ports.Objects.get`."""
         self._call()
         self.gets += 1
         return self._bodies.get(name)
--- a/src/endivepier/standins/servers.py
+++ b/src/endivepier/standins/servers.py
@@ -12,13 +12,13 @@
 from endivepier.internal import codec
 from endivepier.internal import http_peers
 from endivepier.internal import web
-from endivepier.platform import ports as platform_ports
-from endivepier.platform import wire as platform_wire
 from endivepier.standins import engine as engine_lib
 from endivepier.standins import hosts as hosts_lib
 from endivepier.standins import objects as objects_lib
 from endivepier.standins import service as service_lib
 from endivepier.standins import table as table_lib
+from endivepier.storage import ports as platform_ports
+from endivepier.storage import wire as platform_wire
 from endivepier.targets import ports
 from endivepier.targets import wire
 
--- a/src/endivepier/standins/simulation.py
+++ b/src/endivepier/standins/simulation.py
@@ -11,14 +11,14 @@
 
 import gevent
 
-from endivepier.internal import platform_clients
 from endivepier.internal import process
-from endivepier.platform import ports
 from endivepier.standins import clock
 from endivepier.standins import hosts as hosts_lib
 from endivepier.standins import network as network_lib
 from endivepier.standins import objects as objects_lib
 from endivepier.standins import table as table_lib
+from endivepier.storage import clients as storage_clients
+from endivepier.storage import ports
 
 FLEET_SECRET = "a secret of the simulated fleet"
 
@@ -65,7 +65,7 @@
             timers=on.timers,
             peers=on.peers,
             inbox=on.inbox,
-            platform=platform_clients.Platform(
+            platform=storage_clients.Platform(
                 on.table(self.table), on.objects(self.objects), self.hosts
             ),
             rng=random.Random(self.rng.getrandbits(64)),
--- a/src/endivepier/standins/table.py
+++ b/src/endivepier/standins/table.py
@@ -10,7 +10,7 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.platform import ports
+from endivepier.storage import ports
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,7 +35,7 @@
 
 
 class MemoryTable:
-    """A `platform.ports.Table` in memory."""
+    """A `storage.ports.Table` in memory."""
 
     def __init__(
         self, timers: timers_lib.Timers, rng: random.Random | None = None
@@ -50,7 +50,7 @@
         self._version = 0
 
     def get(self, key: str) -> ports.Row | None:
-        """Returns a row; see `platform.ports.Table.get`."""
+        """Returns a row; see `storage.ports.Table.get`."""
         self._read()
         row: ports.Row | None = self._rows.get(key)
         return row
@@ -58,7 +58,7 @@
     def scan(
         self, prefix: str, *, after: str = "", limit: int = 1000
     ) -> Sequence[ports.Row]:
-        """Returns rows in order; see `platform.ports.Table.scan`."""
+        """Returns rows in order; see `storage.ports.Table.scan`."""
         self._read()
         found: list[ports.Row] = []
         start = max(prefix, after)
@@ -70,7 +70,7 @@
         return found
 
     def transact(self, txn: ports.Transaction) -> int:
-        """Commits a transaction; see `platform.ports.Table.transact`."""
+        """Commits a transaction; see `storage.ports.Table.transact`."""
         self._check_up()
         self._timers.sleep(self.faults.write_seconds / 2)
         self._check_up()
--- a/src/endivepier/internal/platform_clients.py
+++ b/src/endivepier/storage/clients.py
@@ -5,10 +5,10 @@
 import dataclasses
 
 from endivepier import settings
-from endivepier.platform import http_hosts
-from endivepier.platform import http_objects
-from endivepier.platform import http_table
-from endivepier.platform import ports
+from endivepier.storage import http_hosts
+from endivepier.storage import http_objects
+from endivepier.storage import http_table
+from endivepier.storage import ports
 from endivepier.telemetry import spans
 
 
--- a/src/endivepier/platform/commit.py
+++ b/src/endivepier/storage/commit.py
@@ -15,7 +15,7 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.platform import ports
+from endivepier.storage import ports
 
 FIRST_BACKOFF_SECONDS = 0.02
 MAX_BACKOFF_SECONDS = 0.5
--- a/src/endivepier/platform/http_hosts.py
+++ b/src/endivepier/storage/http_hosts.py
@@ -7,14 +7,14 @@
 from endivepier import errors
 from endivepier.internal import codec
 from endivepier.internal import http_client
-from endivepier.platform import ports
-from endivepier.platform import wire
+from endivepier.storage import ports
+from endivepier.storage import wire
 
 READ_SECONDS = 2.0
 
 
 class HttpHostList:
-    """A `platform.ports.HostList` over HTTP."""
+    """A `storage.ports.HostList` over HTTP."""
 
     def __init__(self, base_url: str) -> None:
         self._client = http_client.HttpClient(
@@ -22,7 +22,7 @@
         )
 
     def hosts(self) -> Sequence[ports.Host]:
-        """Returns the list; see `platform.ports.HostList.hosts`."""
+        """Returns the list; see `storage.ports.HostList.hosts`."""
         try:
             answer = self._client.request("GET", wire.HOSTS_PATH)
         except OSError as exc:
--- a/src/endivepier/platform/http_objects.py
+++ b/src/endivepier/storage/http_objects.py
@@ -6,14 +6,14 @@
 
 from endivepier import errors
 from endivepier.internal import http_client
-from endivepier.platform import wire
+from endivepier.storage import wire
 
 READ_SECONDS = 10.0
 MEDIA_TYPE = "application/octet-stream"
 
 
 class HttpObjects:
-    """A `platform.ports.Objects` over HTTP."""
+    """A `storage.ports.Objects` over HTTP."""
 
     def __init__(self, base_url: str) -> None:
         self._client = http_client.HttpClient(
@@ -21,7 +21,7 @@
         )
 
     def put(self, name: str, body: bytes) -> None:
-        """Stores a body; see `platform.ports.Objects.put`."""
+        """Stores a body; see `storage.ports.Objects.put`."""
         answer = self._request("PUT", name, body)
         if answer.status == 409:
             raise errors.ConditionFailed(name)
@@ -29,7 +29,7 @@
             raise errors.Unavailable(f"the object store said {answer.status}")
 
     def get(self, name: str) -> bytes | None:
-        """Returns a body; see `platform.ports.Objects.get`."""
+        """Returns a body; see `storage.ports.Objects.get`."""
         answer = self._request("GET", name)
         if answer.status == 404:
             return None
--- a/src/endivepier/platform/http_table.py
+++ b/src/endivepier/storage/http_table.py
@@ -9,8 +9,8 @@
 from endivepier.internal import codec
 from endivepier.internal import http_client
 from endivepier.internal import web
-from endivepier.platform import ports
-from endivepier.platform import wire
+from endivepier.storage import ports
+from endivepier.storage import wire
 from endivepier.telemetry import spans
 
 READ_SECONDS = 2.0
@@ -18,7 +18,7 @@
 
 
 class HttpTable:
-    """A `platform.ports.Table` over HTTP."""
+    """A `storage.ports.Table` over HTTP."""
 
     def __init__(self, base_url: str, tracer: spans.Tracer) -> None:
         self._client = http_client.HttpClient(
@@ -27,7 +27,7 @@
         self._tracer = tracer
 
     def get(self, key: str) -> ports.Row | None:
-        """Returns a row; see `platform.ports.Table.get`."""
+        """Returns a row; see `storage.ports.Table.get`."""
         answer = self._read(wire.GET_PATH, wire.Get(key))
         rows = codec.decode(wire.Rows, answer.body).rows
         return rows[0].row() if rows else None
@@ -35,13 +35,13 @@
     def scan(
         self, prefix: str, *, after: str = "", limit: int = 1000
     ) -> Sequence[ports.Row]:
-        """Returns rows in order; see `platform.ports.Table.scan`."""
+        """Returns rows in order; see `storage.ports.Table.scan`."""
         answer = self._read(wire.SCAN_PATH, wire.Scan(prefix, after, limit))
         rows = codec.decode(wire.Rows, answer.body).rows
         return [row.row() for row in rows]
 
     def transact(self, txn: ports.Transaction) -> int:
-        """Commits a transaction; see `platform.ports.Table.transact`."""
+        """Commits a transaction; see `storage.ports.Table.transact`."""
         document = wire.transact_document(txn)
         try:
             answer = self._post(wire.TRANSACT_PATH, document)
--- a/src/endivepier/platform/wire.py
+++ b/src/endivepier/storage/wire.py
@@ -7,7 +7,7 @@
 
 import pydantic
 
-from endivepier.platform import ports
+from endivepier.storage import ports
 
 GET_PATH = "/table/get"
 SCAN_PATH = "/table/scan"
--- a/tests/common/api_fleet.py
+++ b/tests/common/api_fleet.py
@@ -5,10 +5,8 @@
 from endivepier.configuration import keys
 from endivepier.entry import parts as entry_parts
 from endivepier.internal import health
-from endivepier.internal import platform_clients
 from endivepier.internal import process
 from endivepier.internal import web
-from endivepier.platform import ports
 from endivepier.sidecar import parts as sidecar_parts
 from endivepier.standins import clock
 from endivepier.standins import engine
@@ -17,6 +15,8 @@
 from endivepier.standins import objects
 from endivepier.standins import service
 from endivepier.standins import table
+from endivepier.storage import clients as storage_clients
+from endivepier.storage import ports
 
 BODY_LIMIT = 100_000
 KEYS = {"one": "key-of-one", "two": "key-of-two"}
@@ -144,7 +144,7 @@
             timers=host.timers,
             peers=host.peers,
             inbox=host.inbox,
-            platform=platform_clients.Platform(
+            platform=storage_clients.Platform(
                 host.table(self.table),
                 host.objects(self.objects),
                 self.hosts,
--- a/tests/common/config_fleet.py
+++ b/tests/common/config_fleet.py
@@ -8,9 +8,9 @@
 from endivepier.entry import parts
 from endivepier.internal import process
 from endivepier.internal import web
-from endivepier.platform import ports
 from endivepier.standins import network as network_lib
 from endivepier.standins import simulation
+from endivepier.storage import ports
 from tests.common import config_checker
 
 OPERATOR_KEY = "ek_bootstrap"
--- a/tests/cover/test_commit.py
+++ b/tests/cover/test_commit.py
@@ -5,10 +5,10 @@
 import pytest
 
 from endivepier import errors
-from endivepier.platform import commit
-from endivepier.platform import ports
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
+from endivepier.storage import commit
+from endivepier.storage import ports
 
 
 def _txn(value):
--- a/tests/cover/test_configuration_authority.py
+++ b/tests/cover/test_configuration_authority.py
@@ -7,7 +7,7 @@
 from endivepier.configuration import current as current_lib
 from endivepier.configuration import keys
 from endivepier.configuration import store as store_lib
-from endivepier.platform import commit
+from endivepier.storage import commit
 from tests.common import api_fleet
 
 ONE, TWO = api_fleet.KEYS["one"], api_fleet.KEYS["two"]
--- a/tests/cover/test_configuration_store.py
+++ b/tests/cover/test_configuration_store.py
@@ -14,13 +14,13 @@
 from endivepier.configuration import snapshots
 from endivepier.configuration import state as state_lib
 from endivepier.configuration import store as store_lib
-from endivepier.platform import commit
-from endivepier.platform import ports
 from endivepier.standins import clock
 from endivepier.standins import demo
 from endivepier.standins import fleet as fleet_lib
 from endivepier.standins import objects
 from endivepier.standins import table
+from endivepier.storage import commit
+from endivepier.storage import ports
 from tests.common import config_fleet
 
 CHANGE = "[[changed.accounts]]\nname = 'one'\nrate = {}.0\n"
--- a/tests/cover/test_effects.py
+++ b/tests/cover/test_effects.py
@@ -18,9 +18,9 @@
 from endivepier.effects import recorder
 from endivepier.effects import retention
 from endivepier.internal import http_client
-from endivepier.platform import ports
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
+from endivepier.storage import ports
 from endivepier.telemetry import metrics
 from tests.common import api_fleet
 
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -4,10 +4,10 @@
 
 from endivepier.membership import members
 from endivepier.membership import view as view_lib
-from endivepier.platform import ports
 from endivepier.standins import clock
 from endivepier.standins import hosts as hosts_lib
 from endivepier.standins import network as network_lib
+from endivepier.storage import ports
 
 LAG = 1.0
 
--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -4,13 +4,13 @@
 
 from endivepier import errors
 from endivepier.internal import ids as ids_lib
-from endivepier.platform import commit
 from endivepier.scheduling import leases as leases_lib
 from endivepier.scheduling import orders
 from endivepier.standins import clock
 from endivepier.standins import engine as engine_lib
 from endivepier.standins import network as network_lib
 from endivepier.standins import table as table_lib
+from endivepier.storage import commit
 from endivepier.targets import ports
 from endivepier.telemetry import metrics as metrics_lib
 
--- a/tests/histories/test_programs_planted.py
+++ b/tests/histories/test_programs_planted.py
@@ -8,11 +8,11 @@
 from endivepier.history import commits
 from endivepier.history import journal
 from endivepier.history import turns
-from endivepier.platform import ports
 from endivepier.sidecar import matching
 from endivepier.sidecar import programs
 from endivepier.sidecar import reaper
 from endivepier.sidecar import registry
+from endivepier.storage import ports
 from tests.common import callers
 from tests.common import faults
 from tests.common import histories
