--- a/src/endivepier/errors.py
+++ b/src/endivepier/errors.py
@@ -114,6 +114,13 @@
         self.key = key
 
 
+class HistoryLost(EndivepierError):
+    """Raised when a store no longer has the changes asked for.
+
+    Read the whole table afresh.
+    """
+
+
 class Fenced(EndivepierError):
     """Raised when an epoch or fencing number is old. Give up the lease."""
 
@@ -137,9 +144,13 @@
 
     Attributes:
         sent: False if not a byte of the request reached the target.
+        timeout: whether the target was silent for too long.
     """
 
-    def __init__(self, target: str, detail: str, *, sent: bool) -> None:
+    def __init__(
+        self, target: str, detail: str, *, sent: bool, timeout: bool = False
+    ) -> None:
         super().__init__(f"target {target} failed: {detail}")
         self.target = target
         self.sent = sent
+        self.timeout = timeout
--- /dev/null
+++ b/src/endivepier/gateway/budgets.py
@@ -0,0 +1,430 @@
+"""Token budgets of programs, held over all entry hosts.
+
+One row a program says what was spent and what each process holds: tokens that
+it may hand out without asking again. A turn runs within what its process
+holds. What a process holds counts as spent until it says otherwise, so that a
+process that is lost never makes tokens come back.
+
+After each turn its process writes what was spent and takes a little more in
+advance, so that the next turn finds its tokens without a wait, also while the
+store is away.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import itertools
+
+import eliot
+import gevent
+import gevent.event
+
+from endivepier import errors
+from endivepier import timers as timers_lib
+from endivepier.gateway import rows
+from endivepier.internal import codec
+from endivepier.storage import ports
+
+# Turns that a process holds in advance while the budget is ample, and the
+# part of the remaining budget that this may take at most.
+TURNS_AHEAD = 3
+AHEAD_SHARE = 0.25
+SETTLE_DELAY_SECONDS = 0.02  # lets turns that end together share a write
+# A process that has heard nothing of a program for so long gives back what
+# it holds in advance. The users count a turn as settled after a second.
+IDLE_SECONDS = 0.8
+# How long a turn waits for other processes to give back what they hold.
+RELEASE_WAIT_SECONDS = 1.2
+FIRST_BACKOFF_SECONDS = 0.02
+MAX_BACKOFF_SECONDS = 1.0
+# A program sends its next turn well within this time; after it the store
+# alone remembers.
+FORGET_SECONDS = 20.0
+
+
+class State(enum.Enum):
+    """What became of a reservation."""
+
+    PENDING = "pending"
+    GRANTED = "granted"
+    DENIED = "denied"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """What one process holds, and the number of its last write."""
+
+    tokens: int
+    write: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """A program's row."""
+
+    spent: int
+    held: dict[str, Held]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Attempt:
+    """A write whose outcome is not known yet.
+
+    Attributes:
+        version: of the row that it is conditional on.
+        used: tokens that it settles.
+        tokens: what this process holds after it.
+    """
+
+    version: int
+    used: int
+    tokens: int
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Reservation:
+    """The tokens of one turn.
+
+    Attributes:
+        most: how many the turn may generate.
+        state: whether the turn has them.
+        decided: set once that is known.
+        likely: whether they will be granted as far as this process knows.
+    """
+
+    most: int
+    program: _Program
+    state: State = State.PENDING
+    decided: gevent.event.Event = dataclasses.field(
+        default_factory=gevent.event.Event
+    )
+    likely: bool = False
+
+    def decide(self, state: State) -> None:
+        """Ends the wait for the tokens."""
+        self.state = state
+        self.decided.set()
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Program:
+    """What this process knows of a program.
+
+    Attributes:
+        name: the program's id.
+        budget: tokens that it may generate in all.
+        version: of the row; 0 if there is none, None if unknown.
+        spent: as of that version.
+        others: what other processes hold, as of that version.
+        mine: what this process holds, as of that version.
+        active: tokens of the turns that run here.
+        used: tokens that were handed out here and not yet written.
+        pending: reservations that wait.
+        attempts: writes that may still take effect, by their number.
+        busy: whether a task writes.
+        settle: whether something is to be written although nobody waits.
+        release: whether what is held in advance is given back.
+        largest: the most tokens that any of its turns asked for.
+        touched: when it was last asked about.
+    """
+
+    name: str
+    budget: int
+    version: int | None = None
+    spent: int = 0
+    others: dict[str, Held] = dataclasses.field(default_factory=dict)
+    mine: int = 0
+    active: int = 0
+    used: int = 0
+    pending: list[Reservation] = dataclasses.field(default_factory=list)
+    attempts: dict[int, _Attempt] = dataclasses.field(default_factory=dict)
+    busy: bool = False
+    settle: bool = False
+    release: bool = False
+    largest: int = 0
+    touched: float = 0.0
+
+    @property
+    def held_by_others(self) -> int:
+        """Tokens that other processes hold."""
+        return sum(held.tokens for held in self.others.values())
+
+    @property
+    def spare(self) -> int:
+        """Tokens that are held here and that no turn has."""
+        return self.mine - self.active - self.used
+
+
+class Ledger:
+    """The budgets of all programs at this process."""
+
+    def __init__(
+        self, holder: str, table: ports.Table, timers: timers_lib.Timers
+    ) -> None:
+        """Makes a ledger.
+
+        Args:
+            holder: name of this process, another one after a restart.
+            table: keeps the rows.
+            timers: the timer service.
+        """
+        self.store_down = False
+        self._holder = holder
+        self._table = table
+        self._timers = timers
+        self._programs: dict[str, _Program] = {}
+        self._numbers = itertools.count(1)
+        self._regained = gevent.event.Event()
+
+    def start(self) -> None:
+        """Begins to look after programs that are over."""
+        self._timers.every(IDLE_SECONDS / 2, self._tend)
+
+    def stop(self) -> None:
+        """Does nothing: what is held counts as spent."""
+
+    def begin(self, program: str, budget: int, most: int) -> Reservation:
+        """Reserves the tokens of a turn; may still be pending on return."""
+        found = self._programs.get(program)
+        if found is None:
+            found = self._programs[program] = _Program(program, budget)
+        found.touched = self._timers.now()
+        found.budget = budget
+        found.release = False
+        found.largest = max(found.largest, most)
+        reservation = Reservation(most, found)
+        if found.spare >= most:
+            found.active += most
+            reservation.decide(State.GRANTED)
+            return reservation
+        reservation.likely = self._is_likely(found, most)
+        found.pending.append(reservation)
+        self._kick(found)
+        return reservation
+
+    def end(self, reservation: Reservation, used: int) -> None:
+        """Settles a turn: `used` tokens were handed to the client."""
+        program = reservation.program
+        program.touched = self._timers.now()
+        if reservation.state is not State.GRANTED:
+            if reservation in program.pending:
+                program.pending.remove(reservation)
+                reservation.decide(State.UNAVAILABLE)
+            return
+        program.active -= reservation.most
+        program.used += used
+        program.settle = True
+        self._timers.after(SETTLE_DELAY_SECONDS, lambda: self._kick(program))
+
+    def _is_likely(self, program: _Program, most: int) -> bool:
+        if self.store_down:
+            return False
+        if program.version is None:
+            return True
+        left = program.budget - program.spent - program.used
+        left -= program.held_by_others + program.active
+        return left >= 2 * most + sum(r.most for r in program.pending)
+
+    def _kick(self, program: _Program) -> None:
+        if not program.busy and (program.pending or program.settle):
+            program.busy = True
+            gevent.spawn(self._write_all, program)
+
+    def _write_all(self, program: _Program) -> None:
+        backoff = FIRST_BACKOFF_SECONDS
+        waited = self._timers.now()
+        try:
+            while program.pending or program.settle:
+                try:
+                    blocked = self._write(program)
+                    self._note(program, None)
+                    backoff = FIRST_BACKOFF_SECONDS
+                except (errors.Unavailable, errors.OutcomeUnknown) as exc:
+                    self._note(program, exc)
+                    self._timers.wait(self._regained, backoff)
+                    backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+                    continue
+                if blocked:
+                    if self._timers.now() - waited > RELEASE_WAIT_SECONDS:
+                        self._deny(program)
+                    else:
+                        self._timers.sleep(RELEASE_WAIT_SECONDS / 8)
+        finally:
+            program.busy = False
+            for reservation in program.pending:
+                reservation.decide(State.UNAVAILABLE)
+            program.pending.clear()
+
+    def _note(self, program: _Program, exc: Exception | None) -> None:
+        if exc is not None and not self.store_down:
+            self._regained.clear()
+            eliot.log_message(
+                "budgets.store_lost", program=program.name, reason=str(exc)
+            )
+        if exc is None and self.store_down:
+            self._regained.set()
+            eliot.log_message("budgets.store_regained", program=program.name)
+        self.store_down = exc is not None
+
+    def _deny(self, program: _Program) -> None:
+        """Denies what waits; the store has just been read."""
+        for reservation in program.pending:
+            reservation.decide(State.DENIED)
+        eliot.log_message(
+            "budget.spent",
+            program=program.name,
+            budget=program.budget,
+            spent=program.spent,
+            held_elsewhere=program.held_by_others,
+            row_version=program.version,
+            denied=len(program.pending),
+        )
+        program.pending.clear()
+
+    def _write(self, program: _Program) -> bool:
+        """Writes once what is to be written.
+
+        Returns:
+            Whether reservations still wait for what other processes hold.
+
+        Raises:
+            errors.Unavailable: nothing was written.
+            errors.OutcomeUnknown: it may have been written.
+        """
+        looked = bool(program.attempts)
+        if looked:
+            self._read(program)
+        granted = self._fitting(program)
+        if len(granted) < len(program.pending) and not looked:
+            # What is known may be old, or only assumed: look before a no.
+            self._read(program)
+            granted = self._fitting(program)
+        if granted or program.settle:
+            self._commit(program, granted)
+            return False
+        if program.pending and not program.held_by_others:
+            self._deny(program)
+        return bool(program.pending)
+
+    def _fitting(self, program: _Program) -> list[Reservation]:
+        """Returns the pending reservations that the budget has room for."""
+        left = program.budget - program.spent - program.used
+        left -= program.held_by_others + program.active
+        granted = []
+        for reservation in program.pending:
+            if reservation.most <= left:
+                left -= reservation.most
+                granted.append(reservation)
+        return granted
+
+    def _commit(self, program: _Program, granted: list[Reservation]) -> None:
+        used = program.used
+        taken = program.active + sum(r.most for r in granted)
+        left = program.budget - program.spent - used
+        left -= program.held_by_others + taken
+        tokens = taken + self._ahead(program, left)
+        number = next(self._numbers)
+        program.settle = False
+        key = rows.key(rows.BUDGETS, program.name)
+        usage = Usage(
+            program.spent + used,
+            {**program.others, self._holder: Held(tokens, number)},
+        )
+        condition: ports.Condition = ports.Absent(key)
+        if program.version:
+            condition = ports.VersionIs(key, program.version)
+        program.attempts[number] = _Attempt(program.version or 0, used, tokens)
+        # While the outcome is open, only what is held in both cases is held.
+        program.mine = min(program.mine, tokens + used)
+        try:
+            version = self._table.transact(
+                ports.Transaction(
+                    (condition,), (ports.Put(key, codec.encode(usage)),)
+                )
+            )
+        except errors.OutcomeUnknown:
+            program.settle = True
+            raise
+        except (errors.ConditionFailed, errors.Unavailable) as exc:
+            program.settle = True
+            del program.attempts[number]
+            if isinstance(exc, errors.Unavailable):
+                raise
+            self._read(program)
+            return
+        self._applied(program, number, version, usage.spent)
+        for reservation in granted:
+            if reservation in program.pending:
+                program.pending.remove(reservation)
+                program.active += reservation.most
+                reservation.decide(State.GRANTED)
+
+    def _applied(
+        self, program: _Program, number: int, version: int, spent: int
+    ) -> None:
+        attempt = program.attempts[number]
+        # The row has a new version, so that no other write can take effect.
+        program.attempts.clear()
+        program.version = version
+        program.spent = spent
+        program.used -= attempt.used
+        program.mine = attempt.tokens
+
+    def _ahead(self, program: _Program, left: int) -> int:
+        """Returns how many tokens to hold in advance."""
+        most = program.largest
+        if program.release:
+            return 0
+        ahead = min(TURNS_AHEAD * most, int(left * AHEAD_SHARE))
+        return ahead if ahead >= most else 0
+
+    def _read(self, program: _Program) -> None:
+        """Reads the row; finds out what became of an open write.
+
+        Raises:
+            errors.Unavailable: it can't be read now.
+        """
+        row = self._table.get(rows.key(rows.BUDGETS, program.name))
+        if row is None:
+            self._adopt(program, 0, Usage(0, {}), None)
+            program.others = {}
+            return
+        usage: Usage = codec.decode(Usage, row.value)
+        mine = usage.held.get(self._holder)
+        if mine is not None and mine.write in program.attempts:
+            self._applied(program, mine.write, row.version, usage.spent)
+        else:
+            self._adopt(program, row.version, usage, mine)
+        program.others = {
+            holder: held
+            for holder, held in usage.held.items()
+            if holder != self._holder and held.tokens
+        }
+
+    def _adopt(
+        self, program: _Program, version: int, usage: Usage, mine: Held | None
+    ) -> None:
+        """Takes over a row that none of the open writes has written."""
+        program.version = version
+        program.spent = usage.spent
+        program.mine = 0 if mine is None else mine.tokens
+        for number, attempt in list(program.attempts.items()):
+            if attempt.version != version:
+                del program.attempts[number]
+            else:
+                program.mine = min(program.mine, attempt.tokens + attempt.used)
+
+    def _tend(self) -> None:
+        """Gives back what idle programs hold, and forgets old ones."""
+        now = self._timers.now()
+        for name, program in list(self._programs.items()):
+            if program.busy or program.active or program.pending:
+                continue
+            if now - program.touched > FORGET_SECONDS and not program.used:
+                del self._programs[name]
+            elif program.spare > 0 and now - program.touched > IDLE_SECONDS:
+                program.release = True
+                program.settle = True
+                self._kick(program)
--- /dev/null
+++ b/src/endivepier/gateway/calls.py
@@ -0,0 +1,122 @@
+"""A call on its way: what was decided for it so far, and its refusals."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import eliot
+
+from endivepier import errors
+from endivepier import timers as timers_lib
+from endivepier.gateway import catalog as catalog_lib
+from endivepier.gateway import model
+from endivepier.gateway import placement as placement_lib
+from endivepier.http1 import server as server_lib
+
+# How soon a client may come back when all targets are full or unreachable:
+# a turn at an engine lasts some 200 ms, and slots come free all the time.
+FULL_RETRY_SECONDS = 0.15
+STORE_RETRY_SECONDS = 0.7  # the store's outages last seconds
+NOT_READY_RETRY_SECONDS = 0.5
+# What is left of a deadline below which no target can answer in time.
+MIN_SECONDS = 0.01
+
+
+@dataclasses.dataclass(slots=True)
+class Passage:
+    """A call with what was decided for it.
+
+    Attributes:
+        call: what the client asks.
+        route: where it goes.
+        account: name of its client account, or empty.
+        service: name of the service that serves it.
+        engine: what is known of the service's engines, or None.
+        responder: the way back to the client.
+        limit: when it must be answered, monotonic seconds.
+        tried: incarnations of targets that it was sent to.
+        unreachable: incarnations of targets that took no connection.
+        may_have_run: whether some target may have run the call.
+    """
+
+    call: model.Call
+    route: model.Route
+    account: str
+    service: str
+    engine: model.Engine | None
+    responder: server_lib.Responder
+    limit: float
+    tried: list[str] = dataclasses.field(default_factory=list)
+    unreachable: set[str] = dataclasses.field(default_factory=set)
+    may_have_run: bool = False
+
+    def may_try_again(self, now: float) -> bool:
+        """Returns whether another target may be sent the call."""
+        left = self.limit - now
+        return len(self.tried) < self.route.max_attempts and left > MIN_SECONDS
+
+
+def next_target(
+    passage: Passage,
+    catalog: catalog_lib.Catalog,
+    placement: placement_lib.Placement,
+    timers: timers_lib.Timers,
+) -> model.Target:
+    """Returns the target that a call goes to next.
+
+    Raises:
+        errors.Refused: there is none; the call has not run.
+    """
+    if passage.limit - timers.now() <= MIN_SECONDS:
+        raise errors.Refused(
+            errors.Code.DEADLINE_EXCEEDED, 503, "no time is left for the call"
+        )
+    targets = catalog.targets(passage.service)
+    excluded = passage.unreachable | set(passage.tried)
+    target = placement.choose(passage.call, targets, passage.engine, excluded)
+    if target is None:
+        raise no_room(passage, f"{len(targets)} targets, none takes the call")
+    return target
+
+
+def no_room(passage: Passage, detail: str) -> errors.Refused:
+    """Returns the refusal of a call that no target took."""
+    return errors.Refused(
+        errors.Code.OVERLOADED,
+        503,
+        f"service {passage.service!r}: {detail}",
+        retry_after=FULL_RETRY_SECONDS,
+    )
+
+
+def store_away(detail: str) -> errors.Refused:
+    """Returns the refusal of a call that needs the store."""
+    return errors.Refused(
+        errors.Code.STORE_UNAVAILABLE,
+        503,
+        detail,
+        retry_after=STORE_RETRY_SECONDS,
+    )
+
+
+def outcome_unknown(exc: errors.TargetFailed) -> errors.Refused:
+    """Returns the answer to a call that may have run."""
+    return errors.Refused(
+        errors.Code.OUTCOME_UNKNOWN,
+        504 if exc.timeout else 502,
+        str(exc),
+        ran=errors.Ran.UNKNOWN,
+    )
+
+
+def log_failure(passage: Passage, exc: errors.TargetFailed) -> None:
+    """Logs that a target did not answer a call."""
+    eliot.log_message(
+        "call.target_failed",
+        request=passage.call.id,
+        target=exc.target,
+        sent=exc.sent,
+        reason=str(exc),
+        attempts=len(passage.tried),
+        most=passage.route.max_attempts,
+    )
--- /dev/null
+++ b/src/endivepier/gateway/follower.py
@@ -0,0 +1,104 @@
+"""Follows a table of the store for as long as the process runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import eliot
+import gevent
+
+from endivepier import errors
+from endivepier import timers as timers_lib
+from endivepier.storage import ports
+
+WAIT_SECONDS = 1.0  # how long the store holds a call without a change
+FIRST_BACKOFF_SECONDS = 0.05
+MAX_BACKOFF_SECONDS = 0.4
+
+
+class Follower:
+    """Reads a table once, then its changes.
+
+    Attributes:
+        version: the store's version that was read last, or None.
+        contact: when the store last answered, monotonic seconds, or None.
+    """
+
+    def __init__(
+        self,
+        feed: ports.Feed,
+        timers: timers_lib.Timers,
+        table: str,
+        on_snapshot: Callable[[ports.Changes], None],
+        on_changes: Callable[[ports.Changes], None],
+    ) -> None:
+        self.version: int | None = None
+        self.contact: float | None = None
+        self._feed = feed
+        self._timers = timers
+        self._table = table
+        self._on_snapshot = on_snapshot
+        self._on_changes = on_changes
+        self._lost_at: float | None = None
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begins to follow."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Follows no longer."""
+        if self._task is not None:
+            self._task.kill()
+
+    def _run(self) -> None:
+        backoff = FIRST_BACKOFF_SECONDS
+        while True:
+            try:
+                self._step()
+                self._note_contact()
+                backoff = FIRST_BACKOFF_SECONDS
+            except errors.HistoryLost:
+                eliot.log_message(
+                    "store.history_lost",
+                    table=self._table,
+                    version=self.version,
+                    action="read the table afresh",
+                )
+                self.version = None
+            except errors.Unavailable as exc:
+                self._note_loss(exc)
+                self._timers.sleep(backoff)
+                backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+
+    def _step(self) -> None:
+        if self.version is None:
+            snapshot = self._feed.snapshot(self._table)
+            self._on_snapshot(snapshot)
+            self.version = snapshot.version
+            return
+        changes = self._feed.changes(self._table, self.version, WAIT_SECONDS)
+        if changes.rows or changes.removed:
+            self._on_changes(changes)
+        self.version = max(self.version, changes.version)
+
+    def _note_contact(self) -> None:
+        self.contact = self._timers.now()
+        if self._lost_at is not None:
+            eliot.log_message(
+                "store.regained",
+                table=self._table,
+                seconds=round(self.contact - self._lost_at, 3),
+                version=self.version,
+            )
+            self._lost_at = None
+
+    def _note_loss(self, exc: errors.Unavailable) -> None:
+        if self._lost_at is None:
+            self._lost_at = self._timers.now()
+            eliot.log_message(
+                "store.lost",
+                table=self._table,
+                version=self.version,
+                reason=str(exc),
+            )
--- /dev/null
+++ b/src/endivepier/gateway/placement.py
@@ -0,0 +1,175 @@
+"""Which target a call goes to.
+
+The cost of a target is an estimate in seconds: the prompt that it would have
+to read again, what waits there already, and how far away it is. An entry host
+knows its own sends at once and nothing of others'; hosts agree on a target
+for a program that none of them has seen by hashing its name.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+
+import xxhash
+
+from endivepier import timers as timers_lib
+from endivepier.gateway import model
+
+PREFILL_TOKENS_PER_SECOND = 80_000.0  # slower than the sheets' engines
+RUNNING_SECONDS = 0.004  # what each running request adds to another's time
+QUEUED_SECONDS = 0.030  # what each request beyond the slots adds
+OTHER_CENTRE_SECONDS = 0.004  # two ways between data centres, and the bytes
+HASH_SECONDS = 0.012  # preference of the target that the hash names
+PLAIN_RUNNING_SECONDS = 0.020  # a request in front, at a plain service
+ERROR_SECONDS = 0.6  # cost of a target that fails every request
+ERROR_WEIGHT = 0.25  # of the newest result in the error rate
+FIRST_AVOID_SECONDS = 0.25
+MAX_AVOID_SECONDS = 4.0
+FULL_AVOID_SECONDS = 0.1  # a target that was full a moment ago
+KNOWN_PARTS = 4096  # parts of prompts that are remembered for one target
+DOWN_COST_SECONDS = 60.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Load:
+    """What this process knows of a target.
+
+    Attributes:
+        running: own calls that run there.
+        errors: recent share of calls that failed.
+        failures: failures in a row.
+        avoid_until: until when others are preferred, monotonic seconds.
+        parts: parts of prompts that it has read, those used last at the end.
+    """
+
+    running: int = 0
+    errors: float = 0.0
+    failures: int = 0
+    avoid_until: float = 0.0
+    parts: collections.OrderedDict[str, None] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+    def remember(self, parts: tuple[model.Part, ...]) -> None:
+        """Notes that the target has read the parts."""
+        for part in parts:
+            self.parts[part.name] = None
+            self.parts.move_to_end(part.name)
+        while len(self.parts) > KNOWN_PARTS:
+            self.parts.popitem(last=False)
+
+    def unread(self, call: model.Call) -> int:
+        """Returns the tokens of the prompt that the target would read."""
+        left = call.prompt_tokens
+        for part in call.parts:
+            if part.name not in self.parts:
+                break
+            left -= part.tokens
+        return max(left, 0)
+
+
+class Placement:
+    """Chooses targets and remembers how they did."""
+
+    def __init__(
+        self,
+        data_centre: str,
+        timers: timers_lib.Timers,
+        rng: random.Random,
+    ) -> None:
+        self.hosts = 1
+        self._data_centre = data_centre
+        self._timers = timers
+        self._rng = rng
+        self._loads: dict[str, Load] = collections.defaultdict(Load)
+
+    def load(self, target: model.Target) -> Load:
+        """Returns what is known of a target."""
+        return self._loads[target.incarnation]
+
+    def forget(self, target: model.Target) -> None:
+        """Forgets a target that is gone."""
+        self._loads.pop(target.incarnation, None)
+
+    def choose(
+        self,
+        call: model.Call,
+        targets: list[model.Target],
+        engine: model.Engine | None,
+        excluded: set[str],
+    ) -> model.Target | None:
+        """Returns the target with the lowest cost; None if there is none.
+
+        Args:
+            call: what is to be sent.
+            targets: of one service.
+            engine: what is known of the service's engines; None for a plain
+                service.
+            excluded: incarnations that must not be chosen.
+        """
+        choices = [t for t in targets if t.incarnation not in excluded]
+        if not choices:
+            return None
+        key = call.program or call.session or call.affinity or call.id
+        preferred = max(
+            choices,
+            key=lambda t: xxhash.xxh32_intdigest((t.name + key).encode()),
+        )
+        return min(
+            choices,
+            key=lambda t: self._cost(call, t, engine, t is preferred),
+        )
+
+    def began(self, target: model.Target, call: model.Call) -> None:
+        """Notes that a call was sent."""
+        load = self.load(target)
+        load.running += 1
+        load.remember(call.parts)
+
+    def ended(self, target: model.Target, *, failed: bool) -> None:
+        """Notes how a call ended at its target."""
+        load = self.load(target)
+        load.running = max(load.running - 1, 0)
+        load.errors += ERROR_WEIGHT * (float(failed) - load.errors)
+        if not failed:
+            load.failures = 0
+            load.avoid_until = 0.0
+            return
+        load.failures += 1
+        seconds = FIRST_AVOID_SECONDS * 2 ** min(load.failures - 1, 6)
+        self._avoid(load, min(seconds, MAX_AVOID_SECONDS))
+
+    def full(self, target: model.Target) -> None:
+        """Notes that a target had no room for a call."""
+        load = self.load(target)
+        load.running = max(load.running - 1, 0)
+        self._avoid(load, FULL_AVOID_SECONDS)
+
+    def _avoid(self, load: Load, seconds: float) -> None:
+        load.avoid_until = max(load.avoid_until, self._timers.now() + seconds)
+
+    def _cost(
+        self,
+        call: model.Call,
+        target: model.Target,
+        engine: model.Engine | None,
+        preferred: bool,
+    ) -> float:
+        load = self.load(target)
+        cost = load.errors * ERROR_SECONDS
+        if target.data_centre != self._data_centre:
+            cost += OTHER_CENTRE_SECONDS
+        if load.avoid_until > self._timers.now():
+            cost += DOWN_COST_SECONDS
+        if engine is None:
+            cost += load.running * PLAIN_RUNNING_SECONDS
+        else:
+            cost += load.unread(call) / PREFILL_TOKENS_PER_SECOND
+            cost += load.running * RUNNING_SECONDS
+            if not preferred:
+                cost += HASH_SECONDS
+        slots = max(target.slots / self.hosts, 1.0)
+        cost += max(load.running - slots, 0.0) * QUEUED_SECONDS
+        return cost + self._rng.random() * 1e-4
--- /dev/null
+++ b/src/endivepier/gateway/plain.py
@@ -0,0 +1,129 @@
+"""Calls whose answer is one body: tools and other plain services."""
+
+from __future__ import annotations
+
+import eliot
+
+from endivepier import errors
+from endivepier import timers as timers_lib
+from endivepier.gateway import calls
+from endivepier.gateway import catalog as catalog_lib
+from endivepier.gateway import exchange as exchange_lib
+from endivepier.gateway import model
+from endivepier.http1 import messages
+
+# A call that may be repeated is sent elsewhere when its target has been
+# silent for so many objectives: that is long after nearly all answers.
+SILENT_OBJECTIVES = 1.5
+MIN_SILENT_SECONDS = 0.15
+
+
+class PlainCalls:
+    """Sends plain calls and hands on whole answers only."""
+
+    def __init__(
+        self,
+        catalog: catalog_lib.Catalog,
+        links: exchange_lib.Links,
+        timers: timers_lib.Timers,
+    ) -> None:
+        self._catalog = catalog
+        self._links = links
+        self._timers = timers
+
+    def serve(self, passage: calls.Passage) -> None:
+        """Answers a call.
+
+        Raises:
+            errors.Refused: it is answered with this refusal.
+        """
+        while True:
+            target = calls.next_target(
+                passage, self._catalog, self._links.placement, self._timers
+            )
+            try:
+                exchange, body = self._attempt(passage, target)
+            except errors.TargetFailed as exc:
+                self._after_failure(passage, target, exc)
+                continue
+            if exchange.not_run:
+                self._after_rejection(passage, exchange)
+                continue
+            self._answer(passage, exchange.head, body)
+            return
+
+    def _attempt(
+        self, passage: calls.Passage, target: model.Target
+    ) -> tuple[exchange_lib.Exchange, bytes]:
+        now = self._timers.now()
+        dispatch = model.Dispatch(
+            target, passage.account, passage.limit - now, passage.call.body
+        )
+        repeatable = passage.route.repeatable
+        exchange = self._links.send(
+            passage.call, dispatch, repeatable=repeatable
+        )
+        passage.tried.append(target.incarnation)
+        failed = True
+        try:
+            deadline = self._patience(passage)
+            exchange.read_head(deadline)
+            body = exchange.read_all(max(deadline, self._timers.now() + 0.2))
+            failed = False
+            return exchange, body
+        except errors.TargetFailed:
+            raise
+        except BaseException:
+            failed = False
+            raise
+        finally:
+            exchange.close(failed=failed)
+
+    def _patience(self, passage: calls.Passage) -> float:
+        """Returns until when to wait for the answer of this attempt."""
+        route = passage.route
+        now = self._timers.now()
+        if not (route.repeatable and passage.may_try_again(now)):
+            return passage.limit
+        silent = max(SILENT_OBJECTIVES * route.objective, MIN_SILENT_SECONDS)
+        return min(passage.limit, now + silent)
+
+    def _after_failure(
+        self,
+        passage: calls.Passage,
+        target: model.Target,
+        exc: errors.TargetFailed,
+    ) -> None:
+        """Decides whether the call goes elsewhere after a failure."""
+        calls.log_failure(passage, exc)
+        if not exc.sent:
+            passage.unreachable.add(target.incarnation)
+            return
+        passage.may_have_run = True
+        if target.incarnation not in passage.tried:
+            passage.tried.append(target.incarnation)
+        again = passage.may_try_again(self._timers.now())
+        if not (passage.route.repeatable and again):
+            raise calls.outcome_unknown(exc)
+
+    def _after_rejection(
+        self, passage: calls.Passage, exchange: exchange_lib.Exchange
+    ) -> None:
+        """Decides whether the call goes elsewhere after a rejection."""
+        eliot.log_message(
+            "call.rejected",
+            request=passage.call.id,
+            target=exchange.target.name,
+            status=exchange.head.status,
+            attempts=len(passage.tried),
+        )
+        if not passage.may_try_again(self._timers.now()):
+            raise calls.no_room(
+                passage, f"{len(passage.tried)} targets were full"
+            )
+
+    def _answer(
+        self, passage: calls.Passage, head: messages.Head, body: bytes
+    ) -> None:
+        headers = messages.end_to_end(head.headers)
+        passage.responder.send(head.status, headers, body)
--- /dev/null
+++ b/src/endivepier/gateway/shares.py
@@ -0,0 +1,326 @@
+"""Rates of client accounts, split over entry hosts by demand.
+
+Each entry host holds a fraction of each account's rate and burst, and the
+fractions of one account never add up to more than one. They stand in one row
+an account, which a host changes only under the condition that nobody else
+has. A host asks for the fraction that its demand is of all demand; it gives
+up what is above that at once and gets what is missing once others have.
+
+A fraction is a lease: a host that can't renew it stops using it before any
+other host may count it as free. Others measure that by their own clocks, from
+when they first saw the last renewal. A host that starts again takes over
+what its former process held, since that process is gone.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import eliot
+import gevent
+
+from endivepier import errors
+from endivepier import timers as timers_lib
+from endivepier.gateway import catalog as catalog_lib
+from endivepier.gateway import model
+from endivepier.gateway import rows
+from endivepier.internal import codec
+from endivepier.limits import bucket as bucket_lib
+from endivepier.limits import leases
+from endivepier.storage import commit
+from endivepier.storage import ports
+
+# Longer than the store outages that the deployments' pages tell of (9 s), so
+# that accounts keep their rates through one.
+LEASE_SECONDS = 15.0
+RENEW_SECONDS = 1.0  # how soon fractions follow a shift of demand
+KEEP_ALIVE_SECONDS = 4.0  # a lease survives three lost renewals
+COMMIT_SECONDS = 2.0
+MIN_CHANGE = 0.1  # relative change of a fraction that is worth a write
+# Part of an account's rate that is split evenly, whatever the demand, so that
+# a host has something for the first requests that reach it.
+EVEN_SHARE = 0.15
+BATCH_ROWS = 45  # a transaction holds 100 entries: a condition and a put each
+# Part of a host's burst that is kept for programs under way: one that can't
+# end is worth nothing, so new ones wait first.
+RESERVE_SHARE = 0.4
+MAX_RETRY_SECONDS = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """What one host holds of an account.
+
+    Attributes:
+        fraction: of rate and burst.
+        renewals: rises with each write of the entry.
+        demand: requests a second that reach the host.
+        write: name of the write, to recognize it.
+    """
+
+    fraction: float
+    renewals: int
+    demand: float
+    write: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """All that is held of one account, by name of the holder."""
+
+    holders: dict[str, Entry]
+
+
+@dataclasses.dataclass(slots=True)
+class Share:
+    """This host's part of an account.
+
+    Attributes:
+        bucket: its tokens.
+        fraction: what may be used now.
+        until: when the lease ends, monotonic seconds.
+        written: when the entry was last written.
+    """
+
+    bucket: bucket_lib.Bucket
+    fraction: float = 0.0
+    until: float = 0.0
+    written: float = 0.0
+
+    def touch(self, now: float) -> None:
+        """Brings the bucket up to date."""
+        self.bucket.touch(now, self.fraction if now < self.until else 0.0)
+
+
+class Shares:
+    """The limits of all accounts at this host."""
+
+    def __init__(
+        self,
+        holder: str,
+        catalog: catalog_lib.Catalog,
+        table: ports.Table,
+        timers: timers_lib.Timers,
+        rng: random.Random,
+    ) -> None:
+        """Makes limits that hold nothing yet.
+
+        Args:
+            holder: name of this host, the same after a restart.
+            catalog: declares the accounts.
+            table: keeps the rows.
+            timers: the timer service.
+            rng: spreads renewals over time.
+        """
+        self.ready = False
+        self.holders = 1
+        self._holder = holder
+        self._catalog = catalog
+        self._table = table
+        self._timers = timers
+        self._rng = rng
+        self._committer = commit.Committer(table, timers, rng)
+        self._shares: dict[str, Share] = {}
+        self._seen: dict[tuple[str, str], tuple[int, float]] = {}
+        self._failing = False
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begins to renew."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Renews no longer; the leases lapse."""
+        if self._task is not None:
+            self._task.kill()
+
+    def admit(self, account: model.Account, *, fresh: bool) -> float | None:
+        """Takes a token of the account.
+
+        Args:
+            account: who asks.
+            fresh: whether the request begins a new program.
+
+        Returns:
+            None if the request is admitted, else the seconds after which
+            there is a token.
+        """
+        if account.rate <= 0:
+            return None
+        now = self._timers.now()
+        share = self._share(account, now)
+        share.touch(now)
+        share.bucket.arrive(now)
+        reserve = 0.0
+        if fresh:
+            reserve = RESERVE_SHARE * share.fraction * account.burst
+        if share.bucket.level >= 1.0 + reserve and share.bucket.take():
+            return None
+        refill = share.fraction * account.rate
+        if refill <= 0:
+            return MAX_RETRY_SECONDS
+        missing = 1.0 + reserve - share.bucket.level
+        return min(missing / refill, MAX_RETRY_SECONDS)
+
+    def _share(self, account: model.Account, now: float) -> Share:
+        share = self._shares.get(account.name)
+        if share is None:
+            bucket = bucket_lib.Bucket(account, 0.0, now, now, full=False)
+            share = self._shares[account.name] = Share(bucket)
+        bucket = share.bucket
+        if bucket.rate != account.rate or bucket.burst != account.burst:
+            share.touch(now)
+            bucket.rate = account.rate
+            bucket.burst = account.burst
+            share.touch(now)
+        return share
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self._renew_all()
+                self._note(None)
+            except errors.ConditionFailed:
+                # Another host wrote first; its row is read next time.
+                self._timers.sleep(self._rng.uniform(0.005, 0.05))
+                continue
+            except (errors.Unavailable, errors.OutcomeUnknown) as exc:
+                self._note(exc)
+            seconds = RENEW_SECONDS if self.ready else RENEW_SECONDS / 10
+            self._timers.sleep(seconds * self._rng.uniform(0.8, 1.2))
+
+    def _note(self, exc: Exception | None) -> None:
+        if exc is not None and not self._failing:
+            eliot.log_message("shares.not_renewed", reason=str(exc))
+        if exc is None and self._failing:
+            eliot.log_message("shares.renewed")
+        self._failing = exc is not None
+
+    def _renew_all(self) -> None:
+        declaration = self._catalog.declaration
+        if declaration is None:
+            return
+        limited = [a for a in declaration.accounts.values() if a.rate > 0]
+        if limited:
+            found = self._read()
+            for start in range(0, len(limited), BATCH_ROWS):
+                self._renew(limited[start : start + BATCH_ROWS], found)
+        self.ready = True
+
+    def _read(self) -> dict[str, ports.Row]:
+        prefix = rows.single(rows.SHARES, "")
+        found: dict[str, ports.Row] = {}
+        after = ""
+        while True:
+            page = self._table.scan(prefix, after=after, limit=500)
+            found.update((row.key, row) for row in page)
+            if len(page) < 500:
+                return found
+            after = page[-1].key
+
+    def _renew(
+        self, accounts: list[model.Account], found: dict[str, ports.Row]
+    ) -> None:
+        now = self._timers.now()
+        write = f"{self._rng.getrandbits(64):016x}"
+        conditions: list[ports.Condition] = []
+        puts: list[ports.Write] = []
+        planned: list[tuple[Share, float]] = []
+        for account in accounts:
+            key = rows.single(rows.SHARES, account.name)
+            row = found.get(key)
+            before = Row({}) if row is None else codec.decode(Row, row.value)
+            share = self._share(account, now)
+            after = self._planned(account, share, before, write, now)
+            if after is None:
+                continue
+            conditions.append(
+                ports.Absent(key)
+                if row is None
+                else ports.VersionIs(key, row.version)
+            )
+            puts.append(ports.Put(key, codec.encode(after)))
+            planned.append((share, after.holders[self._holder].fraction))
+        if puts:
+            self._commit(conditions, puts, planned, write, now)
+
+    def _planned(
+        self,
+        account: model.Account,
+        share: Share,
+        before: Row,
+        write: str,
+        now: float,
+    ) -> Row | None:
+        """Returns the row with our new entry; None if nothing is to change."""
+        others = self._living(account.name, before, now)
+        self.holders = len(others) + 1
+        demand = share.bucket.demand(now)
+        floor = EVEN_SHARE * account.rate / self.holders
+        total = sum(entry.demand + floor for entry in others.values())
+        wanted = (demand + floor) / (total + demand + floor)
+        free = 1.0 - sum(entry.fraction for entry in others.values())
+        fraction = max(0.0, min(wanted, free))
+        mine = before.holders.get(self._holder)
+        held = share.fraction if now < share.until else 0.0
+        calm = abs(fraction - held) <= MIN_CHANGE * held
+        if calm and mine and now - share.written < KEEP_ALIVE_SECONDS:
+            return None
+        renewals = 0 if mine is None else mine.renewals + 1
+        entry = Entry(fraction, renewals, demand, write)
+        return Row({**others, self._holder: entry})
+
+    def _living(self, account: str, row: Row, now: float) -> dict[str, Entry]:
+        """Returns the other holders whose leases may still be in use."""
+        living = {}
+        for holder, entry in row.holders.items():
+            if holder == self._holder:
+                continue
+            seen = self._seen.get((account, holder))
+            if seen is None or seen[0] != entry.renewals:
+                seen = (entry.renewals, now)
+                self._seen[account, holder] = seen
+            if now - seen[1] <= leases.certainly_over(LEASE_SECONDS):
+                living[holder] = entry
+        return living
+
+    def _commit(
+        self,
+        conditions: list[ports.Condition],
+        puts: list[ports.Write],
+        planned: list[tuple[Share, float]],
+        write: str,
+        now: float,
+    ) -> None:
+        # What is given up must not be used once others can see that it is.
+        for share, fraction in planned:
+            share.touch(now)
+            share.fraction = min(share.fraction, fraction)
+            share.touch(now)
+        first = puts[0]
+        assert isinstance(first, ports.Put)
+
+        def is_ours(value: bytes) -> bool:
+            mine = codec.decode(Row, value).holders.get(self._holder)
+            return mine is not None and mine.write == write
+
+        self._committer.commit(
+            ports.Transaction(tuple(conditions), tuple(puts)),
+            commit.Proof(first.key, is_ours),
+            seconds=COMMIT_SECONDS,
+        )
+        until = now + leases.usable(LEASE_SECONDS)
+        for share, fraction in planned:
+            share.touch(self._timers.now())
+            share.fraction = fraction
+            share.until = until
+            share.written = now
+            share.touch(self._timers.now())
+        eliot.log_message(
+            "shares.renewed",
+            accounts=len(planned),
+            holders=self.holders,
+            fractions=[round(fraction, 4) for _, fraction in planned[:16]],
+            seconds=round(self._timers.now() - now, 4),
+        )
--- /dev/null
+++ b/src/endivepier/gateway/streams.py
@@ -0,0 +1,412 @@
+"""Calls whose answer is a stream of events: turns at model engines.
+
+Events are handed on as they arrive. What decides while a stream runs:
+
+* A turn's tokens are reserved in its program's budget. If that is likely to
+  succeed, the target begins at once and the first event waits for the
+  reservation instead.
+* A stream that may be resumed goes on at another target after a break, from
+  the last event that was handed on.
+* A turn that is kept is durable before its stream ends.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+import eliot
+
+from endivepier import errors
+from endivepier import timers as timers_lib
+from endivepier.gateway import budgets
+from endivepier.gateway import calls
+from endivepier.gateway import catalog as catalog_lib
+from endivepier.gateway import events
+from endivepier.gateway import exchange as exchange_lib
+from endivepier.gateway import model
+from endivepier.gateway import turns as turns_lib
+from endivepier.http1 import messages
+
+# Silence after which a resumable stream is continued elsewhere, in longest
+# pauses of the route, and at least in seconds.
+SILENT_GAPS = 3.0
+MIN_SILENT_SECONDS = 0.4
+# A prompt may wait in a queue and be read before the first event.
+FIRST_EVENT_SECONDS = 1.0
+# A turn whose reservation is not likely waits so long for the store, and
+# one that runs already until its client has left.
+RESERVE_SECONDS = 1.5
+# A client leaves a stream that is silent for two seconds.
+COMMIT_SECONDS = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """How far a stream has come.
+
+    Attributes:
+        started: whether the head has been sent to the client.
+        handed: how many events were handed on.
+        last: number of the last one, or of the last that the client has.
+        output: data of the events, each with a line feed; kept turns only.
+        rest: bytes after the last whole event.
+    """
+
+    started: bool = False
+    handed: int = 0
+    last: int | None = None
+    output: list[bytes] = dataclasses.field(default_factory=list)
+    head: messages.Head | None = None
+
+
+class Streams:
+    """Serves streams."""
+
+    def __init__(
+        self,
+        catalog: catalog_lib.Catalog,
+        links: exchange_lib.Links,
+        ledger: budgets.Ledger,
+        turns: turns_lib.Turns,
+        timers: timers_lib.Timers,
+    ) -> None:
+        self._catalog = catalog
+        self._links = links
+        self._ledger = ledger
+        self._turns = turns
+        self._timers = timers
+
+    def serve(self, passage: calls.Passage) -> None:
+        """Answers a call with a stream.
+
+        Raises:
+            errors.Refused: it is answered with this refusal; nothing was
+                sent to the client.
+        """
+        body = self._body(passage)
+        reservation = self._reserve(passage)
+        progress = Progress(last=passage.call.last_event)
+        try:
+            self._run(passage, body, reservation, progress)
+        finally:
+            if reservation is not None:
+                chunk = self._event_tokens(passage)
+                self._ledger.end(reservation, progress.handed * chunk)
+
+    def _body(self, passage: calls.Passage) -> bytes:
+        """Returns what the target receives: the chain and the new input."""
+        call = passage.call
+        if not passage.route.retained:
+            return call.body
+        if self._turns.store_down or self._ledger.store_down:
+            raise calls.store_away("the turn could not be kept now")
+        if not call.previous:
+            return call.body
+        try:
+            turn = self._turns.find(call.previous, passage.account)
+        except errors.Unavailable as exc:
+            raise calls.store_away(
+                f"turn {call.previous!r} can't be read now: {exc}"
+            ) from exc
+        if turn is None:
+            raise errors.Refused(
+                errors.Code.NOT_FOUND,
+                404,
+                f"turn {call.previous!r} does not exist; start a new chain",
+            )
+        return turn.history + call.body
+
+    def _event_tokens(self, passage: calls.Passage) -> int:
+        return 1 if passage.engine is None else passage.engine.event_tokens
+
+    def _reserve(self, passage: calls.Passage) -> budgets.Reservation | None:
+        call = passage.call
+        if call.budget is None or not call.program:
+            return None
+        chunk = self._event_tokens(passage)
+        most = -(-call.max_tokens // chunk) * chunk
+        reservation = self._ledger.begin(call.program, call.budget, most)
+        if reservation.state is budgets.State.GRANTED or reservation.likely:
+            return reservation
+        try:
+            self._await(passage, reservation, RESERVE_SECONDS)
+        except BaseException:
+            self._ledger.end(reservation, 0)
+            raise
+        return reservation
+
+    def _await(
+        self,
+        passage: calls.Passage,
+        reservation: budgets.Reservation,
+        seconds: float,
+    ) -> None:
+        """Waits for a reservation.
+
+        Raises:
+            errors.Refused: the turn does not get its tokens.
+        """
+        if reservation.state is budgets.State.PENDING:
+            if self._ledger.store_down and not passage.tried:
+                raise calls.store_away("the budget can't be read now")
+            seconds = min(seconds, passage.limit - self._timers.now())
+            self._timers.wait(reservation.decided, seconds)
+        call = passage.call
+        match reservation.state:
+            case budgets.State.GRANTED:
+                return
+            case budgets.State.DENIED if not passage.tried:
+                raise errors.Refused(
+                    errors.Code.BUDGET_EXHAUSTED,
+                    402,
+                    f"program {call.program!r} has spent its budget of "
+                    f"{call.budget} tokens",
+                )
+            case _ if not passage.tried:
+                raise calls.store_away("the budget can't be written now")
+            case _:
+                raise errors.Refused(
+                    errors.Code.STORE_UNAVAILABLE,
+                    502,
+                    f"the budget of program {call.program!r} was not "
+                    f"reserved: {reservation.state.value}",
+                    ran=errors.Ran.YES,
+                )
+
+    def _run(
+        self,
+        passage: calls.Passage,
+        body: bytes,
+        reservation: budgets.Reservation | None,
+        progress: Progress,
+    ) -> None:
+        while True:
+            try:
+                target = calls.next_target(
+                    passage, self._catalog, self._links.placement, self._timers
+                )
+                if self._attempt(passage, target, body, reservation, progress):
+                    return
+            except errors.TargetFailed as exc:
+                self._after_failure(passage, target, exc, progress)
+            except errors.Refused as exc:
+                if not progress.started and not passage.tried:
+                    raise
+                self._break_off(passage, progress, exc)
+                return
+
+    def _attempt(
+        self,
+        passage: calls.Passage,
+        target: model.Target,
+        body: bytes,
+        reservation: budgets.Reservation | None,
+        progress: Progress,
+    ) -> bool:
+        """Sends the call once; returns whether it was answered."""
+        dispatch = model.Dispatch(
+            target,
+            passage.account,
+            passage.limit - self._timers.now(),
+            body,
+            last_event=progress.last,
+        )
+        exchange = self._links.send(
+            passage.call, dispatch, repeatable=passage.route.repeatable
+        )
+        passage.tried.append(target.incarnation)
+        failed = True
+        try:
+            exchange.read_head(self._patience(passage, first=True))
+            if exchange.not_run:
+                self._after_rejection(passage, exchange, progress)
+                failed = False
+                return False
+            self._relay(passage, exchange, reservation, progress, body)
+            failed = False
+            return True
+        except errors.TargetFailed:
+            raise
+        except BaseException:
+            failed = False
+            raise
+        finally:
+            exchange.close(failed=failed)
+
+    def _relay(
+        self,
+        passage: calls.Passage,
+        exchange: exchange_lib.Exchange,
+        reservation: budgets.Reservation | None,
+        progress: Progress,
+        body: bytes,
+    ) -> None:
+        head = exchange.head
+        if head.status != 200 or not exchange.verdict.sealed:
+            self._relay_failure(passage, exchange, progress)
+            return
+        if progress.head is None:
+            progress.head = head
+        splitter = events.Splitter()
+        skipped = progress.last
+        while True:
+            deadline = self._patience(passage, first=progress.handed == 0)
+            data = exchange.read(deadline)
+            if data is None:
+                break
+            found = [
+                event
+                for event in splitter.feed(data)
+                if skipped is None
+                or event.number is None
+                or event.number > skipped
+            ]
+            if found:
+                if reservation is not None and not progress.handed:
+                    self._await(passage, reservation, passage.route.timeout)
+                self._hand_on(passage, found, progress)
+        self._end(passage, progress, splitter.rest, body)
+
+    def _hand_on(
+        self,
+        passage: calls.Passage,
+        found: list[events.Event],
+        progress: Progress,
+    ) -> None:
+        if not progress.started:
+            self._start(passage, progress)
+        progress.handed += len(found)
+        for event in found:
+            if event.number is not None:
+                progress.last = event.number
+            if passage.route.retained:
+                progress.output.append(event.data + b"\n")
+        passage.responder.write(b"".join(event.raw for event in found))
+
+    def _start(self, passage: calls.Passage, progress: Progress) -> None:
+        assert progress.head is not None
+        headers = messages.end_to_end(progress.head.headers)
+        progress.started = True
+        passage.responder.start(progress.head.status, headers)
+
+    def _end(
+        self,
+        passage: calls.Passage,
+        progress: Progress,
+        rest: bytes,
+        body: bytes,
+    ) -> None:
+        if not progress.started:
+            self._start(passage, progress)
+        if rest:
+            passage.responder.write(rest)
+        if passage.route.retained:
+            turn = turns_lib.Turn(
+                passage.call.id,
+                passage.account,
+                body + b"".join(progress.output),
+            )
+            now = self._timers.now()
+            deadline = min(now + COMMIT_SECONDS, passage.limit)
+            try:
+                self._turns.commit(turn, passage.route.retention, deadline)
+            except errors.OutcomeUnknown as exc:
+                raise errors.Refused(
+                    errors.Code.STORE_UNAVAILABLE,
+                    502,
+                    str(exc),
+                    ran=errors.Ran.YES,
+                ) from exc
+        passage.responder.finish()
+
+    def _relay_failure(
+        self,
+        passage: calls.Passage,
+        exchange: exchange_lib.Exchange,
+        progress: Progress,
+    ) -> None:
+        """Hands on an answer that is not a stream."""
+        limit = passage.limit
+        body = exchange.read_all(limit)
+        if progress.started:
+            raise errors.TargetFailed(
+                exchange.target.name,
+                f"it answered {exchange.head.status} to a continued stream",
+                sent=True,
+            )
+        headers = messages.end_to_end(exchange.head.headers)
+        passage.responder.send(exchange.head.status, headers, body)
+
+    def _patience(self, passage: calls.Passage, *, first: bool) -> float:
+        """Returns until when to wait for the next event."""
+        route = passage.route
+        now = self._timers.now()
+        if not (route.resumable and passage.may_try_again(now)):
+            return passage.limit
+        silent = max(SILENT_GAPS * route.gap, MIN_SILENT_SECONDS)
+        if first:
+            silent = max(silent, FIRST_EVENT_SECONDS)
+        return min(passage.limit, now + silent)
+
+    def _after_failure(
+        self,
+        passage: calls.Passage,
+        target: model.Target,
+        exc: errors.TargetFailed,
+        progress: Progress,
+    ) -> None:
+        """Decides whether the stream goes on elsewhere after a failure."""
+        calls.log_failure(passage, exc)
+        if not exc.sent:
+            passage.unreachable.add(target.incarnation)
+            return
+        passage.may_have_run = True
+        if target.incarnation not in passage.tried:
+            passage.tried.append(target.incarnation)
+        again = passage.may_try_again(self._timers.now())
+        if not (passage.route.resumable and again):
+            refused = calls.outcome_unknown(exc)
+            self._break_off(passage, progress, refused)
+
+    def _after_rejection(
+        self,
+        passage: calls.Passage,
+        exchange: exchange_lib.Exchange,
+        progress: Progress,
+    ) -> None:
+        eliot.log_message(
+            "call.rejected",
+            request=passage.call.id,
+            target=exchange.target.name,
+            status=exchange.head.status,
+            attempts=len(passage.tried),
+        )
+        if not passage.may_try_again(self._timers.now()):
+            raise calls.no_room(
+                passage, f"{len(passage.tried)} targets were full"
+            )
+
+    def _break_off(
+        self,
+        passage: calls.Passage,
+        progress: Progress,
+        exc: errors.Refused,
+    ) -> None:
+        """Ends a call that can't be finished; never as if it were whole."""
+        if not progress.started:
+            raise exc
+        eliot.log_message(
+            "stream.broken_off",
+            request=passage.call.id,
+            events=progress.handed,
+            last_event=progress.last,
+            reason=str(exc),
+        )
+        raise Broken(exc)
+
+
+class Broken(errors.EndivepierError):
+    """Raised when an answer that has begun can't be finished.
+
+    Close the client's connection.
+    """
--- /dev/null
+++ b/src/endivepier/gateway/turns.py
@@ -0,0 +1,177 @@
+"""Turns that are kept, so that a later turn can continue them by name.
+
+A turn is kept with its whole chain in front of it: what the target received,
+then what it answered. Any host can then continue any turn with one read. A
+turn that is too long for one row is split over several rows of one part,
+written in order with the first row last, so that a turn is there as a whole
+or not at all.
+
+A turn is durable before the client has its whole answer; see `commit`.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+import eliot
+
+from endivepier import errors
+from endivepier import timers as timers_lib
+from endivepier.gateway import rows
+from endivepier.storage import ports
+
+PIECE_BYTES = 44_000  # a row holds 65,536 bytes, a third more for its coding
+ROWS_AT_ONCE = 16  # a transaction holds 1 MB
+CACHE_BYTES = 16 * 1024 * 1024  # a tenth of an entry host's memory
+FIRST_BACKOFF_SECONDS = 0.02
+MAX_BACKOFF_SECONDS = 0.25
+SWEEP_SECONDS = 5.0
+# Beyond a turn's retention, since a turn that continues it may still run.
+RETENTION_MARGIN_SECONDS = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Turn:
+    """A turn that was answered whole.
+
+    Attributes:
+        id: the call's id.
+        account: the client account that it belongs to.
+        history: all inputs and outputs of its chain, ending with its own.
+    """
+
+    id: str
+    account: str
+    history: bytes
+
+
+class Turns:
+    """The turns of all programs."""
+
+    def __init__(self, table: ports.Table, timers: timers_lib.Timers) -> None:
+        self.store_down = False
+        self._table = table
+        self._timers = timers
+        self._cache: collections.OrderedDict[str, Turn] = (
+            collections.OrderedDict()
+        )
+        self._cached_bytes = 0
+        self._written: collections.deque[tuple[float, list[str]]] = (
+            collections.deque()
+        )
+
+    def start(self) -> None:
+        """Begins to delete turns whose retention is over."""
+        self._timers.every(SWEEP_SECONDS, self._sweep)
+
+    def stop(self) -> None:
+        """Does nothing: what was answered is durable."""
+
+    def find(self, id_: str, account: str) -> Turn | None:
+        """Returns a turn of an account; None if there certainly is none.
+
+        Raises:
+            errors.Unavailable: the store can't tell now.
+        """
+        turn = self._cache.get(id_)
+        if turn is None:
+            turn = self._read(id_)
+            if turn is not None:
+                self._remember(turn)
+        else:
+            self._cache.move_to_end(id_)
+        if turn is None or turn.account != account:
+            return None
+        return turn
+
+    def commit(self, turn: Turn, retention: float, deadline: float) -> None:
+        """Makes a turn durable; tries until `deadline`.
+
+        Writing the same turn again changes nothing, so that a lost reply is
+        no reason to stop.
+
+        Raises:
+            errors.OutcomeUnknown: the store has not confirmed it in time.
+        """
+        pieces = _split(turn)
+        keys = [_key(turn.id, number) for number in range(len(pieces))]
+        puts = [
+            ports.Put(key, piece)
+            for key, piece in zip(keys, pieces, strict=True)
+        ]
+        for start in range(len(puts), 0, -ROWS_AT_ONCE):
+            batch = tuple(puts[max(start - ROWS_AT_ONCE, 0) : start])
+            self._put(turn, ports.Transaction((), batch), deadline)
+        expires = self._timers.now() + retention + RETENTION_MARGIN_SECONDS
+        self._written.append((expires, keys))
+        self._remember(turn)
+
+    def _put(self, turn: Turn, txn: ports.Transaction, deadline: float) -> None:
+        backoff = FIRST_BACKOFF_SECONDS
+        while True:
+            try:
+                self._table.transact(txn)
+                self.store_down = False
+                return
+            except (errors.Unavailable, errors.OutcomeUnknown) as exc:
+                self.store_down = True
+                if self._timers.now() + backoff >= deadline:
+                    raise errors.OutcomeUnknown(
+                        f"turn {turn.id} was not confirmed: {exc}"
+                    ) from exc
+            self._timers.sleep(backoff)
+            backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+
+    def _read(self, id_: str) -> Turn | None:
+        prefix = _key(id_, 0)[:-1]
+        found = {row.key: row.value for row in self._table.scan(prefix)}
+        first = found.get(_key(id_, 0))
+        if first is None:
+            return None
+        account, count, history = first.split(b"\n", 2)
+        rest = [found[_key(id_, n)] for n in range(1, int(count))]
+        return Turn(id_, account.decode(), b"".join([history, *rest]))
+
+    def _remember(self, turn: Turn) -> None:
+        old = self._cache.pop(turn.id, None)
+        if old is not None:
+            self._cached_bytes -= len(old.history)
+        self._cache[turn.id] = turn
+        self._cached_bytes += len(turn.history)
+        while self._cached_bytes > CACHE_BYTES:
+            _, dropped = self._cache.popitem(last=False)
+            self._cached_bytes -= len(dropped.history)
+
+    def _sweep(self) -> None:
+        """Deletes what this process wrote and nobody may ask for any more."""
+        now = self._timers.now()
+        expired: dict[str, list[str]] = collections.defaultdict(list)
+        while self._written and self._written[0][0] <= now:
+            for key in self._written.popleft()[1]:
+                expired[key.rsplit("/", 2)[0]].append(key)
+        for keys in expired.values():
+            writes = tuple(ports.Delete(key) for key in keys[:100])
+            try:
+                self._table.transact(ports.Transaction((), writes))
+            except (errors.Unavailable, errors.OutcomeUnknown) as exc:
+                eliot.log_message(
+                    "turns.not_deleted", rows=len(keys), reason=str(exc)
+                )
+                self._written.append((now + SWEEP_SECONDS, keys))
+
+
+def _key(id_: str, number: int) -> str:
+    """Returns the key of a piece; all pieces of a turn are in one part."""
+    return f"{rows.key(rows.TURNS, id_)}.{number}"
+
+
+def _split(turn: Turn) -> list[bytes]:
+    """Returns the values of a turn's rows."""
+    history = turn.history
+    pieces = [
+        history[start : start + PIECE_BYTES]
+        for start in range(0, max(len(history), 1), PIECE_BYTES)
+    ]
+    head = f"{turn.account}\n{len(pieces)}\n".encode()
+    return [head + pieces[0], *pieces[1:]]
--- /dev/null
+++ b/src/endivepier/http1/client.py
@@ -0,0 +1,191 @@
+"""Connections to servers: one request at a time, each sent once."""
+
+from __future__ import annotations
+
+import socket as socket_lib
+
+from gevent import socket
+
+from endivepier import timers as timers_lib
+from endivepier.http1 import answers
+from endivepier.http1 import errors
+from endivepier.http1 import messages
+
+READ_BYTES = 65536
+
+
+class Connection:
+    """A connection to a server.
+
+    Attributes:
+        address: "ip:port" of the server.
+        used: how many requests were sent on it.
+        idle_since: when the last answer was whole, monotonic seconds.
+        idle_limit: how long the server keeps it idle, in seconds, as far as
+            the server said; None if it did not.
+    """
+
+    def __init__(
+        self, address: str, sock: socket.socket, timers: timers_lib.Timers
+    ) -> None:
+        self.address = address
+        self.used = 0
+        self.idle_since = timers.now()
+        self.idle_limit: float | None = None
+        self._sock = sock
+        self._timers = timers
+        self._reader = answers.AnswerReader()
+        self._reusable = True
+
+    def send(self, data: bytes, deadline: float) -> None:
+        """Sends a whole request.
+
+        Raises:
+            errors.ExchangeBroken: the server may have a part of it, or all.
+        """
+        self.used += 1
+        self._reader.trailing = False
+        try:
+            self._sock.settimeout(max(deadline - self._timers.now(), 0.001))
+            self._sock.sendall(data)
+        except TimeoutError as exc:
+            raise errors.ExchangeTimeout(
+                f"{self.address} did not take the request in time"
+            ) from exc
+        except OSError as exc:
+            raise errors.ExchangeBroken(f"{self.address}: {exc}") from exc
+
+    def read(self, deadline: float) -> answers.Part:
+        """Returns the next part of an answer.
+
+        Raises:
+            errors.ExchangeTimeout: nothing came before `deadline`.
+            errors.ExchangeBroken: nothing more can come.
+        """
+        while True:
+            part = self._reader.take()
+            if part is not None:
+                self._note(part)
+                return part
+            self._receive(deadline)
+
+    def buffered(self) -> bool:
+        """Returns whether a part can be read without waiting."""
+        return bool(self._reader.parts)
+
+    def reusable(self) -> bool:
+        """Returns whether another request may be sent on it now.
+
+        The server may have closed it, or sent bytes that no request asked
+        for; both make it useless.
+        """
+        reader = self._reader
+        if not self._reusable or reader.broken or reader.trailing:
+            return False
+        if reader.parts:
+            return False
+        try:
+            self._sock.settimeout(0)
+            self._sock.recv(1, socket_lib.MSG_PEEK)
+        except (BlockingIOError, TimeoutError):
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """Closes the connection; the server drops what it does for it."""
+        self._reusable = False
+        self._sock.close()
+
+    def _note(self, part: answers.Part) -> None:
+        match part:
+            case messages.Head():
+                if not part.keep_alive:
+                    self._reusable = False
+                limit = _idle_limit(part)
+                if limit is not None:
+                    self.idle_limit = limit
+            case answers.End():
+                self.idle_since = self._timers.now()
+
+    def _receive(self, deadline: float) -> None:
+        left = deadline - self._timers.now()
+        if left <= 0:
+            raise errors.ExchangeTimeout(f"{self.address} sent nothing in time")
+        try:
+            self._sock.settimeout(left)
+            data = self._sock.recv(READ_BYTES)
+        except TimeoutError as exc:
+            raise errors.ExchangeTimeout(
+                f"{self.address} sent nothing in time"
+            ) from exc
+        except OSError as exc:
+            self._reusable = False
+            raise errors.ExchangeBroken(f"{self.address}: {exc}") from exc
+        if data:
+            self._reader.feed(data)
+        else:
+            self._reusable = False
+            self._reader.feed_end()
+
+
+def _idle_limit(head: messages.Head) -> float | None:
+    """Returns the idle time-out that a server states in whole seconds."""
+    for token in messages.tokens(head.headers, b"keep-alive"):
+        name, _, value = token.partition(b"=")
+        if name.strip() == b"timeout" and value.strip().isdigit():
+            return float(value)
+    return None
+
+
+def connect(
+    address: str,
+    timers: timers_lib.Timers,
+    *,
+    seconds: float,
+    user_timeout: float,
+) -> Connection:
+    """Opens a connection.
+
+    Args:
+        address: "ip:port".
+        timers: the timer service.
+        seconds: longest time for the connection to be made.
+        user_timeout: seconds after which data that the peer does not
+            acknowledge breaks the connection.
+
+    Raises:
+        errors.ConnectFailed: nothing was sent.
+    """
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket_lib.AF_INET, socket_lib.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket_lib.IPPROTO_TCP, socket_lib.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket_lib.IPPROTO_TCP,
+            socket_lib.TCP_USER_TIMEOUT,
+            int(user_timeout * 1000),
+        )
+        sock.settimeout(seconds)
+        sock.connect((host, int(port)))
+    except OSError as exc:
+        sock.close()
+        raise errors.ConnectFailed(f"{address}: {exc or 'timed out'}") from exc
+    except BaseException:
+        sock.close()
+        raise
+    return Connection(address, sock, timers)
+
+
+def encode_request(
+    method: bytes, target: bytes, headers: list[messages.Header], body: bytes
+) -> bytes:
+    """Returns a request with its length, ready to be sent."""
+    lines = [method + b" " + target + b" HTTP/1.1"]
+    lines.extend(name + b": " + value for name, value in headers)
+    if body or method not in (b"GET", b"HEAD", b"DELETE"):
+        lines.append(b"Content-Length: %d" % len(body))
+    lines.append(b"")
+    lines.append(body)
+    return b"\r\n".join(lines)
--- a/src/endivepier/limits/bucket.py
+++ b/src/endivepier/limits/bucket.py
@@ -16,10 +16,10 @@
 import collections
 import dataclasses
 import math
+from typing import Protocol
 
 import gevent.event
 
-from endivepier.configuration import state as state_lib
 from endivepier.limits import leases
 
 # Sums of fractions of tokens may come out a little short of a whole one.
@@ -96,6 +96,18 @@
     destroyed: float = 0.0
 
 
+class Declared(Protocol):
+    """What is declared of an account's limit."""
+
+    @property
+    def rate(self) -> float:
+        """Requests a second of the whole account."""
+
+    @property
+    def burst(self) -> float:
+        """Requests beyond the rate."""
+
+
 class Bucket:
     """Tokens of one account, and the requests that wait for them.
 
@@ -139,7 +151,7 @@
 
     def __init__(
         self,
-        declared: state_lib.Account,
+        declared: Declared,
         own: float,
         now: float,
         began: float,
--- a/src/endivepier/storage/ports.py
+++ b/src/endivepier/storage/ports.py
@@ -71,7 +71,11 @@
 
 
 class Table(Protocol):
-    """The transactional table service: several hundred writes a second."""
+    """The transactional table service: several hundred writes a second.
+
+    A service that is split into tables and parts takes keys of the form
+    "table/part/name"; all rows of one transaction are then of one part.
+    """
 
     def get(self, key: str) -> Row | None:
         """Returns the row, or None; reads what was last committed.
@@ -107,6 +111,45 @@
         """
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What has changed in a table, or its whole content.
+
+    Attributes:
+        rows: the rows that were written, in the order of their versions.
+        removed: keys of the rows that are gone.
+        version: the store's version that this brings the reader to.
+    """
+
+    rows: tuple[Row, ...]
+    removed: tuple[str, ...]
+    version: int
+
+
+class Feed(Protocol):
+    """Follows a table as it changes."""
+
+    def snapshot(self, table: str) -> Changes:
+        """Returns all rows of a table, as of one version.
+
+        Raises:
+            errors.Unavailable: the service did not answer.
+        """
+
+    def changes(self, table: str, after: int, wait: float) -> Changes:
+        """Returns what changed after a version.
+
+        Args:
+            table: the table's name.
+            after: the version that the caller has.
+            wait: longest time to wait for a first change, in seconds.
+
+        Raises:
+            errors.HistoryLost: that version is too old; take a snapshot.
+            errors.Unavailable: the service did not answer.
+        """
+
+
 class Objects(Protocol):
     """The object store: immutable bodies too large for a row."""
 
--- a/src/endivepier/timers.py
+++ b/src/endivepier/timers.py
@@ -165,11 +165,15 @@
 
 
 class SystemTimers(Timers):
-    """Timers on the machine's own clocks."""
+    """Timers on the machine's own clocks.
+
+    `now` counts the time for which the machine was suspended, so that a
+    lease or a deadline that passed meanwhile is seen to be over.
+    """
 
     def now(self) -> float:
         """Returns the monotonic clock, in seconds."""
-        return time.monotonic()
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         """Returns Unix time in seconds."""
