Borrow tokens of an account's rate from peers; count budgets to their end

Change: peers lend tokens, a call waits up to 0.25 s for the next one; a budget is spent when nothing of it is left, the last turn may exceed it.

--- a/src/endivepier/gateway/budgets.py
+++ b/src/endivepier/gateway/budgets.py
@@ -5,9 +5,13 @@
 holds. What a process holds counts as spent until it says otherwise, so that a
 process that is lost never makes tokens come back.
 
-After each turn its process writes what was spent and takes a little more in
-advance, so that the next turn finds its tokens without a wait, also while the
-store is away.
+What a turn has spent is written together with the reservation of the next
+one. While a budget is ample, a process also takes some in advance, so that
+the next turns find their tokens without a wait, also while the store is away.
+
+A budget is spent once nothing of it is left, and the last turn may go beyond
+it by its own length. A turn that only lacks what other turns might still
+generate waits for those to end.
 """
 
 from __future__ import annotations
@@ -30,7 +34,8 @@
 # part of the remaining budget that this may take at most.
 TURNS_AHEAD = 3
 AHEAD_SHARE = 0.25
-SETTLE_DELAY_SECONDS = 0.02  # lets turns that end together share a write
+# A program's next turn mostly comes sooner, and shares the write.
+SETTLE_DELAY_SECONDS = 0.4
 # A process that has heard nothing of a program for so long gives back what
 # it holds in advance. The users count a turn as settled after a second.
 IDLE_SECONDS = 0.8
@@ -128,6 +133,7 @@
         release: whether what is held in advance is given back.
         largest: the most tokens that any of its turns asked for.
         touched: when it was last asked about.
+        changed: set when a turn here has ended.
     """
 
     name: str
@@ -145,6 +151,23 @@
     release: bool = False
     largest: int = 0
     touched: float = 0.0
+    changed: gevent.event.Event = dataclasses.field(
+        default_factory=gevent.event.Event
+    )
+
+    @property
+    def left(self) -> int:
+        """Tokens that may still be promised to turns.
+
+        One turn may go beyond the budget by its own length.
+        """
+        left = self.budget + self.largest - self.spent - self.used
+        return left - self.held_by_others - self.active
+
+    @property
+    def is_spent(self) -> bool:
+        """Whether turns that have ended used up the budget."""
+        return self.spent + self.used >= self.budget
 
     @property
     def held_by_others(self) -> int:
@@ -215,17 +238,24 @@
             return
         program.active -= reservation.most
         program.used += used
-        program.settle = True
-        self._timers.after(SETTLE_DELAY_SECONDS, lambda: self._kick(program))
+        program.changed.set()
+        self._timers.after(SETTLE_DELAY_SECONDS, lambda: self._settle(program))
+
+    def _settle(self, program: _Program) -> None:
+        """Writes what was spent, unless a later turn has done so."""
+        if program.used or program.spare > 0:
+            program.settle = True
+            program.changed.set()
+            self._kick(program)
 
     def _is_likely(self, program: _Program, most: int) -> bool:
         if self.store_down:
             return False
         if program.version is None:
             return True
-        left = program.budget - program.spent - program.used
-        left -= program.held_by_others + program.active
-        return left >= 2 * most + sum(r.most for r in program.pending)
+        if program.is_spent:
+            return False
+        return program.left >= most + sum(r.most for r in program.pending)
 
     def _kick(self, program: _Program) -> None:
         if not program.busy and (program.pending or program.settle):
@@ -250,7 +280,10 @@
                     if self._timers.now() - waited > RELEASE_WAIT_SECONDS:
                         self._deny(program)
                     else:
-                        self._timers.sleep(RELEASE_WAIT_SECONDS / 8)
+                        program.changed.clear()
+                        self._timers.wait(
+                            program.changed, RELEASE_WAIT_SECONDS / 8
+                        )
         finally:
             program.busy = False
             for reservation in program.pending:
@@ -304,15 +337,16 @@
         if granted or program.settle:
             self._commit(program, granted)
             return False
-        if program.pending and not program.held_by_others:
+        if program.pending and program.is_spent:
             self._deny(program)
         return bool(program.pending)
 
     def _fitting(self, program: _Program) -> list[Reservation]:
         """Returns the pending reservations that the budget has room for."""
-        left = program.budget - program.spent - program.used
-        left -= program.held_by_others + program.active
-        granted = []
+        granted: list[Reservation] = []
+        if program.is_spent:
+            return granted
+        left = program.left
         for reservation in program.pending:
             if reservation.most <= left:
                 left -= reservation.most
--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -18,9 +18,9 @@
 from endivepier.http1 import messages
 from endivepier.http1 import pool as pool_lib
 
-# A call that must not be repeated goes over a connection that was used a
-# moment ago or over a new one: a stale one would leave its outcome unknown.
-FRESH_SECONDS = 1.0
+# A call that must not be repeated goes over a connection that was used not
+# long ago or over a new one: a stale one would leave its outcome unknown.
+FRESH_SECONDS = 4.0
 MISDIRECTED = 421
 
 
--- a/src/endivepier/gateway/follower.py
+++ b/src/endivepier/gateway/follower.py
@@ -11,7 +11,10 @@
 from endivepier import timers as timers_lib
 from endivepier.storage import ports
 
-WAIT_SECONDS = 1.0  # how long the store holds a call without a change
+# How long the store holds a call without a change. A silent connection is
+# found only after it, so tables whose changes are urgent get the short one.
+WAIT_SECONDS = 1.0
+SLOW_WAIT_SECONDS = 5.0
 FIRST_BACKOFF_SECONDS = 0.05
 MAX_BACKOFF_SECONDS = 0.4
 
@@ -31,6 +34,8 @@
         table: str,
         on_snapshot: Callable[[ports.Changes], None],
         on_changes: Callable[[ports.Changes], None],
+        *,
+        wait: float = WAIT_SECONDS,
     ) -> None:
         self.version: int | None = None
         self.contact: float | None = None
@@ -39,6 +44,7 @@
         self._table = table
         self._on_snapshot = on_snapshot
         self._on_changes = on_changes
+        self._wait = wait
         self._lost_at: float | None = None
         self._task: gevent.Greenlet | None = None
 
@@ -77,7 +83,7 @@
             self._on_snapshot(snapshot)
             self.version = snapshot.version
             return
-        changes = self._feed.changes(self._table, self.version, WAIT_SECONDS)
+        changes = self._feed.changes(self._table, self.version, self._wait)
         if changes.rows or changes.removed:
             self._on_changes(changes)
         self.version = max(self.version, changes.version)
--- a/src/endivepier/gateway/handler.py
+++ b/src/endivepier/gateway/handler.py
@@ -146,7 +146,7 @@
         return account
 
     def _check_rate(self, call: model.Call, account: model.Account) -> None:
-        retry_after = self._shares.admit(account, fresh=self._is_fresh(call))
+        retry_after = self._shares.wait(account, fresh=self._is_fresh(call))
         if retry_after is not None:
             raise errors.Refused(
                 errors.Code.RATE_LIMITED,
--- /dev/null
+++ b/src/endivepier/gateway/peers.py
@@ -0,0 +1,196 @@
+"""Other entry hosts: who they are, and short questions to them.
+
+Each process writes a row with its address when it starts and deletes it when
+it stops. The row of a lost process stays until its host starts again; a peer
+that does not answer is left alone for a while.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+import json
+
+import eliot
+import gevent
+
+from endivepier import errors
+from endivepier import timers as timers_lib
+from endivepier.gateway import follower as follower_lib
+from endivepier.gateway import rows
+from endivepier.http1 import client
+from endivepier.http1 import errors as http_errors
+from endivepier.http1 import messages
+from endivepier.http1 import pool as pool_lib
+from endivepier.http1 import server as server_lib
+from endivepier.internal import codec
+from endivepier.storage import ports
+
+ASK_SECONDS = 0.08  # some ten times the way between two data centres
+AVOID_SECONDS = 2.0  # how long a peer that was silent is not asked
+FIRST_BACKOFF_SECONDS = 0.1
+MAX_BACKOFF_SECONDS = 2.0
+
+Answer = Callable[[dict[str, object]], dict[str, object]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """The row of a process: where other entry hosts reach it."""
+
+    address: str
+    data_centre: str
+
+
+class Peers:
+    """The other entry hosts."""
+
+    def __init__(
+        self,
+        host: str,
+        own: Entry,
+        table: ports.Table,
+        feed: ports.Feed,
+        timers: timers_lib.Timers,
+    ) -> None:
+        self._host = host
+        self._own = own
+        self._table = table
+        self._timers = timers
+        self._entries: dict[str, Entry] = {}
+        self._avoided: dict[str, float] = {}
+        self._pool = pool_lib.Pool(timers)
+        self._answers: dict[str, Answer] = {}
+        self._tasks: list[gevent.Greenlet] = []
+        self._follower = follower_lib.Follower(
+            feed,
+            timers,
+            rows.HOSTS,
+            self._replace,
+            self._change,
+            wait=follower_lib.SLOW_WAIT_SECONDS,
+        )
+        self._server = server_lib.Server(
+            own.address, self._serve, timers, messages.ClientLimits
+        )
+
+    def register(self, question: str, answer: Answer) -> None:
+        """Has `answer` answer a question of other hosts."""
+        self._answers[question] = answer
+
+    def start(self) -> None:
+        """Listens, and makes this process known."""
+        self._server.start()
+        self._follower.start()
+        self._tasks.append(gevent.spawn(self._announce))
+
+    def stop(self) -> None:
+        """Takes this process off the list."""
+        self._follower.stop()
+        for task in self._tasks:
+            task.kill()
+        key = rows.single(rows.HOSTS, self._host)
+        try:
+            self._table.transact(ports.Transaction((), (ports.Delete(key),)))
+        except (errors.Unavailable, errors.OutcomeUnknown) as exc:
+            eliot.log_message("peers.not_deleted", reason=str(exc))
+        self._server.stop()
+
+    def can_ask(self, host: str) -> bool:
+        """Returns whether a host is known and has not just been silent."""
+        if host not in self._entries or host == self._host:
+            return False
+        return self._avoided.get(host, 0.0) <= self._timers.now()
+
+    def ask(
+        self, host: str, question: str, document: dict[str, object]
+    ) -> dict[str, object]:
+        """Asks a host and returns its answer.
+
+        Raises:
+            errors.PeerUnreachable: it did not answer.
+        """
+        entry = self._entries.get(host)
+        if entry is None:
+            raise errors.PeerUnreachable(host, "not on the list", sent=False)
+        try:
+            return self._exchange(host, entry.address, question, document)
+        except (http_errors.HttpError, ValueError) as exc:
+            self._avoided[host] = self._timers.now() + AVOID_SECONDS
+            self._pool.drop(host)
+            eliot.log_message("peer.silent", peer=host, reason=str(exc))
+            raise errors.PeerUnreachable(host, str(exc), sent=True) from exc
+
+    def _exchange(
+        self,
+        host: str,
+        address: str,
+        question: str,
+        document: dict[str, object],
+    ) -> dict[str, object]:
+        deadline = self._timers.now() + ASK_SECONDS
+        conn = self._pool.take(host, address, connect_seconds=ASK_SECONDS)
+        whole = False
+        try:
+            conn.send(
+                client.encode_request(
+                    b"POST",
+                    f"/{question}".encode(),
+                    [(b"Host", address.encode())],
+                    json.dumps(document).encode(),
+                ),
+                deadline,
+            )
+            status, body = client.read_whole(conn, deadline)
+            whole = True
+        finally:
+            if whole:
+                self._pool.put(host, conn)
+            else:
+                conn.close()
+        if status != 200:
+            raise ValueError(f"it answered {status}")
+        found = json.loads(body)
+        if not isinstance(found, dict):
+            raise ValueError("its answer is no JSON object")
+        return found
+
+    def _serve(
+        self, req: messages.Request, responder: server_lib.Responder
+    ) -> None:
+        answer = self._answers.get(req.target.decode("latin-1").strip("/"))
+        try:
+            document = json.loads(req.body)
+        except ValueError:
+            document = None
+        if answer is None or not isinstance(document, dict):
+            responder.send(404, [], b"")
+            return
+        body = json.dumps(answer(document)).encode()
+        responder.send(200, [(b"Content-Type", b"application/json")], body)
+
+    def _announce(self) -> None:
+        key = rows.single(rows.HOSTS, self._host)
+        txn = ports.Transaction((), (ports.Put(key, codec.encode(self._own)),))
+        backoff = FIRST_BACKOFF_SECONDS
+        while True:
+            try:
+                self._table.transact(txn)
+                return
+            except (errors.Unavailable, errors.OutcomeUnknown) as exc:
+                eliot.log_message("peers.not_announced", reason=str(exc))
+            self._timers.sleep(backoff)
+            backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+
+    def _replace(self, changes: ports.Changes) -> None:
+        self._entries.clear()
+        self._change(changes)
+
+    def _change(self, changes: ports.Changes) -> None:
+        for key in changes.removed:
+            self._entries.pop(key.rpartition("/")[2], None)
+        for row in changes.rows:
+            host = row.key.rpartition("/")[2]
+            self._entries[host] = codec.decode(Entry, row.value)
+            self._avoided.pop(host, None)
+            self._pool.drop(host)
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -19,6 +19,7 @@
 from endivepier.gateway import exchange
 from endivepier.gateway import handler as handler_lib
 from endivepier.gateway import model
+from endivepier.gateway import peers as peers_lib
 from endivepier.gateway import placement as placement_lib
 from endivepier.gateway import plain
 from endivepier.gateway import shares as shares_lib
@@ -47,19 +48,24 @@
         host: name of the host, the same after a restart.
         data_centre: where it stands.
         listen: "ip:port" for clients.
+        peer_listen: "ip:port" for other entry hosts.
         ready_listen: "ip:port" for the balancer's question.
         ready_path: path of that question.
         metrics_listen: "ip:port" for the metrics.
         grace_seconds: from SIGTERM until the process is killed.
+        rate_tolerance: requests of an account beyond its burst that the
+            operators allow for.
     """
 
     host: str
     data_centre: str
     listen: str
+    peer_listen: str
     ready_listen: str
     ready_path: str
     metrics_listen: str
     grace_seconds: float
+    rate_tolerance: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,9 +99,27 @@
             "catalog",
             catalog_lib.Catalog(adapters.feed, adapters.decoder, timers),
         )
+        self.peers = self.kernel.register(
+            "peers",
+            peers_lib.Peers(
+                cfg.host,
+                peers_lib.Entry(cfg.peer_listen, cfg.data_centre),
+                table,
+                adapters.feed,
+                timers,
+            ),
+        )
         self.shares = self.kernel.register(
             "shares",
-            shares_lib.Shares(cfg.host, self.catalog, table, timers, rng),
+            shares_lib.Shares(
+                cfg.host,
+                self.catalog,
+                table,
+                timers,
+                rng,
+                self.peers,
+                cfg.rate_tolerance,
+            ),
         )
         self.ledger = self.kernel.register(
             "budgets", budgets.Ledger(incarnation, table, timers)
@@ -181,6 +205,7 @@
             self.timers.sleep(0.05)
             self.server.close_idle()
         self.server.stop()
+        self.kernel.stop()
         eliot.log_message("process.stop", cut_off=self.server.active)
         # The last lines are written by a task of their own.
         self.timers.sleep(0.1)
--- a/src/endivepier/gateway/rows.py
+++ b/src/endivepier/gateway/rows.py
@@ -12,6 +12,7 @@
 # largest deployment's store takes in all.
 PARTS = 64
 
+HOSTS = "hosts"
 SHARES = "shares"
 BUDGETS = "budgets"
 TURNS = "turns"
--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/shares.py
@@ -6,6 +6,11 @@
 has. A host asks for the fraction that its demand is of all demand; it gives
 up what is above that at once and gets what is missing once others have.
 
+Demand moves faster than fractions do. A host that runs out of tokens asks the
+peers that have the most to spare for one or two; what one gives the other
+gets, so that the sum stays. Beyond that, a call waits a short time for the
+next token.
+
 A fraction is a lease: a host that can't renew it stops using it before any
 other host may count it as free. Others measure that by their own clocks, from
 when they first saw the last renewal. A host that starts again takes over
@@ -24,6 +29,7 @@
 from endivepier import timers as timers_lib
 from endivepier.gateway import catalog as catalog_lib
 from endivepier.gateway import model
+from endivepier.gateway import peers as peers_lib
 from endivepier.gateway import rows
 from endivepier.internal import codec
 from endivepier.limits import bucket as bucket_lib
@@ -46,6 +52,16 @@
 # end is worth nothing, so new ones wait first.
 RESERVE_SHARE = 0.4
 MAX_RETRY_SECONDS = 2.0
+QUESTION = "borrow"
+# A token that comes so soon is waited for: less than a client would lose by
+# coming back.
+WAIT_SECONDS = 0.25
+BORROWED_TOKENS = 2
+LENDERS_ASKED = 2
+BORROW_PAUSE_SECONDS = 0.1  # after peers had nothing to give
+# Part of the operators' tolerance that is used: each host's bucket holds
+# whole tokens only, so that small accounts would lose most of their burst.
+TOLERANCE_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,12 +97,16 @@
         fraction: what may be used now.
         until: when the lease ends, monotonic seconds.
         written: when the entry was last written.
+        others: what other hosts held when the row was last read.
+        borrow_at: until when peers are not asked.
     """
 
     bucket: bucket_lib.Bucket
     fraction: float = 0.0
     until: float = 0.0
     written: float = 0.0
+    others: dict[str, Entry] = dataclasses.field(default_factory=dict)
+    borrow_at: float = 0.0
 
     def touch(self, now: float) -> None:
         """Brings the bucket up to date."""
@@ -103,6 +123,8 @@
         table: ports.Table,
         timers: timers_lib.Timers,
         rng: random.Random,
+        peers: peers_lib.Peers,
+        tolerance: float,
     ) -> None:
         """Makes limits that hold nothing yet.
 
@@ -112,6 +134,9 @@
             table: keeps the rows.
             timers: the timer service.
             rng: spreads renewals over time.
+            peers: the other hosts.
+            tolerance: requests of an account beyond its burst that the
+                operators allow for in all.
         """
         self.ready = False
         self.holders = 1
@@ -120,6 +145,9 @@
         self._table = table
         self._timers = timers
         self._rng = rng
+        self._peers = peers
+        self._tolerance = tolerance * TOLERANCE_SHARE
+        peers.register(QUESTION, self._lend)
         self._committer = commit.Committer(table, timers, rng)
         self._shares: dict[str, Share] = {}
         self._seen: dict[tuple[str, str], tuple[int, float]] = {}
@@ -135,12 +163,30 @@
         if self._task is not None:
             self._task.kill()
 
-    def admit(self, account: model.Account, *, fresh: bool) -> float | None:
+    def wait(self, account: model.Account, *, fresh: bool) -> float | None:
+        """Takes a token of the account, from peers or after a short wait.
+
+        Args and result are those of `admit`.
+        """
+        missing = self.admit(account, fresh=fresh)
+        if missing is None:
+            return None
+        if not fresh and self._borrow(account):
+            return None
+        if missing > WAIT_SECONDS:
+            return missing
+        self._timers.sleep(missing)
+        return self.admit(account, fresh=fresh, again=True)
+
+    def admit(
+        self, account: model.Account, *, fresh: bool, again: bool = False
+    ) -> float | None:
         """Takes a token of the account.
 
         Args:
             account: who asks.
             fresh: whether the request begins a new program.
+            again: whether the request has been counted as demand before.
 
         Returns:
             None if the request is admitted, else the seconds after which
@@ -151,7 +197,8 @@
         now = self._timers.now()
         share = self._share(account, now)
         share.touch(now)
-        share.bucket.arrive(now)
+        if not again:
+            share.bucket.arrive(now)
         reserve = 0.0
         if fresh:
             reserve = RESERVE_SHARE * share.fraction * account.burst
@@ -163,16 +210,56 @@
         missing = 1.0 + reserve - share.bucket.level
         return min(missing / refill, MAX_RETRY_SECONDS)
 
+    def _borrow(self, account: model.Account) -> bool:
+        """Asks peers for a token; returns whether one was given."""
+        share = self._shares[account.name]
+        now = self._timers.now()
+        if now < share.borrow_at:
+            return False
+
+        def spare(entry: Entry) -> float:
+            return entry.fraction * account.rate - entry.demand
+
+        lenders = sorted(
+            (host for host in share.others if self._peers.can_ask(host)),
+            key=lambda host: -spare(share.others[host]),
+        )
+        document = {"account": account.name, "tokens": BORROWED_TOKENS}
+        for host in lenders[:LENDERS_ASKED]:
+            try:
+                answer = self._peers.ask(host, QUESTION, document)
+            except errors.PeerUnreachable:
+                continue
+            given = answer.get("tokens")
+            if isinstance(given, int) and given > 0:
+                share.bucket.level += given - 1
+                return True
+        share.borrow_at = self._timers.now() + BORROW_PAUSE_SECONDS
+        return False
+
+    def _lend(self, document: dict[str, object]) -> dict[str, object]:
+        """Answers a peer that asks for tokens."""
+        name, wanted = document.get("account"), document.get("tokens")
+        share = self._shares.get(name) if isinstance(name, str) else None
+        if share is None or not isinstance(wanted, int):
+            return {"tokens": 0}
+        share.touch(self._timers.now())
+        # One token stays for the next call here.
+        given = max(0, min(wanted, int(share.bucket.level - 1.0)))
+        share.bucket.level -= given
+        return {"tokens": given}
+
     def _share(self, account: model.Account, now: float) -> Share:
         share = self._shares.get(account.name)
         if share is None:
             bucket = bucket_lib.Bucket(account, 0.0, now, now, full=False)
             share = self._shares[account.name] = Share(bucket)
         bucket = share.bucket
-        if bucket.rate != account.rate or bucket.burst != account.burst:
+        burst = account.burst + self._tolerance
+        if bucket.rate != account.rate or bucket.burst != burst:
             share.touch(now)
             bucket.rate = account.rate
-            bucket.burst = account.burst
+            bucket.burst = burst
             share.touch(now)
         return share
 
@@ -255,6 +342,7 @@
     ) -> Row | None:
         """Returns the row with our new entry; None if nothing is to change."""
         others = self._living(account.name, before, now)
+        share.others = others
         self.holders = len(others) + 1
         demand = share.bucket.demand(now)
         floor = EVEN_SHARE * account.rate / self.holders
--- a/src/endivepier/http1/client.py
+++ b/src/endivepier/http1/client.py
@@ -139,6 +139,28 @@
     return None
 
 
+def read_whole(conn: Connection, deadline: float) -> tuple[int, bytes]:
+    """Reads a whole answer; returns its status and body.
+
+    Raises:
+        errors.ExchangeTimeout: it was not whole before `deadline`.
+        errors.ExchangeBroken: it is not whole, or not the only one.
+    """
+    head = conn.read(deadline)
+    if not isinstance(head, messages.Head):
+        raise errors.ExchangeBroken("the answer has no head")
+    pieces: list[bytes] = []
+    while True:
+        part = conn.read(deadline)
+        match part:
+            case answers.Data(content=content):
+                pieces.append(content)
+            case answers.End():
+                return head.status, b"".join(pieces)
+            case _:
+                raise errors.ExchangeBroken("two answers in one")
+
+
 def connect(
     address: str,
     timers: timers_lib.Timers,
--- a/src/endivepier/http1/pool.py
+++ b/src/endivepier/http1/pool.py
@@ -11,7 +11,7 @@
 
 # A server states its idle time-out in whole seconds, if it states one; some
 # drop connections sooner. Half of it leaves room for that and for the way.
-IDLE_SHARE = 0.5
+IDLE_SHARE = 0.4
 DEFAULT_IDLE_SECONDS = 2.0
 CONNECT_SECONDS = 0.4  # two lost opening packets are a dead address here
 USER_TIMEOUT_SECONDS = 2.0  # below the pages' contact_ms of 3 s
@@ -46,7 +46,12 @@
         )
 
     def take(
-        self, name: str, address: str, *, max_idle: float | None = None
+        self,
+        name: str,
+        address: str,
+        *,
+        max_idle: float | None = None,
+        connect_seconds: float = CONNECT_SECONDS,
     ) -> client.Connection:
         """Returns a connection that is idle, or a new one.
 
@@ -55,6 +60,7 @@
             address: "ip:port" of the server.
             max_idle: longest time that it may have been idle, in seconds;
                 None for what the server allows.
+            connect_seconds: longest time to make a new one.
 
         Raises:
             errors.ConnectFailed: no new one could be made.
@@ -67,7 +73,7 @@
         return self._connect(
             address,
             self._timers,
-            seconds=CONNECT_SECONDS,
+            seconds=connect_seconds,
             user_timeout=USER_TIMEOUT_SECONDS,
         )
 
