--- a/src/endivepier/http1/answers.py
+++ b/src/endivepier/http1/answers.py
@@ -51,6 +51,11 @@
         self._head: messages.Head | None = None
         self._whole = 0
 
+    def expect(self) -> None:
+        """Notes that a request was sent, so that another answer is due."""
+        self.trailing = False
+        self._whole = 0
+
     def feed(self, data: bytes) -> None:
         """Takes bytes of the connection; never raises for what they hold."""
         if self.broken:
--- a/src/endivepier/http1/client.py
+++ b/src/endivepier/http1/client.py
@@ -44,7 +44,7 @@
             errors.ExchangeBroken: the server may have a part of it, or all.
         """
         self.used += 1
-        self._reader.trailing = False
+        self._reader.expect()
         try:
             self._sock.settimeout(max(deadline - self._timers.now(), 0.001))
             self._sock.sendall(data)
