--- a/src/endivepier/http1/requests.py
+++ b/src/endivepier/http1/requests.py
@@ -60,8 +60,6 @@
                 connection after the answer.
         """
         self._begun = True
-        if not self._headers_done:
-            self._size += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
@@ -74,6 +72,7 @@
         except httptools.HttpParserError as exc:
             raise BadRequest(400, f"not valid HTTP/1.1: {exc}") from exc
         if not self._headers_done and self._begun:
+            self._size += len(data)
             self._check_header_size()
 
     def take(self) -> messages.Request | None:
--- a/src/endivepier/standins/table.py
+++ b/src/endivepier/standins/table.py
@@ -6,6 +6,7 @@
 import dataclasses
 import random
 
+import gevent.event
 import sortedcontainers
 
 from endivepier import errors
@@ -35,7 +36,7 @@
 
 
 class MemoryTable:
-    """A `storage.ports.Table` in memory."""
+    """A `storage.ports.Table` and `storage.ports.Feed` in memory."""
 
     def __init__(
         self, timers: timers_lib.Timers, rng: random.Random | None = None
@@ -48,6 +49,9 @@
         self._rng = rng or random.Random(0)
         self._rows: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
         self._version = 0
+        self._history: list[tuple[int, str]] = []
+        self._oldest = 0
+        self._changed = gevent.event.Event()
 
     def get(self, key: str) -> ports.Row | None:
         """Returns a row; see `storage.ports.Table.get`."""
@@ -85,6 +89,38 @@
             raise errors.OutcomeUnknown("the reply was lost")
         return version
 
+    def snapshot(self, table: str) -> ports.Changes:
+        """Returns a whole table; see `storage.ports.Feed.snapshot`."""
+        self._read()
+        rows = tuple(self.peek(f"{table}/"))
+        return ports.Changes(rows, (), self._version)
+
+    def changes(self, table: str, after: int, wait: float) -> ports.Changes:
+        """Returns what changed; see `storage.ports.Feed.changes`."""
+        deadline = self._timers.now() + wait
+        while True:
+            self._read()
+            if after < self._oldest:
+                raise errors.HistoryLost(f"{table!r} after {after}")
+            keys = {
+                key: None
+                for version, key in self._history
+                if version > after and key.startswith(f"{table}/")
+            }
+            left = deadline - self._timers.now()
+            if keys or left <= 0:
+                break
+            self._changed.clear()
+            self._timers.wait(self._changed, left)
+        rows = [self._rows[key] for key in keys if key in self._rows]
+        removed = tuple(key for key in keys if key not in self._rows)
+        return ports.Changes(tuple(rows), removed, self._version)
+
+    def lose_history(self) -> None:
+        """Forgets all changes, so that followers must read afresh."""
+        self._history.clear()
+        self._oldest = self._version
+
     def peek(self, prefix: str = "") -> list[ports.Row]:
         """Returns rows at once, without faults: for checkers and tests."""
         return [
@@ -123,4 +159,6 @@
                     self._rows[key] = ports.Row(key, value, self._version)
                 case ports.Delete(key=key):
                     self._rows.pop(key, None)
+            self._history.append((self._version, write.key))
+        self._changed.set()
         return self._version
--- /dev/null
+++ b/tests/cover/gateway/test_budgets.py
@@ -0,0 +1,168 @@
+import random
+
+import gevent
+import hypothesis
+from hypothesis import strategies
+
+from endivepier.gateway import budgets
+from endivepier.standins import clock
+from endivepier.standins import table as table_lib
+
+MOST = 100
+RUN_SECONDS = 0.3
+
+
+class World:
+    """Processes that share a table, and what they handed out."""
+
+    def __init__(self, processes=2, seed=0):
+        self.timers = clock.VirtualTimers()
+        self.table = table_lib.MemoryTable(self.timers, random.Random(seed))
+        self.names = iter(range(1000))
+        self.ledgers = [self.make() for _ in range(processes)]
+        self.handed = 0
+        self.states = []
+
+    def make(self):
+        ledger = budgets.Ledger(f"p{next(self.names)}", self.table, self.timers)
+        ledger.start()
+        return ledger
+
+    def turn(self, process, budget, used, seconds=RUN_SECONDS):
+        """Runs a turn as a stream does; returns how it ended."""
+        ledger = self.ledgers[process]
+        reservation = ledger.begin("p", budget, MOST)
+        self.timers.wait(reservation.decided, 3.0)
+        state = reservation.state
+        if state is budgets.State.GRANTED:
+            self.timers.sleep(seconds)
+            self.handed += used
+        ledger.end(reservation, used)
+        self.states.append(state)
+        return state
+
+    def run(self, function):
+        return self.timers.run(function)
+
+
+def test_a_program_spends_its_budget_and_no_more():
+    world = World()
+
+    def main():
+        while world.turn(0, 300, 30) is budgets.State.GRANTED:
+            world.timers.sleep(0.1)
+
+    world.run(main)
+    assert 300 <= world.handed <= 300 + MOST
+
+
+def test_a_turn_is_not_refused_while_something_is_left():
+    # Programs with 272 tokens, 144 of them spent, were refused since a turn
+    # of theirs might have generated 136.
+    world = World()
+    assert world.run(lambda: world.turn(0, 130, 100)) is budgets.State.GRANTED
+    assert world.run(lambda: world.turn(1, 130, 30)) is budgets.State.GRANTED
+    assert world.run(lambda: world.turn(0, 130, 30)) is budgets.State.DENIED
+
+
+def test_turns_at_the_same_time_wait_for_each_other_rather_than_fail():
+    world = World()
+
+    def main():
+        tasks = [
+            gevent.spawn(world.turn, number % 2, 250, 20) for number in range(6)
+        ]
+        gevent.joinall(tasks)
+        return [task.value for task in tasks]
+
+    assert set(world.run(main)) == {budgets.State.GRANTED}
+    assert world.handed == 120
+
+
+def test_what_a_lost_process_held_stays_spent():
+    world = World()
+
+    def main():
+        lost = world.ledgers[0].begin("p", 150, MOST)
+        world.timers.wait(lost.decided, 1.0)
+        # The process is gone: nobody settles its turn.
+        world.ledgers[0] = world.make()
+        return world.turn(0, 150, 100), world.turn(0, 150, 100)
+
+    assert world.run(main) == (budgets.State.GRANTED, budgets.State.DENIED)
+
+
+def test_a_write_whose_reply_is_lost_counts_once():
+    world = World()
+
+    def main():
+        world.table.faults.lost_replies = 1.0
+        reservation = world.ledgers[0].begin("p", 1000, MOST)
+        world.timers.sleep(0.1)
+        world.table.faults.lost_replies = 0.0
+        world.timers.wait(reservation.decided, 3.0)
+        world.ledgers[0].end(reservation, 40)
+        world.timers.sleep(5.0)
+
+    world.run(main)
+    usage = world.table.peek("budgets/")[0].value
+    assert b'"spent":40' in usage
+
+
+def test_a_store_that_is_away_denies_nothing():
+    world = World()
+    world.table.faults.outage = True
+
+    def main():
+        reservation = world.ledgers[0].begin("p", 1000, MOST)
+        world.timers.sleep(1.0)
+        pending = reservation.state
+        away = world.ledgers[0].store_down
+        world.table.faults.outage = False
+        world.timers.sleep(1.5)
+        return pending, away, reservation.state
+
+    assert world.run(main) == (
+        budgets.State.PENDING,
+        True,
+        budgets.State.GRANTED,
+    )
+
+
+@hypothesis.settings(max_examples=60)
+@hypothesis.given(strategies.integers(0, 2**32))
+def test_no_history_hands_out_more_than_budget_and_one_turn(seed):
+    """Turns at three processes, lost replies, outages and restarts."""
+    rng = random.Random(seed)
+    world = World(processes=3, seed=seed)
+    world.table.faults.lost_replies = rng.choice((0.0, 0.1, 0.4))
+    world.table.faults.lost_requests = rng.choice((0.0, 0.1))
+    budget = rng.choice((100, 250, 900))
+
+    def line():
+        for _ in range(rng.randrange(1, 8)):
+            world.turn(
+                rng.randrange(3),
+                budget,
+                rng.randrange(MOST + 1),
+                rng.uniform(0.05, 0.6),
+            )
+            world.timers.sleep(rng.uniform(0.0, 0.6))
+
+    def trouble():
+        for _ in range(3):
+            world.timers.sleep(rng.uniform(0.1, 1.5))
+            match rng.choice(("outage", "restart")):
+                case "outage":
+                    world.table.faults.outage = True
+                    world.timers.sleep(rng.uniform(0.1, 2.0))
+                    world.table.faults.outage = False
+                case "restart":
+                    world.ledgers[rng.randrange(3)] = world.make()
+
+    def main():
+        tasks = [gevent.spawn(line) for _ in range(rng.randrange(1, 5))]
+        gevent.joinall([*tasks, gevent.spawn(trouble)])
+
+    world.run(main)
+    assert world.handed <= budget + MOST
