--- a/src/endivepier/gateway/peers.py
+++ b/src/endivepier/gateway/peers.py
@@ -9,7 +9,6 @@
 
 from collections.abc import Callable
 import dataclasses
-import json
 
 import eliot
 import gevent
@@ -31,7 +30,7 @@
 FIRST_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
 
-Answer = Callable[[dict[str, object]], dict[str, object]]
+Answer = Callable[[bytes], bytes]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,9 +101,17 @@
             return False
         return self._avoided.get(host, 0.0) <= self._timers.now()
 
+    def askable(self) -> list[str]:
+        """Returns the hosts that may be asked now."""
+        return [host for host in self._entries if self.can_ask(host)]
+
     def ask(
-        self, host: str, question: str, document: dict[str, object]
-    ) -> dict[str, object]:
+        self,
+        host: str,
+        question: str,
+        body: bytes,
+        seconds: float = ASK_SECONDS,
+    ) -> bytes:
         """Asks a host and returns its answer.
 
         Raises:
@@ -114,21 +121,23 @@
         if entry is None:
             raise errors.PeerUnreachable(host, "not on the list", sent=False)
         try:
-            return self._exchange(host, entry.address, question, document)
+            return self._exchange(host, entry.address, question, body, seconds)
         except (http_errors.HttpError, ValueError) as exc:
             self._avoided[host] = self._timers.now() + AVOID_SECONDS
             self._pool.drop(host)
             eliot.log_message("peer.silent", peer=host, reason=str(exc))
-            raise errors.PeerUnreachable(host, str(exc), sent=True) from exc
+            sent = not isinstance(exc, http_errors.ConnectFailed)
+            raise errors.PeerUnreachable(host, str(exc), sent=sent) from exc
 
     def _exchange(
         self,
         host: str,
         address: str,
         question: str,
-        document: dict[str, object],
-    ) -> dict[str, object]:
-        deadline = self._timers.now() + ASK_SECONDS
+        body: bytes,
+        seconds: float,
+    ) -> bytes:
+        deadline = self._timers.now() + seconds
         conn = self._pool.take(host, address, connect_seconds=ASK_SECONDS)
         whole = False
         try:
@@ -137,11 +146,11 @@
                     b"POST",
                     f"/{question}".encode(),
                     [(b"Host", address.encode())],
-                    json.dumps(document).encode(),
+                    body,
                 ),
                 deadline,
             )
-            status, body = client.read_whole(conn, deadline)
+            status, answer = client.read_whole(conn, deadline)
             whole = True
         finally:
             if whole:
@@ -150,23 +159,20 @@
                 conn.close()
         if status != 200:
             raise ValueError(f"it answered {status}")
-        found = json.loads(body)
-        if not isinstance(found, dict):
-            raise ValueError("its answer is no JSON object")
-        return found
+        return answer
 
     def _serve(
         self, req: messages.Request, responder: server_lib.Responder
     ) -> None:
         answer = self._answers.get(req.target.decode("latin-1").strip("/"))
-        try:
-            document = json.loads(req.body)
-        except ValueError:
-            document = None
-        if answer is None or not isinstance(document, dict):
+        if answer is None:
             responder.send(404, [], b"")
             return
-        body = json.dumps(answer(document)).encode()
+        try:
+            body = answer(req.body)
+        except errors.Refused as exc:
+            responder.send(exc.status, [], exc.detail.encode())
+            return
         responder.send(200, [(b"Content-Type", b"application/json")], body)
 
     def _announce(self) -> None:
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -22,6 +22,7 @@
 from endivepier.gateway import peers as peers_lib
 from endivepier.gateway import placement as placement_lib
 from endivepier.gateway import plain
+from endivepier.gateway import reach
 from endivepier.gateway import shares as shares_lib
 from endivepier.gateway import streams
 from endivepier.gateway import turns as turns_lib
@@ -94,21 +95,21 @@
         self.metrics = metrics_lib.Metrics()
         self.kernel = kernel_lib.Kernel()
         incarnation = ids_lib.Ids(rng).unique()[:12]
-        table = adapters.table
+        table = reach.Store(adapters.table, adapters.feed, timers, rng)
         self.catalog = self.kernel.register(
-            "catalog",
-            catalog_lib.Catalog(adapters.feed, adapters.decoder, timers),
+            "catalog", catalog_lib.Catalog(table, adapters.decoder, timers)
         )
         self.peers = self.kernel.register(
             "peers",
             peers_lib.Peers(
                 cfg.host,
                 peers_lib.Entry(cfg.peer_listen, cfg.data_centre),
-                table,
+                adapters.table,
                 adapters.feed,
                 timers,
             ),
         )
+        table.join(self.peers)
         self.shares = self.kernel.register(
             "shares",
             shares_lib.Shares(
@@ -138,7 +139,12 @@
             self.shares,
             plain.PlainCalls(self.catalog, self.links, timers),
             streams.Streams(
-                self.catalog, self.links, self.ledger, self.turns, timers
+                self.catalog,
+                self.links,
+                self.ledger,
+                self.turns,
+                table,
+                timers,
             ),
             adapters.dialect,
             timers,
--- /dev/null
+++ b/src/endivepier/gateway/reach.py
@@ -0,0 +1,306 @@
+"""The store as an entry host reaches it: directly, or by way of a peer.
+
+The store may turn some hosts away while it serves the others. A host that is
+turned away asks a peer to make the call. A call by way of a peer keeps the
+three outcomes apart: done, certainly not done, and unknown.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+import random
+from typing import Literal
+from typing import TypeVar
+
+import eliot
+import pydantic
+
+from endivepier import errors
+from endivepier import timers as timers_lib
+from endivepier.gateway import peers as peers_lib
+from endivepier.internal import codec
+from endivepier.storage import ports
+from endivepier.storage import wire
+
+T = TypeVar("T")
+
+# How long a way that failed is left alone before it is tried again.
+SUSPECT_SECONDS = 0.5
+RELAY_SECONDS = (
+    0.5  # far above a call's few milliseconds, below a client's wait
+)
+RELAY_MARGIN_SECONDS = 0.8  # what a relayed feed may take beyond its wait
+PEERS_ASKED = 2
+GET = "store-get"
+SCAN = "store-scan"
+TRANSACT = "store-transact"
+SNAPSHOT = "store-snapshot"
+CHANGES = "store-changes"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Table:
+    """Asks for a whole table."""
+
+    table: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Since:
+    """Asks for what has changed in a table."""
+
+    table: str
+    after: int
+    wait: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """The answer to a read."""
+
+    rows: tuple[wire.RowDocument, ...]
+    removed: tuple[str, ...] = ()
+    version: int = 0
+    kind: Literal["found"] = "found"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """The answer to a call that the peer could not make."""
+
+    reason: Literal["unavailable", "unknown", "history"]
+    detail: str
+    kind: Literal["failed"] = "failed"
+
+
+Reply = Found | Failed | wire.Committed | wire.Conflict
+
+
+class Store:
+    """A `storage.ports.Table` and `storage.ports.Feed` over two ways."""
+
+    def __init__(
+        self,
+        table: ports.Table,
+        feed: ports.Feed,
+        timers: timers_lib.Timers,
+        rng: random.Random,
+    ) -> None:
+        self._table = table
+        self._feed = feed
+        self._timers = timers
+        self._rng = rng
+        self._peers: peers_lib.Peers | None = None
+        self._direct_until = 0.0
+        self._relay_until = 0.0
+        self._lost_at: float | None = None
+
+    def join(self, peers: peers_lib.Peers) -> None:
+        """Uses peers from now on, and answers them."""
+        self._peers = peers
+        peers.register(GET, self._answer_get)
+        peers.register(SCAN, self._answer_scan)
+        peers.register(TRANSACT, self._answer_transact)
+        peers.register(SNAPSHOT, self._answer_snapshot)
+        peers.register(CHANGES, self._answer_changes)
+
+    def is_away(self) -> bool:
+        """Returns whether neither way has worked a moment ago."""
+        now = self._timers.now()
+        if self._direct_until <= now:
+            return False
+        return self._relay_until > now or not self._ways()
+
+    def get(self, key: str) -> ports.Row | None:
+        """Returns a row; see `storage.ports.Table.get`."""
+        rows = self._read(
+            lambda: _as_rows([self._table.get(key)]),
+            GET,
+            codec.encode(wire.Get(key)),
+        ).rows
+        return rows[0] if rows else None
+
+    def scan(
+        self, prefix: str, *, after: str = "", limit: int = 500
+    ) -> Sequence[ports.Row]:
+        """Returns rows in order; see `storage.ports.Table.scan`."""
+        return self._read(
+            lambda: _as_rows(
+                self._table.scan(prefix, after=after, limit=limit)
+            ),
+            SCAN,
+            codec.encode(wire.Scan(prefix, after, limit)),
+        ).rows
+
+    def snapshot(self, table: str) -> ports.Changes:
+        """Returns a whole table; see `storage.ports.Feed.snapshot`."""
+        return self._read(
+            lambda: self._feed.snapshot(table),
+            SNAPSHOT,
+            codec.encode(Table(table)),
+        )
+
+    def changes(self, table: str, after: int, wait: float) -> ports.Changes:
+        """Returns what changed; see `storage.ports.Feed.changes`."""
+        return self._read(
+            lambda: self._feed.changes(table, after, wait),
+            CHANGES,
+            codec.encode(Since(table, after, wait)),
+            wait + RELAY_MARGIN_SECONDS,
+        )
+
+    def transact(self, txn: ports.Transaction) -> int:
+        """Commits a transaction; see `storage.ports.Table.transact`."""
+        if not self._prefers_relay():
+            try:
+                return self._direct(lambda: self._table.transact(txn))
+            except errors.Unavailable:
+                if not self._ways():
+                    raise
+        body = codec.encode(wire.transact_document(txn))
+        reply = self._relay(TRANSACT, body, RELAY_SECONDS, once=True)
+        match reply:
+            case wire.Committed(version=version):
+                return version
+            case wire.Conflict(key=key):
+                raise errors.ConditionFailed(key)
+            case _:
+                raise errors.OutcomeUnknown(f"a peer answered {reply}")
+
+    def _read(
+        self,
+        direct: Callable[[], ports.Changes],
+        question: str,
+        body: bytes,
+        seconds: float = RELAY_SECONDS,
+    ) -> ports.Changes:
+        if not self._prefers_relay():
+            try:
+                return self._direct(direct)
+            except errors.Unavailable:
+                if not self._ways():
+                    raise
+        reply = self._relay(question, body, seconds, once=False)
+        if not isinstance(reply, Found):
+            raise errors.Unavailable(f"a peer answered {reply}")
+        rows = tuple(row.row() for row in reply.rows)
+        return ports.Changes(rows, reply.removed, reply.version)
+
+    def _direct(self, call: Callable[[], T]) -> T:
+        try:
+            found = call()
+        except (errors.Unavailable, errors.OutcomeUnknown) as exc:
+            self._direct_until = self._timers.now() + SUSPECT_SECONDS
+            if self._lost_at is None:
+                self._lost_at = self._timers.now()
+                eliot.log_message("store.turned_away", reason=str(exc))
+            raise
+        self._direct_until = 0.0
+        if self._lost_at is not None:
+            seconds = self._timers.now() - self._lost_at
+            self._lost_at = None
+            eliot.log_message("store.reached_again", seconds=round(seconds, 3))
+        return found
+
+    def _prefers_relay(self) -> bool:
+        """Returns whether a peer is to be asked before the store itself."""
+        now = self._timers.now()
+        return self._direct_until > now and self._ways() != []
+
+    def _ways(self) -> list[str]:
+        """Returns the peers that may be asked now."""
+        if self._peers is None or self._relay_until > self._timers.now():
+            return []
+        return self._peers.askable()
+
+    def _relay(
+        self, question: str, body: bytes, seconds: float, *, once: bool
+    ) -> Reply:
+        """Has a peer make a call.
+
+        Raises:
+            errors.Unavailable: no peer made it.
+            errors.OutcomeUnknown: a peer may have made it.
+            errors.HistoryLost: the store said so.
+        """
+        assert self._peers is not None
+        hosts = self._ways()
+        self._rng.shuffle(hosts)
+        for host in hosts[:PEERS_ASKED]:
+            try:
+                answer = self._peers.ask(host, question, body, seconds)
+            except errors.PeerUnreachable as exc:
+                if once and exc.sent:
+                    raise errors.OutcomeUnknown(f"by way of {host}") from exc
+                continue
+            reply: Reply = codec.decode(Reply, answer)
+            if not isinstance(reply, Failed):
+                return reply
+            if reply.reason == "history":
+                raise errors.HistoryLost(reply.detail)
+            self._relay_until = self._timers.now() + SUSPECT_SECONDS
+            if reply.reason == "unknown":
+                raise errors.OutcomeUnknown(f"by way of {host}: {reply.detail}")
+            break
+        raise errors.Unavailable("neither the store nor a peer makes the call")
+
+    def _answer_get(self, body: bytes) -> bytes:
+        req = codec.decode(wire.Get, body)
+        return self._answer(lambda: _as_rows([self._table.get(req.key)]))
+
+    def _answer_scan(self, body: bytes) -> bytes:
+        req = codec.decode(wire.Scan, body)
+        return self._answer(
+            lambda: _as_rows(
+                self._table.scan(req.prefix, after=req.after, limit=req.limit)
+            )
+        )
+
+    def _answer_snapshot(self, body: bytes) -> bytes:
+        req = codec.decode(Table, body)
+        return self._answer(lambda: self._feed.snapshot(req.table))
+
+    def _answer_changes(self, body: bytes) -> bytes:
+        req = codec.decode(Since, body)
+        return self._answer(
+            lambda: self._feed.changes(req.table, req.after, req.wait)
+        )
+
+    def _answer_transact(self, body: bytes) -> bytes:
+        txn = codec.decode(wire.Transact, body).transaction()
+        return self._answer(lambda: self._table.transact(txn))
+
+    def _answer(self, call: Callable[[], ports.Changes | int]) -> bytes:
+        """Makes a call for a peer, over the direct way only."""
+        try:
+            found = self._direct(call)
+        except errors.ConditionFailed as exc:
+            return _encode(wire.Conflict(exc.key))
+        except errors.HistoryLost as exc:
+            return _encode(Failed("history", str(exc)))
+        except errors.Unavailable as exc:
+            return _encode(Failed("unavailable", str(exc)))
+        except errors.OutcomeUnknown as exc:
+            return _encode(Failed("unknown", str(exc)))
+        if isinstance(found, int):
+            return _encode(wire.Committed(found))
+        rows = tuple(
+            wire.RowDocument(row.key, _base64(row.value), row.version)
+            for row in found.rows
+        )
+        return _encode(Found(rows, found.removed, found.version))
+
+
+def _as_rows(rows: Sequence[ports.Row | None]) -> ports.Changes:
+    return ports.Changes(tuple(row for row in rows if row is not None), (), 0)
+
+
+def _base64(value: bytes) -> pydantic.Base64Bytes:
+    """Returns the value as the field that becomes base64 in a document."""
+    return value
+
+
+def _encode(reply: Reply) -> bytes:
+    return codec.encode(reply, Reply)
--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/shares.py
@@ -88,6 +88,21 @@
     holders: dict[str, Entry]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Borrow:
+    """Asks a peer for tokens of an account."""
+
+    account: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lent:
+    """How many tokens a peer gives; it does without them."""
+
+    tokens: int
+
+
 @dataclasses.dataclass(slots=True)
 class Share:
     """This host's part of an account.
@@ -224,30 +239,30 @@
             (host for host in share.others if self._peers.can_ask(host)),
             key=lambda host: -spare(share.others[host]),
         )
-        document = {"account": account.name, "tokens": BORROWED_TOKENS}
+        body = codec.encode(Borrow(account.name, BORROWED_TOKENS))
         for host in lenders[:LENDERS_ASKED]:
             try:
-                answer = self._peers.ask(host, QUESTION, document)
+                answer = self._peers.ask(host, QUESTION, body)
             except errors.PeerUnreachable:
                 continue
-            given = answer.get("tokens")
-            if isinstance(given, int) and given > 0:
+            given = codec.decode(Lent, answer).tokens
+            if given > 0:
                 share.bucket.level += given - 1
                 return True
         share.borrow_at = self._timers.now() + BORROW_PAUSE_SECONDS
         return False
 
-    def _lend(self, document: dict[str, object]) -> dict[str, object]:
+    def _lend(self, body: bytes) -> bytes:
         """Answers a peer that asks for tokens."""
-        name, wanted = document.get("account"), document.get("tokens")
-        share = self._shares.get(name) if isinstance(name, str) else None
-        if share is None or not isinstance(wanted, int):
-            return {"tokens": 0}
+        asked: Borrow = codec.decode(Borrow, body)
+        share = self._shares.get(asked.account)
+        if share is None:
+            return codec.encode(Lent(0))
         share.touch(self._timers.now())
         # One token stays for the next call here.
-        given = max(0, min(wanted, int(share.bucket.level - 1.0)))
+        given = max(0, min(asked.tokens, int(share.bucket.level - 1.0)))
         share.bucket.level -= given
-        return {"tokens": given}
+        return codec.encode(Lent(given))
 
     def _share(self, account: model.Account, now: float) -> Share:
         share = self._shares.get(account.name)
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -24,6 +24,7 @@
 from endivepier.gateway import events
 from endivepier.gateway import exchange as exchange_lib
 from endivepier.gateway import model
+from endivepier.gateway import reach
 from endivepier.gateway import turns as turns_lib
 from endivepier.http1 import messages
 
@@ -68,12 +69,14 @@
         links: exchange_lib.Links,
         ledger: budgets.Ledger,
         turns: turns_lib.Turns,
+        store: reach.Store,
         timers: timers_lib.Timers,
     ) -> None:
         self._catalog = catalog
         self._links = links
         self._ledger = ledger
         self._turns = turns
+        self._store = store
         self._timers = timers
 
     def serve(self, passage: calls.Passage) -> None:
@@ -98,7 +101,7 @@
         call = passage.call
         if not passage.route.retained:
             return call.body
-        if self._turns.store_down or self._ledger.store_down:
+        if self._store.is_away():
             raise calls.store_away("the turn could not be kept now")
         if not call.previous:
             return call.body
@@ -147,7 +150,7 @@
             errors.Refused: the turn does not get its tokens.
         """
         if reservation.state is budgets.State.PENDING:
-            if self._ledger.store_down and not passage.tried:
+            if self._store.is_away() and not passage.tried:
                 raise calls.store_away("the budget can't be read now")
             seconds = min(seconds, passage.limit - self._timers.now())
             self._timers.wait(reservation.decided, seconds)
--- a/src/endivepier/gateway/turns.py
+++ b/src/endivepier/gateway/turns.py
@@ -50,7 +50,6 @@
     """The turns of all programs."""
 
     def __init__(self, table: ports.Table, timers: timers_lib.Timers) -> None:
-        self.store_down = False
         self._table = table
         self._timers = timers
         self._cache: collections.OrderedDict[str, Turn] = (
@@ -112,10 +111,8 @@
         while True:
             try:
                 self._table.transact(txn)
-                self.store_down = False
                 return
             except (errors.Unavailable, errors.OutcomeUnknown) as exc:
-                self.store_down = True
                 if self._timers.now() + backoff >= deadline:
                     raise errors.OutcomeUnknown(
                         f"turn {turn.id} was not confirmed: {exc}"
