--- a/src/endivepier/gateway/budgets.py
+++ b/src/endivepier/gateway/budgets.py
@@ -389,6 +389,17 @@
             self._read(program)
             return
         self._applied(program, number, version, usage.spent)
+        eliot.log_message(
+            "budget.written",
+            program=program.name,
+            budget=program.budget,
+            spent=program.spent,
+            held=program.mine,
+            held_elsewhere=program.held_by_others,
+            running=program.active,
+            granted=len(granted),
+            row_version=version,
+        )
         for reservation in granted:
             if reservation in program.pending:
                 program.pending.remove(reservation)
@@ -434,7 +445,7 @@
         program.others = {
             holder: held
             for holder, held in usage.held.items()
-            if holder != self._holder and held.tokens
+            if holder != self._holder
         }
 
     def _adopt(
--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/shares.py
@@ -41,6 +41,7 @@
 # that accounts keep their rates through one.
 LEASE_SECONDS = 15.0
 RENEW_SECONDS = 1.0  # how soon fractions follow a shift of demand
+SHORT_RENEW_SECONDS = 0.3  # while this host lacks tokens
 KEEP_ALIVE_SECONDS = 4.0  # a lease survives three lost renewals
 COMMIT_SECONDS = 2.0
 MIN_CHANGE = 0.1  # relative change of a fraction that is worth a write
@@ -56,9 +57,11 @@
 # A token that comes so soon is waited for: less than a client would lose by
 # coming back.
 WAIT_SECONDS = 0.25
-BORROWED_TOKENS = 2
-LENDERS_ASKED = 2
-BORROW_PAUSE_SECONDS = 0.1  # after peers had nothing to give
+MIN_WAIT_SECONDS = 0.005
+BORROWED_TOKENS = 3
+IDLE_DEMAND = 0.5  # requests a second below which a host lends all it has
+LENDERS_ASKED = 6
+BORROW_PAUSE_SECONDS = 0.1  # a peer that had nothing to give is not asked
 # Part of the operators' tolerance that is used: each host's bucket holds
 # whole tokens only, so that small accounts would lose most of their burst.
 TOLERANCE_SHARE = 0.5
@@ -113,7 +116,7 @@
         until: when the lease ends, monotonic seconds.
         written: when the entry was last written.
         others: what other hosts held when the row was last read.
-        borrow_at: until when peers are not asked.
+        empty_until: until when a peer is taken to have nothing to give.
     """
 
     bucket: bucket_lib.Bucket
@@ -121,7 +124,7 @@
     until: float = 0.0
     written: float = 0.0
     others: dict[str, Entry] = dataclasses.field(default_factory=dict)
-    borrow_at: float = 0.0
+    empty_until: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def touch(self, now: float) -> None:
         """Brings the bucket up to date."""
@@ -167,6 +170,7 @@
         self._shares: dict[str, Share] = {}
         self._seen: dict[tuple[str, str], tuple[int, float]] = {}
         self._failing = False
+        self._short = False
         self._task: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -181,17 +185,23 @@
     def wait(self, account: model.Account, *, fresh: bool) -> float | None:
         """Takes a token of the account, from peers or after a short wait.
 
+        A request that begins a program does neither: what can be had is for
+        the programs under way.
+
         Args and result are those of `admit`.
         """
+        end = self._timers.now() + WAIT_SECONDS
         missing = self.admit(account, fresh=fresh)
-        if missing is None:
-            return None
-        if not fresh and self._borrow(account):
-            return None
-        if missing > WAIT_SECONDS:
-            return missing
-        self._timers.sleep(missing)
-        return self.admit(account, fresh=fresh, again=True)
+        while missing is not None:
+            if fresh:
+                return missing
+            if self._borrow(account):
+                return None
+            if self._timers.now() + missing > end:
+                return missing
+            self._timers.sleep(max(missing, MIN_WAIT_SECONDS))
+            missing = self.admit(account, fresh=fresh, again=True)
+        return None
 
     def admit(
         self, account: model.Account, *, fresh: bool, again: bool = False
@@ -227,16 +237,14 @@
 
     def _borrow(self, account: model.Account) -> bool:
         """Asks peers for a token; returns whether one was given."""
+        self._short = True
         share = self._shares[account.name]
-        now = self._timers.now()
-        if now < share.borrow_at:
-            return False
 
         def spare(entry: Entry) -> float:
             return entry.fraction * account.rate - entry.demand
 
         lenders = sorted(
-            (host for host in share.others if self._peers.can_ask(host)),
+            (host for host in share.others if self._may_ask(share, host)),
             key=lambda host: -spare(share.others[host]),
         )
         body = codec.encode(Borrow(account.name, BORROWED_TOKENS))
@@ -249,9 +257,15 @@
             if given > 0:
                 share.bucket.level += given - 1
                 return True
-        share.borrow_at = self._timers.now() + BORROW_PAUSE_SECONDS
+            until = self._timers.now() + BORROW_PAUSE_SECONDS
+            share.empty_until[host] = until
         return False
 
+    def _may_ask(self, share: Share, host: str) -> bool:
+        if share.empty_until.get(host, 0.0) > self._timers.now():
+            return False
+        return self._peers.can_ask(host)
+
     def _lend(self, body: bytes) -> bytes:
         """Answers a peer that asks for tokens."""
         asked: Borrow = codec.decode(Borrow, body)
@@ -259,8 +273,10 @@
         if share is None:
             return codec.encode(Lent(0))
         share.touch(self._timers.now())
-        # One token stays for the next call here.
-        given = max(0, min(asked.tokens, int(share.bucket.level - 1.0)))
+        # A token stays for the next call here, if one is likely to come.
+        demand = share.bucket.demand(self._timers.now())
+        kept = 1.0 if demand > IDLE_DEMAND else 0.0
+        given = max(0, min(asked.tokens, int(share.bucket.level - kept)))
         share.bucket.level -= given
         return codec.encode(Lent(given))
 
@@ -290,6 +306,9 @@
             except (errors.Unavailable, errors.OutcomeUnknown) as exc:
                 self._note(exc)
             seconds = RENEW_SECONDS if self.ready else RENEW_SECONDS / 10
+            if self._short:
+                seconds = SHORT_RENEW_SECONDS
+            self._short = False
             self._timers.sleep(seconds * self._rng.uniform(0.8, 1.2))
 
     def _note(self, exc: Exception | None) -> None:
--- /dev/null
+++ b/tests/cover/gateway/test_shares.py
@@ -0,0 +1,262 @@
+"""Accounts' rates over several hosts whose demand differs and moves."""
+
+import random
+
+import gevent
+import hypothesis
+from hypothesis import strategies
+
+from endivepier import errors
+from endivepier.gateway import shares
+from endivepier.standins import clock
+from endivepier.standins import table as table_lib
+from tests.common import gateway_parts
+
+WINDOW_SECONDS = 5.0
+TOLERANCE = 20.0
+
+
+class PeersOf:
+    """The peers of one host, in the same process."""
+
+    def __init__(self, name, hosts, timers):
+        self.name = name
+        self.hosts = hosts
+        self.timers = timers
+        self.answers = {}
+        self.cut = False
+        hosts[name] = self
+
+    def register(self, question, answer):
+        self.answers[question] = answer
+
+    def can_ask(self, host):
+        return host in self.hosts and host != self.name
+
+    def ask(self, host, question, body):
+        other = self.hosts[host]
+        self.timers.sleep(0.003)
+        if self.cut or other.cut:
+            raise errors.PeerUnreachable(host, "cut", sent=True)
+        return other.answers[question](body)
+
+
+class Fleet:
+    """Hosts that share the accounts of one declaration."""
+
+    def __init__(self, count, accounts, seed=0):
+        self.timers = clock.VirtualTimers()
+        self.rng = random.Random(seed)
+        self.table = table_lib.MemoryTable(self.timers, random.Random(seed))
+        self.accounts = {each.name: each for each in accounts}
+        self.peers = {}
+        self.hosts = {}
+        self.admitted = []
+        self.refused = 0
+        for number in range(count):
+            self.start(f"h{number}")
+
+    @property
+    def declaration(self):
+        return gateway_parts.declaration(accounts=self.accounts.values())
+
+    def start(self, name):
+        """Starts a host, or starts it again."""
+        if name in self.hosts:
+            self.hosts[name].stop()
+        self.hosts[name] = shares.Shares(
+            name,
+            self,
+            self.table,
+            self.timers,
+            self.rng,
+            PeersOf(name, self.peers, self.timers),
+            TOLERANCE,
+        )
+        self.hosts[name].start()
+
+    def request(self, host, account, *, fresh=False):
+        got = self.hosts[host].wait(self.accounts[account], fresh=fresh)
+        if got is None:
+            self.admitted.append(self.timers.now())
+        else:
+            self.refused += 1
+        return got
+
+    def load(self, host, account, per_second, seconds):
+        """Sends requests at a steady rate."""
+        tasks = []
+        for _ in range(int(per_second * seconds)):
+            tasks.append(gevent.spawn(self.request, host, account))
+            self.timers.sleep(1.0 / per_second)
+        gevent.joinall(tasks)
+
+    def worst_window(self):
+        """Returns the most requests admitted in any window."""
+        times = sorted(self.admitted)
+        return max(
+            (
+                sum(1 for t in times if start <= t < start + WINDOW_SECONDS)
+                for start in times
+            ),
+            default=0,
+        )
+
+
+def allowed(account):
+    """Returns what the operators allow in a window."""
+    held = account.rate * WINDOW_SECONDS + account.burst
+    return held * 1.1 + TOLERANCE
+
+
+def test_demand_at_one_host_of_seven_gets_nearly_the_whole_rate():
+    # An account of 22 requests/s, split evenly over seven hosts, left three
+    # to each, while a program asks ten times a second at one host.
+    fleet = Fleet(7, [gateway_parts.account(rate=22.0, burst=22.0)])
+
+    def main():
+        fleet.timers.sleep(3.0)
+        fleet.load("h0", "acme", 18.0, 10.0)
+
+    fleet.timers.run(main)
+    assert fleet.refused <= 0.05 * len(fleet.admitted)
+
+
+def test_demand_that_moves_to_another_host_is_followed():
+    fleet = Fleet(7, [gateway_parts.account(rate=22.0, burst=22.0)])
+
+    def main():
+        fleet.timers.sleep(3.0)
+        for number in range(7):
+            fleet.load(f"h{number}", "acme", 15.0, 2.0)
+
+    fleet.timers.run(main)
+    assert fleet.refused <= 0.1 * len(fleet.admitted)
+
+
+def test_an_account_over_its_rate_is_held_to_it():
+    account = gateway_parts.account(rate=20.0, burst=20.0)
+    fleet = Fleet(5, [account])
+
+    def main():
+        fleet.timers.sleep(3.0)
+        tasks = [
+            gevent.spawn(fleet.load, f"h{number}", "acme", 20.0, 15.0)
+            for number in range(5)
+        ]
+        gevent.joinall(tasks)
+
+    fleet.timers.run(main)
+    assert fleet.worst_window() <= allowed(account)
+    assert len(fleet.admitted) >= 0.9 * account.rate * 15.0
+
+
+def test_a_refusal_says_when_there_is_a_token():
+    fleet = Fleet(1, [gateway_parts.account(rate=2.0, burst=1.0)])
+
+    def main():
+        fleet.timers.sleep(2.0)
+        while (seconds := fleet.request("h0", "acme")) is None:
+            pass
+        fleet.timers.sleep(seconds)
+        return seconds, fleet.request("h0", "acme")
+
+    seconds, again = fleet.timers.run(main)
+    assert 0 < seconds <= shares.MAX_RETRY_SECONDS
+    assert again is None
+
+
+def test_new_programs_are_refused_before_programs_under_way():
+    fleet = Fleet(1, [gateway_parts.account(rate=5.0, burst=10.0)])
+
+    def main():
+        fleet.timers.sleep(3.0)
+        while fleet.request("h0", "acme", fresh=True) is None:
+            pass
+        return fleet.request("h0", "acme", fresh=False)
+
+    assert fleet.timers.run(main) is None
+
+
+def test_a_host_that_can_not_renew_stops_before_others_take_its_share():
+    account = gateway_parts.account(rate=20.0, burst=20.0)
+    fleet = Fleet(2, [account])
+
+    def main():
+        fleet.timers.sleep(3.0)
+        fleet.table.faults.outage = True
+        fleet.timers.sleep(shares.LEASE_SECONDS + shares.KEEP_ALIVE_SECONDS)
+        return fleet.request("h0", "acme")
+
+    assert fleet.timers.run(main) is not None
+
+
+def test_an_outage_of_nine_seconds_takes_nothing_from_an_account():
+    fleet = Fleet(3, [gateway_parts.account(rate=20.0, burst=20.0)])
+
+    def main():
+        fleet.timers.sleep(3.0)
+        fleet.table.faults.outage = True
+        tasks = [
+            gevent.spawn(fleet.load, f"h{number}", "acme", 5.0, 9.0)
+            for number in range(3)
+        ]
+        gevent.joinall(tasks)
+
+    fleet.timers.run(main)
+    assert fleet.refused == 0
+
+
+def test_a_host_that_starts_again_takes_over_its_share():
+    fleet = Fleet(3, [gateway_parts.account(rate=20.0, burst=20.0)])
+
+    def main():
+        fleet.timers.sleep(3.0)
+        fleet.start("h0")
+        fleet.timers.sleep(2.0)
+        return fleet.request("h0", "acme")
+
+    assert fleet.timers.run(main) is None
+
+
+@hypothesis.settings(max_examples=25)
+@hypothesis.given(strategies.integers(0, 2**32))
+def test_no_history_admits_more_than_the_account_has(seed):
+    """Skewed and moving load, lost replies, outages, cuts and restarts."""
+    rng = random.Random(seed)
+    account = gateway_parts.account(
+        rate=rng.choice((5.0, 20.0, 60.0)), burst=rng.choice((5.0, 40.0))
+    )
+    fleet = Fleet(4, [account], seed)
+    fleet.table.faults.lost_replies = rng.choice((0.0, 0.2))
+
+    def trouble():
+        for _ in range(4):
+            fleet.timers.sleep(rng.uniform(0.5, 4.0))
+            name = f"h{rng.randrange(4)}"
+            match rng.choice(("outage", "cut", "restart", "lower")):
+                case "outage":
+                    fleet.table.faults.outage = True
+                    fleet.timers.sleep(rng.uniform(0.5, 6.0))
+                    fleet.table.faults.outage = False
+                case "cut":
+                    fleet.peers[name].cut = not fleet.peers[name].cut
+                case "restart":
+                    fleet.start(name)
+
+    def main():
+        fleet.timers.sleep(3.0)
+        loads = [
+            gevent.spawn(
+                fleet.load,
+                f"h{number}",
+                "acme",
+                rng.choice((1.0, account.rate / 2, 1.5 * account.rate)),
+                12.0,
+            )
+            for number in range(4)
+        ]
+        gevent.joinall([*loads, gevent.spawn(trouble)])
+
+    fleet.timers.run(main)
+    assert fleet.worst_window() <= allowed(account)
