--- /dev/null
+++ b/tests/common/gateway_fleet.py
@@ -0,0 +1,209 @@
+"""A gateway on real sockets, with targets that do what a test tells them."""
+
+import dataclasses
+import random
+
+import gevent
+from gevent import socket
+
+from endivepier import timers as timers_lib
+from endivepier.gateway import process
+from endivepier.http1 import messages
+from endivepier.http1 import server as server_lib
+from endivepier.standins import table as table_lib
+from endivepier.storage import ports
+from endivepier_platform import dialect
+from tests.common import gateway_parts
+
+EVENTS = [b"id: %d\ndata: word%d\n\n" % (n, n) for n in range(1, 6)]
+
+
+@dataclasses.dataclass
+class Seen:
+    """A request as a target saw it."""
+
+    call: str
+    headers: list
+    body: bytes
+    cancelled: bool = False
+
+
+class FakeTarget:
+    """A target whose behaviour is a function of the request.
+
+    `behave(seen, responder)` answers; the default streams `EVENTS`.
+    """
+
+    def __init__(self, name):
+        self.name = name
+        self.seen = []
+        self.behave = self.stream
+        self.server = server_lib.Server(
+            "127.0.0.1:0",
+            self._handle,
+            timers_lib.SystemTimers(),
+            messages.ClientLimits,
+        )
+        self.server.start()
+
+    def _handle(self, req, responder):
+        call = (req.header(b"attempt-id") or b"").decode()
+        seen = Seen(call, req.headers, req.body)
+        self.seen.append(seen)
+        try:
+            self.behave(seen, responder)
+        except BaseException:
+            seen.cancelled = True
+            raise
+
+    def headers(self, seen):
+        return [(b"Attempt-Id", seen.call.encode()), (b"Server-Seal", b"s")]
+
+    def stream(self, seen, responder, events=EVENTS, pause=0.0):
+        after = int(messages.find(seen.headers, b"last-event-id") or 0)
+        responder.start(200, self.headers(seen))
+        for event in events[after:]:
+            responder.write(event)
+            gevent.sleep(pause)
+        responder.finish()
+
+    def plain(self, seen, responder):
+        responder.send(
+            200, self.headers(seen), b"done by " + self.name.encode()
+        )
+
+    def full(self, seen, responder):
+        responder.send(503, [(b"Not-Executed", b"1")], b"")
+
+    def silent(self, seen, responder):
+        gevent.sleep(30)
+
+    def cut(self, seen, responder):
+        """Sends two events and the middle of a third, and is gone."""
+        responder.start(200, self.headers(seen))
+        responder.write(EVENTS[0] + EVENTS[1] + EVENTS[2][:5])
+
+    def foreign(self, seen, responder):
+        """An answer that belongs to another call."""
+        responder.send(200, [(b"Attempt-Id", b"other")], b"not yours")
+
+
+class Decoder:
+    """The declaration and the targets as Python objects."""
+
+    declaration_table = "declared"
+    target_table = "targets"
+
+    def __init__(self, declaration, targets):
+        self.declaration = declaration
+        self.targets = targets
+
+    def decode_declaration(self, row):
+        return self.declaration
+
+    def decode_target(self, row):
+        return self.targets[row.key.rpartition("/")[2]]
+
+
+class Fleet:
+    """One gateway and its targets."""
+
+    def __init__(self, routes, accounts=(), targets=2, service="s"):
+        timers = timers_lib.SystemTimers()
+        self.table = table_lib.MemoryTable(timers, random.Random(0))
+        self.targets = [FakeTarget(f"t{n}") for n in range(targets)]
+        rows = {
+            target.name: gateway_parts.target(
+                target.name, target.server.address, service=service
+            )
+            for target in self.targets
+        }
+        decoder = Decoder(gateway_parts.declaration(1, routes, accounts), rows)
+        puts = [ports.Put("declared//config", b"")]
+        puts += [ports.Put(f"targets//{name}", b"") for name in rows]
+        self.table.transact(ports.Transaction((), tuple(puts)))
+        self.gateway = process.Gateway(
+            process.Settings(
+                host="h",
+                data_centre="a",
+                listen="127.0.0.1:0",
+                peer_listen="127.0.0.1:0",
+                ready_listen="127.0.0.1:0",
+                ready_path="/ready",
+                metrics_listen="127.0.0.1:0",
+                grace_seconds=3.0,
+                rate_tolerance=0.0,
+            ),
+            process.Adapters(
+                self.table, self.table, decoder, dialect.PlatformDialect()
+            ),
+            timers,
+            random.Random(0),
+        )
+        self.gateway.start()
+        with gevent.Timeout(5):
+            while not self.gateway.is_ready():
+                gevent.sleep(0.01)
+
+    def stop(self):
+        self.gateway.server.stop()
+        self.gateway.kernel.stop()
+        for target in self.targets:
+            target.server.stop()
+
+    def connect(self):
+        host, _, port = self.gateway.server.address.rpartition(":")
+        return socket.create_connection((host, int(port)), timeout=10)
+
+    def send(self, sock, id_="c1", body=b"in", path="/a/1", **headers):
+        lines = [
+            f"POST {path} HTTP/1.1",
+            "Host: a.example",
+            f"Attempt-Id: {id_}",
+            f"Content-Length: {len(body)}",
+        ]
+        lines += [
+            f"{name.replace('_', '-')}: {value}"
+            for name, value in headers.items()
+        ]
+        sock.sendall("\r\n".join([*lines, "", ""]).encode() + body)
+
+    def ask(self, id_="c1", **headers):
+        """Sends a request on a connection of its own; returns all bytes."""
+        sock = self.connect()
+        self.send(sock, id_, Connection="close", **headers)
+        data = b""
+        while True:
+            piece = sock.recv(65536)
+            if not piece:
+                return Answer(data)
+            data += piece
+
+    def seen(self):
+        return [seen for target in self.targets for seen in target.seen]
+
+
+class Answer:
+    """The bytes of an answer, taken apart."""
+
+    def __init__(self, data):
+        head, _, self.raw = data.partition(b"\r\n\r\n")
+        self.head = head.lower()
+        self.status = int(head.split()[1]) if head else 0
+        self.whole = True
+        self.body = self.raw
+        if b"transfer-encoding: chunked" in self.head:
+            self.whole = self.raw.endswith(b"0\r\n\r\n")
+            self.body = _unchunk(self.raw)
+
+
+def _unchunk(raw):
+    body = b""
+    while raw:
+        size, _, raw = raw.partition(b"\r\n")
+        length = int(size, 16)
+        body += raw[:length]
+        raw = raw[length + 2 :]
+        if not length:
+            break
+    return body
--- /dev/null
+++ b/tests/cover/platform/test_dialect.py
@@ -0,0 +1,121 @@
+import pytest
+
+from endivepier import errors
+from endivepier.gateway import model
+from endivepier.http1 import messages
+from endivepier_platform import dialect
+from tests.common import gateway_parts
+
+HEADERS = [
+    (b"Host", b"Shop.example:80"),
+    (b"Attempt-Id", b"9c41"),
+    (b"Deadline-Ms", b"4000"),
+    (b"Authorization", b"Bearer secret-key"),
+    (b"Token-Count", b"1460,80"),
+    (b"Prompt-Prefix", b"5c1e:800,91bd:410,e440:250"),
+    (b"Program-Id", b"3fa8"),
+    (b"Session-Id", b"77d2"),
+    (b"Program-Deadline-Ms", b"5200"),
+    (b"Token-Budget", b"1088"),
+    (b"Previous-Turn", b"abcd"),
+    (b"X_Odd", b"1"),
+    (b"X-Odd", b"2"),
+]
+FORGED = [
+    (b"Tenant", b"other"),
+    (b"tenant", b"other"),
+    (b"Server-Seal", b"x"),
+    (b"Program-Priority", b"0"),
+    (b"Hold", b"h"),
+    (b"Pin-Ms", b"4000"),
+    (b"Kv-Fetch", b"10.0.0.1:1"),
+    (b"KV-FROM", b"10.0.0.1:1/x"),
+    (b"Kv-Backup", b"10.0.0.1:1"),
+    (b"Expect-Instance", b"i-1"),
+    (b"Not-Executed", b"1"),
+    (b"Connection", b"close, X-Hop"),
+    (b"X-Hop", b"1"),
+]
+
+
+def decode(headers):
+    req = messages.Request(
+        b"POST", b"/a/1?x=%2F", headers, b"body", received=100.0
+    )
+    return dialect.PlatformDialect().decode_call(req)
+
+
+def encode(call, **changes):
+    dispatch = model.Dispatch(
+        gateway_parts.target("i-7f"), "acme", 1.5, b"whole", **changes
+    )
+    return dialect.PlatformDialect().encode_request(call, dispatch)
+
+
+def test_a_request_is_decoded_into_a_call():
+    call = decode(HEADERS)
+    assert (call.id, call.host, call.path) == (
+        "9c41",
+        "shop.example",
+        b"/a/1?x=%2F",
+    )
+    assert (call.deadline, call.program_deadline) == (104.0, 105.2)
+    assert call.key == "secret-key"
+    assert (call.prompt_tokens, call.max_tokens) == (1460, 80)
+    assert call.parts[1] == model.Part("91bd", 410)
+    assert (call.budget, call.previous) == (1088, "abcd")
+
+
+def test_a_target_is_told_who_asks_and_never_the_key():
+    sent = encode(decode(HEADERS))
+    head, _, body = sent.partition(b"\r\n\r\n")
+    lines = head.split(b"\r\n")
+    assert lines[0] == b"POST /a/1?x=%2F HTTP/1.1"
+    assert b"Deadline-Ms: 1500" in lines
+    assert b"Expect-Instance: i-7f" in lines
+    assert b"Tenant: acme" in lines
+    assert b"Attempt-Id: 9c41" in lines
+    assert b"X_Odd: 1" in lines and b"X-Odd: 2" in lines
+    assert b"secret-key" not in sent
+    assert body == b"whole"
+
+
+def test_what_only_the_system_may_say_is_dropped():
+    sent = encode(decode(HEADERS + FORGED)).lower()
+    head = sent.partition(b"\r\n\r\n")[0]
+    for name in (b"hold", b"pin-ms", b"server-seal", b"program-priority"):
+        assert b"\r\n" + name + b":" not in head
+    assert b"\r\nkv-" not in head
+    assert head.count(b"\r\ntenant:") == 1
+    assert head.count(b"\r\nexpect-instance:") == 1
+    assert b"x-hop" not in head
+
+
+def test_a_stream_goes_on_after_the_last_event():
+    call = decode([*HEADERS, (b"Last-Event-Id", b"3")])
+    assert call.last_event == 3
+    sent = encode(call, last_event=9)
+    assert sent.count(b"Last-Event-Id") == 1
+    assert b"Last-Event-Id: 9\r\n" in sent
+
+
+def test_a_request_without_an_id_is_refused():
+    with pytest.raises(errors.Refused) as caught:
+        decode([(b"Host", b"a")])
+    assert caught.value.status == 400
+
+
+def test_a_refusal_says_when_to_come_back():
+    exc = errors.Refused(
+        errors.Code.OVERLOADED, 503, "all full", retry_after=0.15
+    )
+    headers, body = dialect.PlatformDialect().encode_refusal(None, exc)
+    assert (b"Retry-After", b"0.150") in headers
+    assert b"all full" in body
+
+
+def test_only_a_rejection_promises_that_a_call_has_not_run():
+    head = messages.Head(503, [(b"Not-Executed", b"1")])
+    assert dialect.PlatformDialect().decode_head(head).not_run
+    head = messages.Head(503, [])
+    assert not dialect.PlatformDialect().decode_head(head).not_run
--- /dev/null
+++ b/tests/cover/platform/test_documents.py
@@ -0,0 +1,140 @@
+import json
+
+import pytest
+
+from endivepier.gateway import model
+from endivepier.storage import ports
+from endivepier_platform import documents
+
+ROUTE = {
+    "name": "r-1",
+    "hostname": "Shop.example",
+    "prefix": "/a/",
+    "type": "streaming",
+    "timeout_ms": 4000,
+    "target_latency_ms": 250,
+    "priority": 0,
+    "service": "models",
+    "max_attempts": 2,
+    "retained": True,
+    "retention_s": 60.0,
+    "public": False,
+    "sticky": True,
+    "resumable": False,
+    "target_gap_ms": 200,
+    "some_new_field": {"x": 1},
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        ROUTE,
+        {
+            **ROUTE,
+            "name": "r-2",
+            "type": "idempotent",
+            "service": None,
+            "backends": [
+                {"service": "models", "weight": 90},
+                {"service": "ledger", "weight": 10},
+            ],
+        },
+    ],
+    "services": [
+        {
+            "name": "models",
+            "max_conns": 150,
+            "engine": {
+                "slots": 12,
+                "kv_capacity": 174738,
+                "chunk_tokens": 4,
+                "kv_bytes": 192512,
+            },
+        }
+    ],
+    "limits": {"max_header_bytes": 16384, "idle_timeout_ms": 15000},
+    "tenants": [
+        {
+            "name": "acme",
+            "api_keys": ["k1", "k2"],
+            "priority": 1,
+            "rate_per_s": 119,
+            "burst": 119,
+        }
+    ],
+}
+SERVER = {
+    "service": "models",
+    "address": "10.128.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 12,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq_no": 4,
+    "born": 1775275030180,
+}
+
+
+def row(key, document):
+    value = document
+    if not isinstance(document, bytes):
+        value = json.dumps(document).encode()
+    return ports.Row(key, value, 9)
+
+
+def without_none(config):
+    routes = [
+        {key: value for key, value in r.items() if value is not None}
+        for r in config["routes"]
+    ]
+    return {**config, "routes": routes}
+
+
+def test_a_configuration_is_decoded_into_our_words():
+    decoder = documents.Decoder()
+    found = decoder.decode_declaration(row("op//config", without_none(CONFIG)))
+    assert found.revision == 7
+    first, second = found.routes
+    assert first.host == "shop.example"
+    assert (first.kind, first.repeatable) == (model.Kind.STREAM, False)
+    assert (first.timeout, first.objective, first.gap) == (4.0, 0.25, 0.2)
+    assert second.backends[1] == model.Backend("ledger", 10)
+    assert second.repeatable
+    assert found.services["models"].engine == model.Engine(12, 174738, 4)
+    assert found.accounts["acme"].keys == ("k1", "k2")
+    assert found.limits.idle_seconds == 15.0
+
+
+def test_another_row_of_the_operator_is_no_declaration():
+    decoder = documents.Decoder()
+    assert decoder.decode_declaration(row("op//other", CONFIG)) is None
+
+
+def test_a_declaration_that_can_not_be_read_is_dropped():
+    decoder = documents.Decoder()
+    assert decoder.decode_declaration(row("op//config", b"\xff{")) is None
+
+
+def test_a_server_is_decoded_into_a_target():
+    found = documents.Decoder().decode_target(row("servers//i-7f", SERVER))
+    assert (found.name, found.service) == ("i-7f", "models")
+    assert (found.address, found.data_centre) == ("10.128.0.9:8080", "a")
+    assert not found.draining
+    assert found.incarnation == "i-7f@1775275030180"
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        {**SERVER, "state": "resting"},
+        {**SERVER, "address": 5},
+        {**SERVER, "slots": "12"},
+        {key: value for key, value in SERVER.items() if key != "service"},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_target(document):
+    decoder = documents.Decoder()
+    assert decoder.decode_target(row("servers//i-7f", document)) is None
