Refuse new programs while turns wait at all engines; a hang-up is no target's fault

A client's hang-up was taken for a failure of its target. Change: the wait for first events is followed by target; new programs are refused above 0.15 s; only a program's first turn is sent ahead.

--- a/src/endivepier/gateway/budgets.py
+++ b/src/endivepier/gateway/budgets.py
@@ -208,8 +208,18 @@
     def stop(self) -> None:
         """Does nothing: what is held counts as spent."""
 
-    def begin(self, program: str, budget: int, most: int) -> Reservation:
-        """Reserves the tokens of a turn; may still be pending on return."""
+    def begin(
+        self, program: str, budget: int, most: int, *, first: bool = False
+    ) -> Reservation:
+        """Reserves the tokens of a turn; may still be pending on return.
+
+        Args:
+            program: the program's id.
+            budget: tokens that it may generate in all.
+            most: tokens that this turn may generate.
+            first: whether the turn is its program's first, so that nothing
+                can have been spent.
+        """
         found = self._programs.get(program)
         if found is None:
             found = self._programs[program] = _Program(program, budget)
@@ -222,7 +232,7 @@
             found.active += most
             reservation.decide(State.GRANTED)
             return reservation
-        reservation.likely = self._is_likely(found, most)
+        reservation.likely = self._is_likely(found, most, first)
         found.pending.append(reservation)
         self._kick(found)
         return reservation
@@ -248,11 +258,11 @@
             program.changed.set()
             self._kick(program)
 
-    def _is_likely(self, program: _Program, most: int) -> bool:
+    def _is_likely(self, program: _Program, most: int, first: bool) -> bool:
         if self.store_down:
             return False
         if program.version is None:
-            return True
+            return first
         if program.is_spent:
             return False
         return program.left >= most + sum(r.most for r in program.pending)
--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -39,13 +39,16 @@
         call: model.Call,
         target: model.Target,
         conn: client.Connection,
+        unread: int,
     ) -> None:
+        self._unread = unread
         self.target = target
         self.head = messages.Head(0, [])
         self.verdict = model.Verdict("", sealed=False, not_run=False)
         self._links = links
         self._call = call
         self._conn = conn
+        self._sent_at = links.now()
         self._whole = False
         self._foreign = False
         self._closed = False
@@ -106,6 +109,15 @@
                 return b"".join(pieces)
             pieces.append(piece)
 
+    def note_first_event(self) -> None:
+        """Tells the placement how long the first event took."""
+        self._links.placement.first_event(
+            self.target,
+            self._call,
+            self._unread,
+            self._links.now() - self._sent_at,
+        )
+
     def buffered(self) -> bool:
         """Returns whether more of the body can be read without waiting."""
         return self._conn.buffered()
@@ -120,9 +132,9 @@
         else:
             self._conn.close()
         if self.head.status and self.not_run:
-            self._links.placement.full(self.target)
+            self._links.placement.full(self.target, self._call)
         else:
-            self._links.placement.ended(self.target, failed=failed)
+            self._links.placement.ended(self.target, self._call, failed=failed)
 
     def _read(self, deadline: float) -> answers.Part:
         try:
@@ -160,6 +172,10 @@
         self.placement = placement
         self._timers = timers
 
+    def now(self) -> float:
+        """Returns monotonic seconds."""
+        return self._timers.now()
+
     def send(
         self, call: model.Call, dispatch: model.Dispatch, *, repeatable: bool
     ) -> Exchange:
@@ -169,6 +185,7 @@
             errors.TargetFailed: `sent` tells whether it may have arrived.
         """
         target = dispatch.target
+        unread = self.placement.load(target).unread(call)
         self.placement.began(target, call)
         try:
             conn = self.pool.take(
@@ -177,14 +194,14 @@
                 max_idle=None if repeatable else FRESH_SECONDS,
             )
         except http_errors.ConnectFailed as exc:
-            self.placement.ended(target, failed=True)
+            self.placement.ended(target, call, failed=True)
             raise errors.TargetFailed(
                 target.name, str(exc), sent=False
             ) from exc
         except BaseException:
-            self.placement.ended(target, failed=False)
+            self.placement.ended(target, call, failed=False)
             raise
-        exchange = Exchange(self, call, target, conn)
+        exchange = Exchange(self, call, target, conn, unread)
         data = self.dialect.encode_request(call, dispatch)
         deadline = self._timers.now() + dispatch.seconds_left
         try:
--- a/src/endivepier/gateway/model.py
+++ b/src/endivepier/gateway/model.py
@@ -161,6 +161,9 @@
         return f"{self.name}@{self.started}"
 
 
+FIRST_TURN_PARTS = 2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Part:
     """A part of a prompt that requests may share."""
@@ -215,6 +218,15 @@
     last_event: int | None = None
     affinity: str = ""
 
+    @property
+    def is_first_turn(self) -> bool:
+        """Whether it begins a program, as far as the call itself tells.
+
+        The prompt of a first turn is a shared part and one of its own; each
+        later turn and each sub-agent adds to what came before.
+        """
+        return not self.previous and len(self.parts) <= FIRST_TURN_PARTS
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dispatch:
--- a/src/endivepier/gateway/placement.py
+++ b/src/endivepier/gateway/placement.py
@@ -28,6 +28,10 @@
 FIRST_AVOID_SECONDS = 0.25
 MAX_AVOID_SECONDS = 4.0
 FULL_AVOID_SECONDS = 0.1  # a target that was full a moment ago
+FIRST_STEP_SECONDS = 0.03  # the way there and back, and a batch's step
+SILENT_SECONDS = 0.1  # the first event of a long prompt may take so long
+WAIT_WEIGHT = 0.3  # of the newest wait
+WAIT_HALF_SECONDS = 1.0  # a queue that was seen is believed half as much then
 KNOWN_PARTS = 4096  # parts of prompts that are remembered for one target
 DOWN_COST_SECONDS = 60.0
 
@@ -41,6 +45,9 @@
         errors: recent share of calls that failed.
         failures: failures in a row.
         avoid_until: until when others are preferred, monotonic seconds.
+        wait: what first events lately took beyond reading the prompt.
+        wait_at: when that was last seen, monotonic seconds.
+        silent: when the streams were sent whose first event is due.
         parts: parts of prompts that it has read, those used last at the end.
     """
 
@@ -48,10 +55,21 @@
     errors: float = 0.0
     failures: int = 0
     avoid_until: float = 0.0
+    wait: float = 0.0
+    wait_at: float = 0.0
+    silent: dict[str, float] = dataclasses.field(default_factory=dict)
     parts: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
 
+    def waiting(self, now: float) -> float:
+        """Returns how long a turn is likely to wait there, in seconds."""
+        seen = self.wait * 0.5 ** ((now - self.wait_at) / WAIT_HALF_SECONDS)
+        if not self.silent:
+            return seen
+        oldest = next(iter(self.silent.values()))
+        return max(seen, now - oldest - SILENT_SECONDS)
+
     def remember(self, parts: tuple[model.Part, ...]) -> None:
         """Notes that the target has read the parts."""
         for part in parts:
@@ -127,10 +145,15 @@
         load = self.load(target)
         load.running += 1
         load.remember(call.parts)
+        if call.parts:
+            load.silent[call.id] = self._timers.now()
 
-    def ended(self, target: model.Target, *, failed: bool) -> None:
+    def ended(
+        self, target: model.Target, call: model.Call, *, failed: bool
+    ) -> None:
         """Notes how a call ended at its target."""
         load = self.load(target)
+        load.silent.pop(call.id, None)
         load.running = max(load.running - 1, 0)
         load.errors += ERROR_WEIGHT * (float(failed) - load.errors)
         if not failed:
@@ -141,9 +164,36 @@
         seconds = FIRST_AVOID_SECONDS * 2 ** min(load.failures - 1, 6)
         self._avoid(load, min(seconds, MAX_AVOID_SECONDS))
 
-    def full(self, target: model.Target) -> None:
+    def first_event(
+        self,
+        target: model.Target,
+        call: model.Call,
+        unread: int,
+        seconds: float,
+    ) -> None:
+        """Notes how long a stream's first event took.
+
+        That tells of the load that other hosts put on a target, too.
+        """
+        now = self._timers.now()
+        load = self.load(target)
+        load.silent.pop(call.id, None)
+        expected = unread / PREFILL_TOKENS_PER_SECOND + FIRST_STEP_SECONDS
+        excess = max(seconds - expected, 0.0)
+        before = load.waiting(now)
+        load.wait = before + WAIT_WEIGHT * (excess - before)
+        load.wait_at = now
+
+    def least_wait(self, targets: list[model.Target]) -> float:
+        """Returns how long a turn waits at the target where it waits least."""
+        now = self._timers.now()
+        waits = [self.load(target).waiting(now) for target in targets]
+        return min(waits, default=0.0)
+
+    def full(self, target: model.Target, call: model.Call) -> None:
         """Notes that a target had no room for a call."""
         load = self.load(target)
+        load.silent.pop(call.id, None)
         load.running = max(load.running - 1, 0)
         self._avoid(load, FULL_AVOID_SECONDS)
 
@@ -166,6 +216,7 @@
         if engine is None:
             cost += load.running * PLAIN_RUNNING_SECONDS
         else:
+            cost += load.waiting(self._timers.now())
             cost += load.unread(call) / PREFILL_TOKENS_PER_SECOND
             cost += load.running * RUNNING_SECONDS
             if not preferred:
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -37,6 +37,10 @@
 # A turn whose reservation is not likely waits so long for the store, and
 # one that runs already until its client has left.
 RESERVE_SECONDS = 1.5
+# A turn's share of what a program may take beyond its time on idle engines:
+# six tenths of some 250 ms a turn. Programs that wait longer end late.
+BUSY_SECONDS = 0.15
+BUSY_RETRY_SECONDS = 0.4
 # A client leaves a stream that is silent for two seconds.
 COMMIT_SECONDS = 2.0
 
@@ -86,6 +90,7 @@
             errors.Refused: it is answered with this refusal; nothing was
                 sent to the client.
         """
+        self._check_room(passage)
         body = self._body(passage)
         reservation = self._reserve(passage)
         progress = Progress(last=passage.call.last_event)
@@ -96,6 +101,25 @@
                 chunk = self._event_tokens(passage)
                 self._ledger.end(reservation, progress.handed * chunk)
 
+    def _check_room(self, passage: calls.Passage) -> None:
+        """Refuses a new program while those under way wait at all engines.
+
+        Raises:
+            errors.Refused: it would make all of them late.
+        """
+        if passage.engine is None or not passage.call.is_first_turn:
+            return
+        targets = self._catalog.targets(passage.service)
+        wait = self._links.placement.least_wait(targets)
+        if wait > BUSY_SECONDS:
+            raise errors.Refused(
+                errors.Code.OVERLOADED,
+                503,
+                f"turns wait {wait:.2f} s at the engines of service "
+                f"{passage.service!r}",
+                retry_after=BUSY_RETRY_SECONDS,
+            )
+
     def _body(self, passage: calls.Passage) -> bytes:
         """Returns what the target receives: the chain and the new input."""
         call = passage.call
@@ -128,7 +152,9 @@
             return None
         chunk = self._event_tokens(passage)
         most = -(-call.max_tokens // chunk) * chunk
-        reservation = self._ledger.begin(call.program, call.budget, most)
+        reservation = self._ledger.begin(
+            call.program, call.budget, most, first=call.is_first_turn
+        )
         if reservation.state is budgets.State.GRANTED or reservation.likely:
             return reservation
         try:
@@ -264,6 +290,8 @@
                 or event.number is None
                 or event.number > skipped
             ]
+            if found and not progress.handed:
+                exchange.note_first_event()
             if found:
                 if reservation is not None and not progress.handed:
                     self._await(passage, reservation, passage.route.timeout)
--- a/src/endivepier/http1/errors.py
+++ b/src/endivepier/http1/errors.py
@@ -24,8 +24,10 @@
     """Raised when nothing came in time. The request may have had its effect."""
 
 
-class ClientGone(HttpError):
+class ClientGone(errors.EndivepierError):
     """Raised in a handler whose client has closed the connection.
 
-    Stop the work for it; nobody reads an answer.
+    It may be raised inside any wait, also one for a server; so it is no
+    `HttpError`, which would be taken for a fault of that server. Stop the
+    work; nobody reads an answer.
     """
--- a/tests/cover/gateway/test_path.py
+++ b/tests/cover/gateway/test_path.py
@@ -210,3 +210,21 @@
     assert late.whole and b"connection: close" in late.head
     assert running.get(timeout=5).whole
     drain.join(timeout=5)
+
+
+def test_a_client_that_leaves_is_no_fault_of_the_target(start):
+    # The hang-up was taken for a failure of the target, which was then
+    # avoided, and answered 502 to nobody.
+    fleet = start([STREAM], targets=1)
+    behave(fleet, "silent", "stream")
+    sock = fleet.connect()
+    fleet.send(sock)
+    with gevent.Timeout(5):
+        while not fleet.seen():
+            gevent.sleep(0.01)
+        sock.close()
+        gevent.sleep(0.2)
+    target = fleet.gateway.catalog.targets("s")[0]
+    load = fleet.gateway.placement.load(target)
+    assert (load.failures, load.running, load.silent) == (0, 0, {})
+    assert fleet.ask("c2").whole
--- a/tests/cover/gateway/test_placement.py
+++ b/tests/cover/gateway/test_placement.py
@@ -42,7 +42,7 @@
             call = turn(f"p{program}", number)
             chosen = chooser.choose(call, found, ENGINE, set())
             chooser.began(chosen, call)
-            chooser.ended(chosen, failed=False)
+            chooser.ended(chosen, call, failed=False)
             names.add(chosen.name)
         assert len(names) == 1
 
@@ -75,7 +75,7 @@
     first = chooser.choose(call, found, ENGINE, set())
     for _ in range(3):
         chooser.began(first, call)
-        chooser.ended(first, failed=True)
+        chooser.ended(first, call, failed=True)
     assert chooser.choose(call, found, ENGINE, set()) != first
     timers.advance(placement.MAX_AVOID_SECONDS)
     assert chooser.choose(call, found[:1], ENGINE, set()) is not None
@@ -86,7 +86,7 @@
     found = targets(1)
     call = turn("p", 0)
     chooser.began(found[0], call)
-    chooser.ended(found[0], failed=True)
+    chooser.ended(found[0], call, failed=True)
     assert chooser.choose(call, found, ENGINE, set()) == found[0]
     assert chooser.choose(call, found, ENGINE, {"t0@1"}) is None
 
@@ -109,3 +109,42 @@
     far = gateway_parts.target("far", data_centre="b")
     call = gateway_parts.call()
     assert chooser.choose(call, [far, near], None, set()) == near
+
+
+def test_turns_that_wait_at_all_engines_are_seen():
+    # Three of six engines were left: new programs went on to be taken in
+    # until every program was late.
+    timers, chooser = make()
+    found = targets(3)
+    for number in range(9):
+        call = turn(f"p{number}", 0)
+        chosen = chooser.choose(call, found, ENGINE, set())
+        chooser.began(chosen, call)
+    assert chooser.least_wait(found) <= 0
+    timers.advance(0.5)
+    assert chooser.least_wait(found) > 0.3
+
+
+def test_a_wait_that_was_seen_is_forgotten_with_time():
+    timers, chooser = make()
+    found = targets(1)
+    call = turn("p", 0)
+    for _ in range(10):
+        chooser.began(found[0], call)
+        chooser.first_event(found[0], call, 0, 0.5)
+        chooser.ended(found[0], call, failed=False)
+    assert chooser.least_wait(found) > 0.3
+    timers.advance(5.0)
+    assert chooser.least_wait(found) < 0.05
+
+
+def test_a_turn_goes_where_turns_wait_less():
+    _, chooser = make()
+    found = targets(2)
+    call = turn("p", 0)
+    first = chooser.choose(call, found, ENGINE, set())
+    for _ in range(10):
+        chooser.began(first, call)
+        chooser.first_event(first, call, 0, 0.5)
+        chooser.ended(first, call, failed=False)
+    assert chooser.choose(call, found, ENGINE, set()) != first
