--- a/src/endivepier/http1/server.py
+++ b/src/endivepier/http1/server.py
@@ -9,6 +9,7 @@
 import itertools
 import json
 import socket as socket_lib
+from typing import Any
 
 import eliot
 import gevent
@@ -57,6 +58,15 @@
         self._keep_alive = keep_alive
         self._chunked = chunked
 
+    @property
+    def connection(self) -> ClientConnection:
+        """The connection that the request came on."""
+        return self._conn
+
+    def close_after(self) -> None:
+        """Has the connection closed after this answer."""
+        self._keep_alive = False
+
     @property
     def keep_alive(self) -> bool:
         """Whether the connection is kept after this answer."""
@@ -128,6 +138,11 @@
         self._reader = requests.RequestReader(self._limits)
         self._task = gevent.getcurrent()
 
+    @property
+    def socket(self) -> socket.socket:
+        """The connection's socket, to be looked at and not read."""
+        return self._sock
+
     def run(self) -> None:
         """Serves requests until the connection ends."""
         try:
@@ -202,7 +217,10 @@
         )
         self.server.active += 1
         try:
-            with self._watched():
+            if self.server.watch:
+                with self._watched():
+                    self.server.handler(req, responder)
+            else:
                 self.server.handler(req, responder)
         except errors.ClientGone:
             return False
@@ -277,6 +295,7 @@
         closing: whether connections are closed after their next answer.
         active: how many requests are being answered.
         idle: connections that wait for a request.
+        open: all connections.
     """
 
     def __init__(
@@ -285,6 +304,9 @@
         handler: Handler,
         timers: timers_lib.Timers,
         limits: Callable[[], messages.ClientLimits],
+        *,
+        watch: bool = True,
+        **options: Any,
     ) -> None:
         """Makes a server.
 
@@ -294,17 +316,22 @@
                 finished, or else the connection is cut.
             timers: the timer service.
             limits: returns what clients may send now.
+            watch: whether `ClientGone` is raised in a handler whose client
+                hangs up.
+            options: of `gevent.server.StreamServer`, for TLS.
         """
+        self.watch = watch
         self.timers = timers
         self.handler = handler
         self.limits = limits
         self.closing = False
         self.active = 0
         self.idle: set[ClientConnection] = set()
+        self.open: set[ClientConnection] = set()
         self._numbers = itertools.count(1)
         host, _, port = listen.rpartition(":")
         self._server = gevent.server.StreamServer(
-            (host, int(port)), self._accept, backlog=BACKLOG
+            (host, int(port)), self._accept, backlog=BACKLOG, **options
         )
 
     @property
@@ -320,6 +347,12 @@
         """Stops listening; open connections go on."""
         self._server.close()
 
+    def kill(self) -> None:
+        """Stops listening and closes all connections."""
+        self._server.close()
+        for conn in list(self.open):
+            conn.close()
+
     def close_idle(self) -> None:
         """Closes the connections that wait for a request."""
         for conn in list(self.idle):
@@ -328,7 +361,10 @@
     def _accept(self, sock: socket.socket, peer: object) -> None:
         del peer
         sock.setsockopt(socket_lib.IPPROTO_TCP, socket_lib.TCP_NODELAY, 1)
+        conn = ClientConnection(self, sock, next(self._numbers))
+        self.open.add(conn)
         try:
-            ClientConnection(self, sock, next(self._numbers)).run()
+            conn.run()
         finally:
+            self.open.discard(conn)
             sock.close()
--- a/src/endivepier/internal/web.py
+++ b/src/endivepier/internal/web.py
@@ -1,7 +1,7 @@
 """The HTTP server of every process: routes, problem documents, TLS.
 
-`gevent.pywsgi` serves, since `geventhttpclient` has no server. Handlers take
-a `werkzeug` request and return a response, or raise `errors.Refused`.
+`endivepier.http1` serves. Handlers take a `werkzeug` request and return a
+response, or raise `errors.Refused`.
 """
 
 from __future__ import annotations
@@ -14,10 +14,8 @@
 
 import eliot
 import gevent
-from gevent import pywsgi
 from gevent import socket
 import gevent.event
-import gevent.pool
 import werkzeug.datastructures
 import werkzeug.exceptions
 import werkzeug.routing
@@ -26,48 +24,22 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
+from endivepier.http1 import messages
+from endivepier.http1 import server as server_lib
 from endivepier.internal import codec
 from endivepier.internal import problems
+from endivepier.internal import wsgi
 from endivepier.telemetry import metrics as metrics_lib
 from endivepier.telemetry import spans
 
 SOCKET_KEY = "endivepier.socket"
 JSON_TYPE = "application/json"
+HEADER_SECONDS = 10.0  # for the head of a request, over slow links
+IDLE_SECONDS = 300.0  # beyond the balancers' usual idle times
 
 Handler = Callable[..., werkzeug.wrappers.Response]
 
 
-class _WsgiHandler(pywsgi.WSGIHandler):
-    """Gives handlers the connection, so that they can see it close."""
-
-    def get_environ(self) -> dict[str, Any]:
-        environ = super().get_environ()
-        environ[SOCKET_KEY] = self.socket
-        return environ
-
-    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
-        """Ends the connection after a failure in the midst of an answer.
-
-        A caller that hung up is no failure of ours, so nothing is logged.
-        """
-        if isinstance(v, Exception) and not isinstance(v, OSError):
-            eliot.write_traceback(exc_info=(t, v, tb))
-        self._send_error_response_if_possible(500)
-
-
-class _WsgiServer(pywsgi.WSGIServer):
-    """Sends each part of a stream at once."""
-
-    def do_handle(self, *args: Any) -> None:
-        """Serves a connection.
-
-        Without TCP_NODELAY a token waits until the one before it was
-        acknowledged, which a client may delay by 40 ms.
-        """
-        args[0].setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().do_handle(*args)
-
-
 class Request(werkzeug.wrappers.Request):
     """A request whose body is bounded."""
 
@@ -145,7 +117,7 @@
         self._tracer = tracer
         self._map = werkzeug.routing.Map(merge_slashes=False)
         self._handlers: dict[str, Handler] = {}
-        self._body_limit = body_limit
+        self.body_limit = body_limit
         self._active = 0
         self._idle = gevent.event.Event()
         self._idle.set()
@@ -200,7 +172,7 @@
 
     def _respond(self, environ: dict[str, Any]) -> werkzeug.wrappers.Response:
         req = Request(environ)
-        req.max_content_length = self._body_limit
+        req.max_content_length = self.body_limit
         try:
             self._check(req)
             endpoint, args = self._map.bind_to_environ(environ).match()
@@ -240,14 +212,14 @@
                 400,
                 "send Content-Length or Transfer-Encoding, not both",
             )
-        if (req.content_length or 0) > self._body_limit:
+        if (req.content_length or 0) > self.body_limit:
             raise self._too_large()
 
     def _too_large(self) -> errors.Refused:
         return errors.Refused(
             errors.Code.BODY_TOO_LARGE,
             413,
-            f"the body is over {self._body_limit} bytes; send less",
+            f"the body is over {self.body_limit} bytes; send less",
         )
 
 
@@ -278,26 +250,27 @@
             private_key: path of a PEM file, or empty.
         """
         self._app = app
-        host, _, port = listen.rpartition(":")
         options = {}
         if certificate:
             options = {"certfile": certificate, "keyfile": private_key}
-        self._server = _WsgiServer(
-            (host, int(port)),
-            app,
-            log=None,
-            error_log=None,
-            handler_class=_WsgiHandler,
-            # Without a pool of its own a server that stops leaves the
-            # connections that are open to their tasks, which go on serving.
-            spawn=gevent.pool.Pool(),
+        self._limits = messages.ClientLimits(
+            body_bytes=app.body_limit,
+            header_seconds=HEADER_SECONDS,
+            idle_seconds=IDLE_SECONDS,
+        )
+        self._server = server_lib.Server(
+            listen,
+            wsgi.Bridge(app, SOCKET_KEY, tls=bool(certificate)),
+            timers_lib.SystemTimers(),
+            lambda: self._limits,
+            watch=False,
             **options,
         )
 
     @property
     def address(self) -> str:
         """The "ip:port" that the server listens on, once started."""
-        return f"{self._server.server_host}:{self._server.server_port}"
+        return self._server.address
 
     def start(self) -> None:
         """Listens; requests are served from now on."""
@@ -320,11 +293,12 @@
             listen_on: whether new connections are taken meanwhile.
         """
         self._app.closing = True
+        self._server.closing = True
         if not listen_on:
-            self._server.close()
+            self._server.stop()
         self._app.wait_idle(timers, seconds)
-        self._server.stop(timeout=0)
+        self._server.kill()
 
     def kill(self) -> None:
         """Closes the listener and cuts off all that runs."""
-        self._server.stop(timeout=0)
+        self._server.kill()
--- /dev/null
+++ b/src/endivepier/internal/wsgi.py
@@ -0,0 +1,130 @@
+"""Runs a WSGI application on the strict HTTP server of `endivepier.http1`.
+
+`gevent.pywsgi` takes framings that other servers read differently (both
+lengths, `Content-Length: +3`, folded headers, a bare LF), so that a request
+could be hidden in the body of another one. The server below it is therefore
+ours, parsed by `httptools`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import io
+import sys
+from typing import Any
+import urllib.parse
+
+from endivepier.http1 import messages
+from endivepier.http1 import server as server_lib
+
+Application = Callable[[dict[str, Any], Any], Iterable[bytes]]
+
+# Headers that a WSGI server keeps to itself.
+FRAMING = frozenset(("connection", "transfer-encoding", "content-length"))
+
+
+def environ_of(
+    req: messages.Request, conn: server_lib.ClientConnection, *, tls: bool
+) -> dict[str, Any]:
+    """Returns the WSGI environment of a request.
+
+    Header names with an underscore are left out, since they would look like
+    others with a hyphen.
+    """
+    path, _, query = req.target.partition(b"?")
+    host, _, port = conn.server.address.rpartition(":")
+    environ: dict[str, Any] = {
+        "REQUEST_METHOD": req.method.decode("latin-1"),
+        "SCRIPT_NAME": "",
+        "PATH_INFO": urllib.parse.unquote_to_bytes(path).decode("latin-1"),
+        "QUERY_STRING": query.decode("latin-1"),
+        "SERVER_NAME": host,
+        "SERVER_PORT": port,
+        "SERVER_PROTOCOL": "HTTP/1.1",
+        "wsgi.version": (1, 0),
+        "wsgi.url_scheme": "https" if tls else "http",
+        "wsgi.input": io.BytesIO(req.body),
+        "wsgi.errors": sys.stderr,
+        "wsgi.multithread": False,
+        "wsgi.multiprocess": False,
+        "wsgi.run_once": False,
+    }
+    for name, value in req.headers:
+        _add_header(environ, name.decode("latin-1"), value.decode("latin-1"))
+    # The body is here as a whole, however it was framed.
+    environ.pop("HTTP_TRANSFER_ENCODING", None)
+    environ["CONTENT_LENGTH"] = str(len(req.body))
+    return environ
+
+
+def _add_header(environ: dict[str, Any], name: str, value: str) -> None:
+    if "_" in name:
+        return
+    key = name.upper().replace("-", "_")
+    if key not in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+        key = "HTTP_" + key
+    before = environ.get(key)
+    environ[key] = value if before is None else f"{before},{value}"
+
+
+class Bridge:
+    """A handler of `http1.server` that asks a WSGI application."""
+
+    def __init__(self, app: Application, socket_key: str, *, tls: bool) -> None:
+        self._app = app
+        self._socket_key = socket_key
+        self._tls = tls
+
+    def __call__(
+        self, req: messages.Request, responder: server_lib.Responder
+    ) -> None:
+        """Answers one request."""
+        conn = responder.connection
+        environ = environ_of(req, conn, tls=self._tls)
+        environ[self._socket_key] = conn.socket
+        head: list[Any] = []
+
+        def start_response(
+            status: str, headers: list[tuple[str, str]], exc_info: Any = None
+        ) -> None:
+            del exc_info
+            head[:] = [status, headers]
+
+        body = self._app(environ, start_response)
+        try:
+            self._send(responder, head, body, req.method == b"HEAD")
+        finally:
+            close = getattr(body, "close", None)
+            if close is not None:
+                close()
+
+    def _send(
+        self,
+        responder: server_lib.Responder,
+        head: list[Any],
+        body: Iterable[bytes],
+        no_body: bool,
+    ) -> None:
+        status = int(head[0].split(" ", 1)[0])
+        length = None
+        headers: list[messages.Header] = []
+        for name, value in head[1]:
+            lowered = name.lower()
+            if lowered == "content-length":
+                length = int(value)
+            elif lowered == "connection" and value.lower() == "close":
+                responder.close_after()
+            if lowered not in FRAMING:
+                headers.append(
+                    (name.encode("latin-1"), value.encode("latin-1"))
+                )
+        if length is not None or no_body or status in (204, 304):
+            data = b"" if no_body else b"".join(body)
+            responder.send(status, headers, data)
+            return
+        responder.start(status, headers)
+        for piece in body:
+            if piece:
+                responder.write(piece)
+        responder.finish()
--- a/tests/cover/gateway/test_placement.py
+++ b/tests/cover/gateway/test_placement.py
@@ -116,7 +116,7 @@
     # until every program was late.
     timers, chooser = make()
     found = targets(3)
-    for number in range(9):
+    for number in range(30):
         call = turn(f"p{number}", 0)
         chosen = chooser.choose(call, found, ENGINE, set())
         chooser.began(chosen, call)
