--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import eliot
+
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.gateway import dialect as dialect_lib
@@ -201,6 +203,19 @@
         except BaseException:
             self.placement.ended(target, call, failed=False)
             raise
+        load = self.placement.load(target)
+        eliot.log_message(
+            "call.sent",
+            request=call.id,
+            target=target.name,
+            unread=unread,
+            running=load.running,
+            wait=round(load.waiting(self._timers.now()), 3),
+            errors=round(load.errors, 2),
+            connection="kept" if conn.used else "new",
+            seconds_left=round(dispatch.seconds_left, 3),
+            last_event=dispatch.last_event,
+        )
         exchange = Exchange(self, call, target, conn, unread)
         data = self.dialect.encode_request(call, dispatch)
         deadline = self._timers.now() + dispatch.seconds_left
--- a/src/endivepier/gateway/handler.py
+++ b/src/endivepier/gateway/handler.py
@@ -148,6 +148,7 @@
     def _check_rate(self, call: model.Call, account: model.Account) -> None:
         retry_after = self._shares.wait(account, fresh=self._is_fresh(call))
         if retry_after is not None:
+            self._shares.log_refusal(account, call.id)
             raise errors.Refused(
                 errors.Code.RATE_LIMITED,
                 429,
--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/shares.py
@@ -235,6 +235,24 @@
         missing = 1.0 + reserve - share.bucket.level
         return min(missing / refill, MAX_RETRY_SECONDS)
 
+    def log_refusal(self, account: model.Account, request: str) -> None:
+        """Logs what a refusal of a request was decided on."""
+        now = self._timers.now()
+        share = self._share(account, now)
+        eliot.log_message(
+            "account.refused",
+            request=request,
+            account=account.name,
+            rate=account.rate,
+            burst=account.burst,
+            fraction=round(share.fraction, 4),
+            tokens=round(share.bucket.level, 2),
+            demand=round(share.bucket.demand(now), 1),
+            holders=self.holders,
+            lease_left=round(share.until - now, 2),
+            fraction_age=round(now - share.written, 2),
+        )
+
     def _borrow(self, account: model.Account) -> bool:
         """Asks peers for a token; returns whether one was given."""
         self._short = True
