Begin only as many programs of an account at its rate as can end

Change: while a request of a program under way finds no token, programs begin at the rate over the requests that a program makes (gateway.starts).

--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/shares.py
@@ -31,6 +31,7 @@
 from endivepier.gateway import model
 from endivepier.gateway import peers as peers_lib
 from endivepier.gateway import rows
+from endivepier.gateway import starts as starts_lib
 from endivepier.internal import codec
 from endivepier.limits import bucket as bucket_lib
 from endivepier.limits import leases
@@ -116,10 +117,12 @@
         until: when the lease ends, monotonic seconds.
         written: when the entry was last written.
         others: what other hosts held when the row was last read.
+        starts: how many programs may begin.
         empty_until: until when a peer is taken to have nothing to give.
     """
 
     bucket: bucket_lib.Bucket
+    starts: starts_lib.Starts
     fraction: float = 0.0
     until: float = 0.0
     written: float = 0.0
@@ -195,6 +198,7 @@
         while missing is not None:
             if fresh:
                 return missing
+            self._shares[account.name].starts.press(self._timers.now())
             if self._borrow(account):
                 return None
             if self._timers.now() + missing > end:
@@ -227,7 +231,13 @@
         reserve = 0.0
         if fresh:
             reserve = RESERVE_SHARE * share.fraction * account.burst
+            missing = share.starts.missing(now, share.fraction * account.rate)
+            if missing > 0:
+                return min(missing, MAX_RETRY_SECONDS)
         if share.bucket.level >= 1.0 + reserve and share.bucket.take():
+            share.starts.count(now, fresh=fresh)
+            if fresh:
+                share.starts.begin(now)
             return None
         refill = share.fraction * account.rate
         if refill <= 0:
@@ -274,6 +284,7 @@
             given = codec.decode(Lent, answer).tokens
             if given > 0:
                 share.bucket.level += given - 1
+                share.starts.count(self._timers.now(), fresh=False)
                 return True
             until = self._timers.now() + BORROW_PAUSE_SECONDS
             share.empty_until[host] = until
@@ -302,7 +313,9 @@
         share = self._shares.get(account.name)
         if share is None:
             bucket = bucket_lib.Bucket(account, 0.0, now, now, full=False)
-            share = self._shares[account.name] = Share(bucket)
+            share = self._shares[account.name] = Share(
+                bucket, starts_lib.Starts(now)
+            )
         bucket = share.bucket
         burst = account.burst + self._tolerance
         if bucket.rate != account.rate or bucket.burst != burst:
