One host looks after a program's budget, whichever host a turn comes to

Change: hosts agree on an owner by hashing and ask it (gateway.budget_owners); rows and versions still decide. An owner holds one turn in advance.

--- a/src/endivepier/gateway/budgets.py
+++ b/src/endivepier/gateway/budgets.py
@@ -5,9 +5,10 @@
 holds. What a process holds counts as spent until it says otherwise, so that a
 process that is lost never makes tokens come back.
 
-What a turn has spent is written together with the reservation of the next
-one. While a budget is ample, a process also takes some in advance, so that
-the next turns find their tokens without a wait, also while the store is away.
+A process holds one turn more than it needs while the budget has room for it,
+so that most turns find their tokens without a write, also while the store is
+away. What was spent is written with the next reservation, or when the program
+has paused.
 
 A budget is spent once nothing of it is left, and the last turn may go beyond
 it by its own length. A turn that only lacks what other turns might still
@@ -30,15 +31,9 @@
 from endivepier.internal import codec
 from endivepier.storage import ports
 
-# Turns that a process holds in advance while the budget is ample, and the
-# part of the remaining budget that this may take at most.
-TURNS_AHEAD = 3
-AHEAD_SHARE = 0.25
-# A program's next turn mostly comes sooner, and shares the write.
-SETTLE_DELAY_SECONDS = 0.4
-# A process that has heard nothing of a program for so long gives back what
-# it holds in advance. The users count a turn as settled after a second.
-IDLE_SECONDS = 0.8
+# A process that has heard nothing of a program for so long writes what was
+# spent and gives back the rest, before another one gives up waiting for it.
+IDLE_SECONDS = 0.5
 # How long a turn waits for other processes to give back what they hold.
 RELEASE_WAIT_SECONDS = 1.2
 FIRST_BACKOFF_SECONDS = 0.02
@@ -203,7 +198,7 @@
 
     def start(self) -> None:
         """Begins to look after programs that are over."""
-        self._timers.every(IDLE_SECONDS / 2, self._tend)
+        self._timers.every(IDLE_SECONDS / 4, self._tend)
 
     def stop(self) -> None:
         """Does nothing: what is held counts as spent."""
@@ -248,15 +243,17 @@
             return
         program.active -= reservation.most
         program.used += used
+        self._grant_spare(program)
         program.changed.set()
-        self._timers.after(SETTLE_DELAY_SECONDS, lambda: self._settle(program))
 
-    def _settle(self, program: _Program) -> None:
-        """Writes what was spent, unless a later turn has done so."""
-        if program.used or program.spare > 0:
-            program.settle = True
-            program.changed.set()
-            self._kick(program)
+    def _grant_spare(self, program: _Program) -> None:
+        """Grants what waits from what is held already."""
+        for reservation in list(program.pending):
+            if program.spare < reservation.most:
+                return
+            program.pending.remove(reservation)
+            program.active += reservation.most
+            reservation.decide(State.GRANTED)
 
     def _is_likely(self, program: _Program, most: int, first: bool) -> bool:
         if self.store_down:
@@ -429,11 +426,9 @@
 
     def _ahead(self, program: _Program, left: int) -> int:
         """Returns how many tokens to hold in advance."""
-        most = program.largest
-        if program.release:
+        if program.release or left < program.largest:
             return 0
-        ahead = min(TURNS_AHEAD * most, int(left * AHEAD_SHARE))
-        return ahead if ahead >= most else 0
+        return program.largest
 
     def _read(self, program: _Program) -> None:
         """Reads the row; finds out what became of an open write.
@@ -479,7 +474,9 @@
                 continue
             if now - program.touched > FORGET_SECONDS and not program.used:
                 del self._programs[name]
-            elif program.spare > 0 and now - program.touched > IDLE_SECONDS:
+            elif now - program.touched > IDLE_SECONDS and (
+                program.used or program.spare > 0
+            ):
                 program.release = True
                 program.settle = True
                 self._kick(program)
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -13,6 +13,7 @@
 
 from endivepier import kernel as kernel_lib
 from endivepier import timers as timers_lib
+from endivepier.gateway import budget_owners
 from endivepier.gateway import budgets
 from endivepier.gateway import catalog as catalog_lib
 from endivepier.gateway import dialect as dialect_lib
@@ -125,6 +126,10 @@
         self.ledger = self.kernel.register(
             "budgets", budgets.Ledger(incarnation, table, timers)
         )
+        self.budgets = self.kernel.register(
+            "budget_owners",
+            budget_owners.Budgets(cfg.host, self.ledger, self.peers, timers),
+        )
         self.turns = self.kernel.register(
             "turns", turns_lib.Turns(table, timers)
         )
@@ -141,7 +146,7 @@
             streams.Streams(
                 self.catalog,
                 self.links,
-                self.ledger,
+                self.budgets,
                 self.turns,
                 table,
                 timers,
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -18,6 +18,7 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
+from endivepier.gateway import budget_owners
 from endivepier.gateway import budgets
 from endivepier.gateway import calls
 from endivepier.gateway import catalog as catalog_lib
@@ -71,7 +72,7 @@
         self,
         catalog: catalog_lib.Catalog,
         links: exchange_lib.Links,
-        ledger: budgets.Ledger,
+        ledger: budget_owners.Budgets,
         turns: turns_lib.Turns,
         store: reach.Store,
         timers: timers_lib.Timers,
@@ -98,8 +99,25 @@
             self._run(passage, body, reservation, progress)
         finally:
             if reservation is not None:
-                chunk = self._event_tokens(passage)
-                self._ledger.end(reservation, progress.handed * chunk)
+                self._settle(passage, reservation, progress)
+
+    def _settle(
+        self,
+        passage: calls.Passage,
+        reservation: budget_owners.Reservation,
+        progress: Progress,
+    ) -> None:
+        used = progress.handed * self._event_tokens(passage)
+        self._ledger.end(reservation, used)
+        eliot.log_message(
+            "turn.settled",
+            request=passage.call.id,
+            program=passage.call.program,
+            state=reservation.state.value,
+            reserved=reservation.most,
+            used=used,
+            after_event=passage.call.last_event,
+        )
 
     def _check_room(self, passage: calls.Passage) -> None:
         """Refuses a new program while those under way wait at all engines.
@@ -146,7 +164,9 @@
     def _event_tokens(self, passage: calls.Passage) -> int:
         return 1 if passage.engine is None else passage.engine.event_tokens
 
-    def _reserve(self, passage: calls.Passage) -> budgets.Reservation | None:
+    def _reserve(
+        self, passage: calls.Passage
+    ) -> budget_owners.Reservation | None:
         call = passage.call
         if call.budget is None or not call.program:
             return None
@@ -167,7 +187,7 @@
     def _await(
         self,
         passage: calls.Passage,
-        reservation: budgets.Reservation,
+        reservation: budget_owners.Reservation,
         seconds: float,
     ) -> None:
         """Waits for a reservation.
@@ -206,7 +226,7 @@
         self,
         passage: calls.Passage,
         body: bytes,
-        reservation: budgets.Reservation | None,
+        reservation: budget_owners.Reservation | None,
         progress: Progress,
     ) -> None:
         while True:
@@ -229,7 +249,7 @@
         passage: calls.Passage,
         target: model.Target,
         body: bytes,
-        reservation: budgets.Reservation | None,
+        reservation: budget_owners.Reservation | None,
         progress: Progress,
     ) -> bool:
         """Sends the call once; returns whether it was answered."""
@@ -266,7 +286,7 @@
         self,
         passage: calls.Passage,
         exchange: exchange_lib.Exchange,
-        reservation: budgets.Reservation | None,
+        reservation: budget_owners.Reservation | None,
         progress: Progress,
         body: bytes,
     ) -> None:
--- /dev/null
+++ b/tests/cover/gateway/test_budget_owners.py
@@ -0,0 +1,194 @@
+"""Turns of one program that arrive at several hosts."""
+
+import random
+
+import gevent
+import pytest
+
+from endivepier import errors
+from endivepier.gateway import budget_owners
+from endivepier.gateway import budgets
+from endivepier.standins import clock
+from endivepier.standins import table as table_lib
+
+MOST = 100
+
+
+class PeersOf:
+    """The peers of one host, in the same process."""
+
+    def __init__(self, name, fleet):
+        self.name = name
+        self.fleet = fleet
+        self.answers = {}
+        self.cut = False
+        self.blind = False
+
+    def register(self, question, answer):
+        self.answers[question] = answer
+
+    def askable(self):
+        if self.blind:
+            return []
+        return [name for name in self.fleet.peers if name != self.name]
+
+    def ask(self, host, question, body, seconds):
+        self.fleet.timers.sleep(0.002)
+        other = self.fleet.peers[host]
+        if self.cut or other.cut:
+            raise errors.PeerUnreachable(host, "cut", sent=True)
+        return other.answers[question](body)
+
+
+class Fleet:
+    """Hosts that share a table."""
+
+    def __init__(self, count=3, seed=0):
+        self.timers = clock.VirtualTimers()
+        self.table = table_lib.MemoryTable(self.timers, random.Random(seed))
+        self.peers = {}
+        self.hosts = {}
+        self.handed = 0
+        for number in range(count):
+            name = f"h{number}"
+            self.peers[name] = PeersOf(name, self)
+        for name in self.peers:
+            self.start(name)
+
+    def start(self, name):
+        """Starts a host, or starts it again: it knows nothing of before."""
+        ledger = budgets.Ledger(
+            f"{name}-{len(self.hosts)}-{self.timers.now()}",
+            self.table,
+            self.timers,
+        )
+        self.hosts[name] = budget_owners.Budgets(
+            name, ledger, self.peers[name], self.timers
+        )
+        ledger.start()
+        self.hosts[name].start()
+
+    def turn(self, name, budget, used, seconds=0.2):
+        host = self.hosts[name]
+        reservation = host.begin("p", budget, MOST, first=False)
+        self.timers.wait(reservation.decided, 3.0)
+        state = reservation.state
+        if state is budgets.State.GRANTED:
+            self.timers.sleep(seconds)
+            self.handed += used
+        host.end(reservation, used if state is budgets.State.GRANTED else 0)
+        return state
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+def test_turns_at_many_hosts_take_few_writes(fleet):
+    # Each host wrote the program's row itself: five calls a turn.
+    def main():
+        for number in range(12):
+            assert (
+                fleet.turn(f"h{number % 3}", 2000, 30) is budgets.State.GRANTED
+            )
+            fleet.timers.sleep(0.1)
+
+    fleet.timers.run(main)
+    assert fleet.table.reads + fleet.table.transactions <= 12
+
+
+def test_the_budget_holds_over_all_hosts(fleet):
+    def main():
+        number = 0
+        while fleet.turn(f"h{number % 3}", 300, 40) is budgets.State.GRANTED:
+            number += 1
+
+    fleet.timers.run(main)
+    assert 300 <= fleet.handed <= 300 + MOST
+
+
+def test_turns_go_on_in_an_outage_of_the_store(fleet):
+    def main():
+        assert fleet.turn("h0", 1000, 20) is budgets.State.GRANTED
+        fleet.table.faults.outage = True
+        return [fleet.turn(f"h{n}", 1000, 20) for n in range(3)]
+
+    assert fleet.timers.run(main) == [budgets.State.GRANTED] * 3
+
+
+def test_a_silent_owner_is_gone_round(fleet):
+    def main():
+        for name in fleet.peers:
+            fleet.peers[name].cut = True
+        return [fleet.turn(f"h{n}", 1000, 20) for n in range(3)]
+
+    assert fleet.timers.run(main) == [budgets.State.GRANTED] * 3
+
+
+def test_a_turn_that_is_never_settled_counts_with_all_it_could(fleet):
+    def main():
+        owner = next(iter(fleet.hosts.values()))._owner("p")
+        other = next(name for name in fleet.hosts if name != owner)
+        lost = fleet.hosts[other].begin("p", 150, MOST, first=False)
+        fleet.timers.wait(lost.decided, 3.0)
+        fleet.timers.sleep(budget_owners.UNSETTLED_SECONDS + 3.0)
+        return fleet.turn(owner, 150, 60), fleet.turn(owner, 150, 60)
+
+    assert fleet.timers.run(main) == (
+        budgets.State.GRANTED,
+        budgets.State.DENIED,
+    )
+
+
+def test_a_turn_that_ends_before_its_decision_uses_nothing(fleet):
+    def main():
+        for name in fleet.hosts:
+            reservation = fleet.hosts[name].begin("p", 100, MOST, first=True)
+            fleet.hosts[name].end(reservation, 0)
+        fleet.timers.sleep(5.0)
+        return fleet.turn("h0", 100, 10)
+
+    assert fleet.timers.run(main) is budgets.State.GRANTED
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_no_history_hands_out_more_than_budget_and_one_turn(seed):
+    """Cuts between hosts, views that differ, outages, restarts."""
+    rng = random.Random(seed)
+    fleet = Fleet(4, seed)
+    fleet.table.faults.lost_replies = rng.choice((0.0, 0.2))
+    budget = rng.choice((150, 400, 900))
+
+    def line():
+        for _ in range(rng.randrange(2, 9)):
+            fleet.turn(
+                f"h{rng.randrange(4)}",
+                budget,
+                rng.randrange(MOST + 1),
+                rng.uniform(0.05, 0.5),
+            )
+            fleet.timers.sleep(rng.uniform(0.0, 0.9))
+
+    def trouble():
+        for _ in range(6):
+            fleet.timers.sleep(rng.uniform(0.1, 1.0))
+            name = f"h{rng.randrange(4)}"
+            match rng.choice(("cut", "blind", "outage", "restart")):
+                case "cut":
+                    fleet.peers[name].cut = not fleet.peers[name].cut
+                case "blind":
+                    fleet.peers[name].blind = not fleet.peers[name].blind
+                case "outage":
+                    fleet.table.faults.outage = True
+                    fleet.timers.sleep(rng.uniform(0.1, 2.0))
+                    fleet.table.faults.outage = False
+                case "restart":
+                    fleet.start(name)
+
+    def main():
+        tasks = [gevent.spawn(line) for _ in range(rng.randrange(1, 5))]
+        gevent.joinall([*tasks, gevent.spawn(trouble)])
+
+    fleet.timers.run(main)
+    assert fleet.handed <= budget + MOST
