Hold a write's promises back from other turns; refuse turns that would queue

Cause of the overload after a final fault: turns of programs under way queued at the engines until their clients left. Change: turns are refused by what their program has to lose (gateway.order).

--- a/src/endivepier/gateway/budgets.py
+++ b/src/endivepier/gateway/budgets.py
@@ -120,6 +120,7 @@
         others: what other processes hold, as of that version.
         mine: what this process holds, as of that version.
         active: tokens of the turns that run here.
+        promised: tokens for turns that wait for a write under way.
         used: tokens that were handed out here and not yet written.
         pending: reservations that wait.
         attempts: writes that may still take effect, by their number.
@@ -138,6 +139,7 @@
     others: dict[str, Held] = dataclasses.field(default_factory=dict)
     mine: int = 0
     active: int = 0
+    promised: int = 0
     used: int = 0
     pending: list[Reservation] = dataclasses.field(default_factory=list)
     attempts: dict[int, _Attempt] = dataclasses.field(default_factory=dict)
@@ -172,7 +174,7 @@
     @property
     def spare(self) -> int:
         """Tokens that are held here and that no turn has."""
-        return self.mine - self.active - self.used
+        return self.mine - self.active - self.promised - self.used
 
 
 class Ledger:
@@ -342,7 +344,12 @@
             self._read(program)
             granted = self._fitting(program)
         if granted or program.settle:
-            self._commit(program, granted)
+            # An earlier write may hold them already, with its reply lost.
+            program.promised = sum(each.most for each in granted)
+            try:
+                self._commit(program, granted)
+            finally:
+                program.promised = 0
             return False
         if program.pending and program.is_spent:
             self._deny(program)
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -25,6 +25,7 @@
 from endivepier.gateway import events
 from endivepier.gateway import exchange as exchange_lib
 from endivepier.gateway import model
+from endivepier.gateway import order
 from endivepier.gateway import reach
 from endivepier.gateway import turns as turns_lib
 from endivepier.http1 import messages
@@ -38,10 +39,7 @@
 # A turn whose reservation is not likely waits so long for the store, and
 # one that runs already until its client has left.
 RESERVE_SECONDS = 1.5
-# A turn's share of what a program may take beyond its time on idle engines:
-# six tenths of some 250 ms a turn. Programs that wait longer end late.
-BUSY_SECONDS = 0.15
-BUSY_RETRY_SECONDS = 0.4
+BUSY_RETRY_SECONDS = 0.4  # a queue of half a second has gone by then
 # A client leaves a stream that is silent for two seconds.
 COMMIT_SECONDS = 2.0
 
@@ -120,16 +118,16 @@
         )
 
     def _check_room(self, passage: calls.Passage) -> None:
-        """Refuses a new program while those under way wait at all engines.
+        """Refuses a turn while others wait too long at all engines.
 
         Raises:
-            errors.Refused: it would make all of them late.
+            errors.Refused: the call has not run.
         """
-        if passage.engine is None or not passage.call.is_first_turn:
+        if passage.engine is None:
             return
         targets = self._catalog.targets(passage.service)
         wait = self._links.placement.least_wait(targets)
-        if wait > BUSY_SECONDS:
+        if wait > order.patience(passage.call, self._timers.now()):
             raise errors.Refused(
                 errors.Code.OVERLOADED,
                 503,
--- a/tests/cover/gateway/test_budgets.py
+++ b/tests/cover/gateway/test_budgets.py
@@ -129,6 +129,29 @@
     )
 
 
+def test_what_a_write_promises_to_one_turn_is_not_given_to_another():
+    # BUDGET was broken on scale-2 and trouble-2 of cnt (428 of 408 and 548 of
+    # 544 tokens). The reply of a write was lost; the row showed what it held
+    # for a turn that still waited; while the next write was under way, that
+    # looked free, and a second turn got it, too.
+    world = World()
+    world.table.faults.write_seconds = 0.3
+    world.table.faults.lost_replies = 1.0
+
+    def main():
+        first = gevent.spawn(world.turn, 0, MOST, MOST, 1.0)
+        world.timers.sleep(0.31)
+        world.table.faults.lost_replies = 0.0
+        world.timers.sleep(0.1)
+        second = gevent.spawn(world.turn, 0, MOST, MOST, 1.0)
+        world.timers.sleep(0.5)
+        third = gevent.spawn(world.turn, 1, MOST, MOST, 1.0)
+        gevent.joinall([first, second, third])
+
+    world.run(main)
+    assert world.handed <= 2 * MOST
+
+
 @hypothesis.settings(max_examples=100)
 @hypothesis.given(strategies.integers(0, 2**32))
 def test_no_history_hands_out_more_than_budget_and_one_turn(seed):
--- a/tests/cover/gateway/test_placement.py
+++ b/tests/cover/gateway/test_placement.py
@@ -4,6 +4,7 @@
 import random
 
 from endivepier.gateway import model
+from endivepier.gateway import order
 from endivepier.gateway import placement
 from endivepier.standins import clock
 from tests.common import gateway_parts
@@ -148,3 +149,16 @@
         chooser.first_event(first, call, 0, 0.5)
         chooser.ended(first, call, failed=False)
     assert chooser.choose(call, found, ENGINE, set()) != first
+
+
+def test_under_overload_programs_that_begin_give_way_first():
+    # With 0.15 s for first turns only, turns of programs under way queued at
+    # the engines until their clients left and came again (deadlines passed).
+    first = turn("p", 0)
+    late = turn("p", 3)
+    late.program_deadline = 10.0
+    in_time = turn("p", 3)
+    in_time.program_deadline = 20.0
+    waits = [order.patience(call, 15.0) for call in (first, late, in_time)]
+    assert waits == sorted(waits)
+    assert len(set(waits)) == 3
