--- a/src/endivepier/gateway/order.py
+++ b/src/endivepier/gateway/order.py
@@ -13,9 +13,9 @@
 # Longest waits for the first event, in seconds, at which a turn is sent. A
 # program may take some six tenths beyond its time on idle engines, 0.15 s a
 # turn, of which a first turn leaves most to those that follow it.
-FIRST_TURN_SECONDS = 0.04
-LATE_SECONDS = 0.08
-UNDER_WAY_SECONDS = 0.2
+FIRST_TURN_SECONDS = 0.06
+LATE_SECONDS = 0.11
+UNDER_WAY_SECONDS = 0.28
 
 
 def patience(call: model.Call, now: float) -> float:
--- a/src/endivepier/gateway/placement.py
+++ b/src/endivepier/gateway/placement.py
@@ -17,7 +17,7 @@
 from endivepier import timers as timers_lib
 from endivepier.gateway import model
 
-PREFILL_TOKENS_PER_SECOND = 80_000.0  # slower than the sheets' engines
+PREFILL_TOKENS_PER_SECOND = 60_000.0  # the slower of the sheets' engines
 RUNNING_SECONDS = 0.004  # what each running request adds to another's time
 QUEUED_SECONDS = 0.030  # what each request beyond the slots adds
 OTHER_CENTRE_SECONDS = 0.004  # two ways between data centres, and the bytes
