--- a/bench/report.py
+++ b/bench/report.py
@@ -21,6 +21,9 @@
 
 A bound is a stated target. Where the last column says **missed**, it is.
 
+What the users' bench printed is in
+[MEASUREMENTS-platform.md](MEASUREMENTS-platform.md).
+
 The series of scheduling and routing, with what did not help, is in
 [MEASUREMENTS-scheduling.md](MEASUREMENTS-scheduling.md). Tries elsewhere that
 did not help:
