--- a/src/endivepier/gateway/budget_owners.py
+++ b/src/endivepier/gateway/budget_owners.py
@@ -32,7 +32,7 @@
 END = "budget-end"
 # The owner waits less for the store than its peer waits for the owner.
 DECIDE_SECONDS = 1.3
-ASK_SECONDS = 1.5
+ASK_SECONDS = 1.5  # below the 2 s that a client waits for a first event
 # A turn that its host has not settled by now never will be: its client has
 # long left. It counts with all it might have generated.
 UNSETTLED_SECONDS = 12.0
--- a/src/endivepier/gateway/catalog.py
+++ b/src/endivepier/gateway/catalog.py
@@ -22,7 +22,7 @@
 # Targets that live are back within two seconds of the store's return.
 LAPSE_GRACE_SECONDS = 2.0
 # A store that was silent for less can't have made a target's row lapse.
-LAPSE_SILENCE_SECONDS = 1.5
+LAPSE_SILENCE_SECONDS = 1.5  # a feed answers each second in calm
 
 
 class Decoder(Protocol):
--- a/src/endivepier/gateway/peers.py
+++ b/src/endivepier/gateway/peers.py
@@ -26,7 +26,7 @@
 from endivepier.storage import ports
 
 ASK_SECONDS = 0.08  # some ten times the way between two data centres
-AVOID_SECONDS = 2.0  # how long a peer that was silent is not asked
+AVOID_SECONDS = 2.0  # how long a silent peer is left alone: a restart's time
 FIRST_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
 
--- a/src/endivepier/gateway/share_renewals.py
+++ b/src/endivepier/gateway/share_renewals.py
@@ -29,7 +29,7 @@
 RENEW_SECONDS = 1.0  # how soon fractions follow a shift of demand
 SHORT_RENEW_SECONDS = 0.3  # while this host lacks tokens
 KEEP_ALIVE_SECONDS = 4.0  # a lease survives three lost renewals
-COMMIT_SECONDS = 2.0
+COMMIT_SECONDS = 2.0  # below the wait between two renewals of a calm host
 MIN_CHANGE = 0.1  # relative change of a fraction that is worth a write
 # Part of an account's rate that stays with its owner, whatever the demand,
 # to be lent to hosts that demand comes to.
--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/shares.py
@@ -38,17 +38,17 @@
 # Part of a host's burst that is kept for programs under way: one that can't
 # end is worth nothing, so new ones wait first.
 RESERVE_SHARE = 0.4
-MAX_RETRY_SECONDS = 2.0
+MAX_RETRY_SECONDS = 2.0  # clients wait a third of their 4 s at most
 QUESTION = "borrow"
 # A token that comes so soon is waited for: less than a client would lose by
 # coming back.
 WAIT_SECONDS = 0.25
-MIN_WAIT_SECONDS = 0.005
-BORROWED_TOKENS = 3
+MIN_WAIT_SECONDS = 0.005  # rounding must not make a wait of nothing
+BORROWED_TOKENS = 3  # a program's turn and its two calls
 BORROW_RETRY_SECONDS = 0.1  # between two questions to the owner
 START_RETRY_SECONDS = 0.5  # for a new program that the owner had no room for
 IDLE_DEMAND = 0.5  # requests a second below which a host lends all it has
-LENDERS_ASKED = 6
+LENDERS_ASKED = 6  # all others of the users' seven hosts
 BORROW_PAUSE_SECONDS = 0.1  # a peer that had nothing to give is not asked
 # Part of the operators' tolerance that is used: each host's bucket holds
 # whole tokens only, so that small accounts would lose most of their burst.
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -50,7 +50,7 @@
         handed: how many events were handed on.
         last: number of the last one, or of the last that the client has.
         output: data of the events, each with a line feed; kept turns only.
-        rest: bytes after the last whole event.
+        head: the head of the first target's answer, which the client gets.
     """
 
     started: bool = False
@@ -206,6 +206,7 @@
         progress: Progress,
         body: bytes,
     ) -> None:
+        """Hands on the events of one target until its answer ends."""
         head = exchange.head
         if head.status != 200 or not exchange.verdict.sealed:
             self._relay_failure(passage, exchange, progress)
@@ -242,6 +243,7 @@
         found: list[events.Event],
         progress: Progress,
     ) -> None:
+        """Sends whole events to the client at once."""
         if not progress.started:
             self._start(passage, progress)
         progress.handed += len(found)
@@ -265,6 +267,7 @@
         rest: bytes,
         body: bytes,
     ) -> None:
+        """Ends a whole stream; a kept turn is durable before that."""
         if not progress.started:
             self._start(passage, progress)
         if rest:
