--- a/src/endivepier/gateway/handler.py
+++ b/src/endivepier/gateway/handler.py
@@ -72,6 +72,10 @@
         except http_errors.ClientGone:
             outcome = "client gone"
             raise
+        except Exception as exc:
+            outcome, reason = "failed here", f"{type(exc).__name__}: {exc}"
+            eliot.write_traceback()
+            raise
         finally:
             self._log(call, passage, outcome, reason)
 
--- a/tests/cover/gateway/test_path.py
+++ b/tests/cover/gateway/test_path.py
@@ -228,3 +228,21 @@
     load = fleet.gateway.placement.load(target)
     assert (load.failures, load.running, load.silent) == (0, 0, {})
     assert fleet.ask("c2").whole
+
+
+def test_a_fault_of_our_own_is_told_in_the_logs(start, monkeypatch):
+    # The request's line said "answered".
+    fleet = start([STREAM])
+    lines = []
+    monkeypatch.setattr(
+        "endivepier.gateway.handler.eliot.log_message",
+        lambda kind, **fields: lines.append((kind, fields)),
+    )
+
+    def fail(passage):
+        raise KeyError("lost")
+
+    monkeypatch.setattr(fleet.gateway.handler._streams, "serve", fail)
+    assert fleet.ask().status == 0
+    outcomes = [fields["outcome"] for kind, fields in lines]
+    assert outcomes == ["failed here"]
