--- a/tests/cover/gateway/test_path.py
+++ b/tests/cover/gateway/test_path.py
@@ -1,6 +1,7 @@
 """The path of a request, on loopback sockets."""
 
 import gevent
+from gevent import socket
 import pytest
 
 from endivepier.gateway import model
@@ -246,3 +247,18 @@
     assert fleet.ask().status == 0
     outcomes = [fields["outcome"] for kind, fields in lines]
     assert outcomes == ["failed here"]
+
+
+def test_counters_and_latencies_are_served(start):
+    fleet = start([STREAM])
+    assert fleet.ask().whole
+    host, _, port = fleet.gateway.metrics_server.address.rpartition(":")
+    sock = socket.create_connection((host, int(port)), timeout=5)
+    sock.sendall(
+        b"GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+    )
+    page = b""
+    while piece := sock.recv(65536):
+        page += piece
+    assert b'endivepier_requests{outcome="answered",route="r"} 1' in page
+    assert b"endivepier_request_seconds_bucket" in page
