Stop listening once the balancer had time to notice that a host leaves

Change: the listener closes after the 3 s in which the balancer notices; open connections go on as before. The test failed first.

--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -212,12 +212,14 @@
             idle=len(self.server.idle),
         )
         self.timers.sleep(min(LEAVE_SECONDS, self.cfg.grace_seconds / 2))
+        # The balancer may use a host that leaves to the end, if few others are
+        # ready; a client that finds no listener goes elsewhere at once.
+        self.server.stop()
         self.server.close_idle()
         end = began + self.cfg.grace_seconds - EXIT_SECONDS
         while self.server.active and self.timers.now() < end:
             self.timers.sleep(0.05)
             self.server.close_idle()
-        self.server.stop()
         self.kernel.stop()
         eliot.log_message("process.stop", cut_off=self.server.active)
         # The last lines are written by a task of their own.
--- a/tests/cover/gateway/test_path.py
+++ b/tests/cover/gateway/test_path.py
@@ -5,6 +5,7 @@
 import pytest
 
 from endivepier.gateway import model
+from endivepier.gateway import process
 from tests.common import gateway_fleet
 from tests.common import gateway_parts
 
@@ -262,3 +263,25 @@
         page += piece
     assert b'endivepier_requests{outcome="answered",route="r"} 1' in page
     assert b"endivepier_request_seconds_bucket" in page
+
+
+def test_a_process_that_leaves_takes_no_new_connection_to_the_end(
+    start, monkeypatch
+):
+    # The balancer uses hosts that leave while under half of a data centre is
+    # ready: one took requests until its grace was over and cut the last one
+    # (LOST, bgw rolling-stop-in-a-burst, seed 116995950575).
+    monkeypatch.setattr(process, "LEAVE_SECONDS", 0.1)
+    fleet = start([STREAM])
+    for target in fleet.targets:
+        target.behave = lambda seen, res, t=target: t.stream(
+            seen, res, pause=0.15
+        )
+    running = gevent.spawn(fleet.ask, "slow")
+    gevent.sleep(0.05)
+    drain = gevent.spawn(fleet.gateway.drain)
+    gevent.sleep(0.3)
+    with pytest.raises(ConnectionRefusedError):
+        fleet.connect()
+    assert running.get(timeout=5).whole
+    drain.join(timeout=5)
