Keep the platform's max_attempts in its folder

Cause: gateway.model took the wire's name over, which says little: it bounds how many targets one request may be sent to, not how often. Change: the field is most_targets; the test of the wire's words knows the name (it failed first, with four places).

--- a/src/endivepier/gateway/calls.py
+++ b/src/endivepier/gateway/calls.py
@@ -54,7 +54,7 @@
     def may_try_again(self, now: float) -> bool:
         """Returns whether another target may be sent the call."""
         left = self.limit - now
-        return len(self.tried) < self.route.max_attempts and left > MIN_SECONDS
+        return len(self.tried) < self.route.most_targets and left > MIN_SECONDS
 
 
 def next_target(
@@ -124,7 +124,7 @@
         sent=exc.sent,
         reason=str(exc),
         attempts=len(passage.tried),
-        most=passage.route.max_attempts,
+        most=passage.route.most_targets,
     )
     if not exc.sent:
         passage.unreachable.add(target.incarnation)
--- a/src/endivepier/gateway/model.py
+++ b/src/endivepier/gateway/model.py
@@ -40,7 +40,7 @@
         timeout: longest time that a client is kept waiting.
         objective: latency within which an answer is in time.
         priority: 0 is the most urgent.
-        max_attempts: most targets that one request may be sent to.
+        most_targets: most targets that one request may be sent to.
         public: whether no key is needed.
         sticky: whether targets serve known objects faster.
         resumable: whether a stream may go on at another target.
@@ -57,7 +57,7 @@
     timeout: float
     objective: float
     priority: int
-    max_attempts: int
+    most_targets: int
     public: bool
     sticky: bool
     resumable: bool
--- a/tests/common/gateway_parts.py
+++ b/tests/common/gateway_parts.py
@@ -14,7 +14,7 @@
         "timeout": 4.0,
         "objective": 0.25,
         "priority": 0,
-        "max_attempts": 2,
+        "most_targets": 2,
         "public": False,
         "sticky": True,
         "resumable": True,
--- a/tests/cover/gateway/test_path.py
+++ b/tests/cover/gateway/test_path.py
@@ -130,7 +130,7 @@
     fleet = start([READ], targets=4)
     behave(fleet, "full", "full")
     assert fleet.ask().status == 503
-    assert len(fleet.seen()) == READ.max_attempts
+    assert len(fleet.seen()) == READ.most_targets
 
 
 def test_a_client_that_leaves_ends_the_work_at_the_target(start):
--- a/tests/cover/platform/test_words.py
+++ b/tests/cover/platform/test_words.py
@@ -11,7 +11,7 @@
     r"|rows-tx|rows-get|rows-feed|blob-put|endivepier/readyz|api_keys"
     r"|rate_per_s"
     r"|hostname\"|chunk_tokens|cold_left_ms|seq_no|op/config"
-    r"|retention_s\b|target_gap_ms|target_latency_ms|max_conns",
+    r"|retention_s\b|target_gap_ms|target_latency_ms|max_conns|max_attempts",
     re.IGNORECASE,
 )
 
