Close an exchange in one place; count hosts once a renewal

Cause, read in the diff: plain calls and streams each kept a flag through three except clauses to tell a target's failure from a hang-up; the entry host wrapped Links.forget in a method of its own; hosts were counted once for each account. Change: Exchange is a context manager that decides it. The 0.2 s that a body is given beyond its attempt is a named constant.

--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -124,6 +124,14 @@
         """Returns whether more of the body can be read without waiting."""
         return self._conn.buffered()
 
+    def __enter__(self) -> Exchange:
+        return self
+
+    def __exit__(self, kind: type[BaseException] | None, *_: object) -> None:
+        # What else ends it, a hang-up for one, is no fault of the target.
+        failed = kind is not None and issubclass(kind, errors.TargetFailed)
+        self.close(failed=failed)
+
     def close(self, *, failed: bool = False) -> None:
         """Ends the exchange; a target that still works on it stops."""
         if self._closed:
--- a/src/endivepier/gateway/plain.py
+++ b/src/endivepier/gateway/plain.py
@@ -14,6 +14,8 @@
 # silent for so many objectives: that is long after nearly all answers.
 SILENT_OBJECTIVES = 1.5
 MIN_SILENT_SECONDS = 0.15
+# A body whose head has come is read to its end: giving it up would be waste.
+BODY_SECONDS = 0.2
 
 
 class PlainCalls:
@@ -62,20 +64,13 @@
             passage.call, dispatch, repeatable=repeatable
         )
         passage.tried.append(target.incarnation)
-        failed = True
-        try:
+        with exchange:
             deadline = self._patience(passage)
             exchange.read_head(deadline)
-            body = exchange.read_all(max(deadline, self._timers.now() + 0.2))
-            failed = False
-            return exchange, body
-        except errors.TargetFailed:
-            raise
-        except BaseException:
-            failed = False
-            raise
-        finally:
-            exchange.close(failed=failed)
+            body = exchange.read_all(
+                max(deadline, self._timers.now() + BODY_SECONDS)
+            )
+        return exchange, body
 
     def _patience(self, passage: calls.Passage) -> float:
         """Returns until when to wait for the answer of this attempt."""
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -19,7 +19,6 @@
 from endivepier.gateway import dialect as dialect_lib
 from endivepier.gateway import exchange
 from endivepier.gateway import handler as handler_lib
-from endivepier.gateway import model
 from endivepier.gateway import peers as peers_lib
 from endivepier.gateway import placement as placement_lib
 from endivepier.gateway import plain
@@ -139,7 +138,7 @@
         self.links = exchange.Links(
             adapters.dialect, self.pool, self.placement, timers
         )
-        self.catalog.subscribe_gone(self._target_gone)
+        self.catalog.subscribe_gone(self.links.forget)
         self.handler = handler_lib.Handler(
             self.catalog,
             self.shares,
@@ -230,9 +229,6 @@
             "process.reload", action="settings are read at the next start"
         )
 
-    def _target_gone(self, target: model.Target) -> None:
-        self.links.forget(target)
-
     def _tend(self) -> None:
         self.pool.prune()
         self.placement.hosts = self.shares.holders
--- a/src/endivepier/gateway/share_renewals.py
+++ b/src/endivepier/gateway/share_renewals.py
@@ -121,6 +121,7 @@
         declaration = self._catalog.declaration
         if declaration is None:
             return
+        self.holders = len(self._peers.askable()) + 1
         limited = [a for a in declaration.accounts.values() if a.rate > 0]
         if limited:
             found = self._read()
@@ -180,7 +181,6 @@
         """Returns the row with our new entry; None if nothing is to change."""
         others = self._living(account.name, before, now)
         share.others = others
-        self.holders = len(self._peers.askable()) + 1
         demand = share.bucket.demand(now)
         free = 1.0 - sum(entry.fraction for entry in others.values())
         owner = share_rows.owner(account.name, self._holder, self._peers)
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -180,23 +180,13 @@
             passage.call, dispatch, repeatable=passage.route.repeatable
         )
         passage.tried.append(target.incarnation)
-        failed = True
-        try:
+        with exchange:
             exchange.read_head(self._patience(passage, first=True))
             if exchange.not_run:
                 calls.after_rejection(passage, exchange, self._timers.now())
-                failed = False
                 return False
             self._relay(passage, exchange, reservation, progress, body)
-            failed = False
             return True
-        except errors.TargetFailed:
-            raise
-        except BaseException:
-            failed = False
-            raise
-        finally:
-            exchange.close(failed=failed)
 
     def _relay(
         self,
