Give Shares its Renewals; one report of a sidecar's queue

Change: the process registers Renewals and hands it to Shares. The tests build them the same way; their assertions are as before.

--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -23,6 +23,7 @@
 from endivepier.gateway import placement as placement_lib
 from endivepier.gateway import plain
 from endivepier.gateway import reach
+from endivepier.gateway import share_renewals
 from endivepier.gateway import shares as shares_lib
 from endivepier.gateway import streams
 from endivepier.gateway import turn_tokens
@@ -111,9 +112,9 @@
             ),
         )
         table.join(self.peers)
-        self.shares = self.kernel.register(
-            "shares",
-            shares_lib.Shares(
+        self.renewals = self.kernel.register(
+            "share_renewals",
+            share_renewals.Renewals(
                 cfg.host,
                 self.catalog,
                 table,
@@ -123,6 +124,9 @@
                 cfg.rate_tolerance,
             ),
         )
+        shares = shares_lib.Shares(
+            self.renewals, self.catalog, self.peers, timers
+        )
         self.ledger = self.kernel.register(
             "budgets", budgets.Ledger(self.incarnation, table, timers)
         )
@@ -141,7 +145,7 @@
         self.catalog.subscribe_gone(self.links.forget)
         self.handler = handler_lib.Handler(
             self.catalog,
-            self.shares,
+            shares,
             plain.PlainCalls(self.catalog, self.links, timers),
             streams.Streams(
                 self.catalog,
@@ -171,7 +175,7 @@
         return (
             not self.draining
             and self.catalog.is_complete()
-            and self.shares.ready
+            and self.renewals.ready
         )
 
     def start(self) -> None:
@@ -231,7 +235,7 @@
 
     def _tend(self) -> None:
         self.pool.prune()
-        self.placement.hosts = self.shares.holders
+        self.placement.hosts = self.renewals.holders
         counts = self.pool.counts
         self.metrics.set("connections_opened", counts.opened)
         self.metrics.set("connections_reused", counts.reused)
--- a/src/endivepier/gateway/share_renewals.py
+++ b/src/endivepier/gateway/share_renewals.py
@@ -19,6 +19,7 @@
 from endivepier.gateway import rows
 from endivepier.gateway import share_rows
 from endivepier.internal import codec
+from endivepier.internal import rendezvous
 from endivepier.limits import leases
 from endivepier.storage import commit
 from endivepier.storage import ports
@@ -40,6 +41,10 @@
 # its former process had ended, and this one had to start.
 START_SECONDS = 0.3
 
+# Part of the operators' tolerance that is used: each host's bucket holds
+# whole tokens only, so that small accounts would lose most of their burst.
+TOLERANCE_SHARE = 0.5
+
 
 class Renewals:
     """Keeps the leases of one host.
@@ -47,6 +52,7 @@
     Attributes:
         ready: whether the rows have been read and written once.
         holders: how many hosts are known, this one included.
+        local: what this host holds.
     """
 
     def __init__(
@@ -57,7 +63,7 @@
         timers: timers_lib.Timers,
         rng: random.Random,
         peers: peers_lib.Peers,
-        local: share_rows.LocalShares,
+        tolerance: float,
     ) -> None:
         """Makes renewals that have not begun.
 
@@ -68,7 +74,8 @@
             timers: the timer service.
             rng: spreads renewals over time.
             peers: the other hosts.
-            local: what this host holds.
+            tolerance: requests of an account beyond its burst that the
+                operators allow for in all.
         """
         self.ready = False
         self.holders = 1
@@ -78,7 +85,7 @@
         self._timers = timers
         self._rng = rng
         self._peers = peers
-        self._local = local
+        self.local = share_rows.LocalShares(tolerance * TOLERANCE_SHARE)
         self._committer = commit.Committer(table, timers, rng)
         self._seen: dict[tuple[str, str], tuple[int, float]] = {}
         self._failing = False
@@ -93,6 +100,12 @@
         if self._task is not None:
             self._task.kill()
 
+    def owner(self, account: str) -> str:
+        """Returns the host that holds what no other host asks for."""
+        return rendezvous.choose(
+            account, [*self._peers.askable(), self._holder]
+        )
+
     def _run(self) -> None:
         while True:
             try:
@@ -105,9 +118,9 @@
             except (errors.Unavailable, errors.OutcomeUnknown) as exc:
                 self._note(exc)
             seconds = RENEW_SECONDS if self.ready else RENEW_SECONDS / 10
-            if self._local.short:
+            if self.local.short:
                 seconds = SHORT_RENEW_SECONDS
-            self._local.short = False
+            self.local.short = False
             self._timers.sleep(seconds * self._rng.uniform(0.8, 1.2))
 
     def _note(self, exc: Exception | None) -> None:
@@ -156,7 +169,7 @@
                 if row is None
                 else codec.decode(share_rows.Row, row.value)
             )
-            share = self._local.of(account, now)
+            share = self.local.of(account, now)
             after = self._planned(account, share, before, write, now)
             if after is None:
                 continue
@@ -183,7 +196,7 @@
         share.others = others
         demand = share.bucket.demand(now)
         free = 1.0 - sum(entry.fraction for entry in others.values())
-        owner = share_rows.owner(account.name, self._holder, self._peers)
+        owner = self.owner(account.name)
         if owner == self._holder:
             wanted = self._rest(account, others, demand)
         else:
@@ -215,7 +228,7 @@
         floor = EVEN_SHARE * account.rate
         total = floor + own + sum(entry.demand for entry in others.values())
         wanted = demand / total
-        if wanted * (account.burst + self._local.tolerance) < LEAST_TOKENS:
+        if wanted * (account.burst + self.local.tolerance) < LEAST_TOKENS:
             return 0.0
         return wanted
 
--- a/src/endivepier/gateway/share_rows.py
+++ b/src/endivepier/gateway/share_rows.py
@@ -5,9 +5,7 @@
 import dataclasses
 
 from endivepier.gateway import model
-from endivepier.gateway import peers as peers_lib
 from endivepier.gateway import starts as starts_lib
-from endivepier.internal import rendezvous
 from endivepier.limits import bucket as bucket_lib
 
 
@@ -98,8 +96,3 @@
             bucket.burst = burst
             share.touch(now)
         return share
-
-
-def owner(account: str, host: str, peers: peers_lib.Peers) -> str:
-    """Returns the host that holds what no other host asks for."""
-    return rendezvous.choose(account, [*peers.askable(), host])
--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/shares.py
@@ -21,7 +21,6 @@
 from __future__ import annotations
 
 import dataclasses
-import random
 
 import eliot
 
@@ -33,7 +32,6 @@
 from endivepier.gateway import share_renewals
 from endivepier.gateway import share_rows
 from endivepier.internal import codec
-from endivepier.storage import ports
 
 # Part of a host's burst that is kept for programs under way: one that can't
 # end is worth nothing, so new ones wait first.
@@ -50,9 +48,6 @@
 IDLE_DEMAND = 0.5  # requests a second below which a host lends all it has
 LENDERS_ASKED = 6  # all others of the users' seven hosts
 BORROW_PAUSE_SECONDS = 0.1  # a peer that had nothing to give is not asked
-# Part of the operators' tolerance that is used: each host's bucket holds
-# whole tokens only, so that small accounts would lose most of their burst.
-TOLERANCE_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,54 +71,26 @@
 
     def __init__(
         self,
-        holder: str,
+        renewals: share_renewals.Renewals,
         catalog: catalog_lib.Catalog,
-        table: ports.Table,
-        timers: timers_lib.Timers,
-        rng: random.Random,
         peers: peers_lib.Peers,
-        tolerance: float,
+        timers: timers_lib.Timers,
     ) -> None:
-        """Makes limits that hold nothing yet.
+        """Makes limits on what `renewals` hold.
 
         Args:
-            holder: name of this host, the same after a restart.
+            renewals: keeps this host's leases.
             catalog: declares the accounts.
-            table: keeps the rows.
-            timers: the timer service.
-            rng: spreads renewals over time.
             peers: the other hosts.
-            tolerance: requests of an account beyond its burst that the
-                operators allow for in all.
+            timers: the timer service.
         """
-        self._holder = holder
+        self._renewals = renewals
+        self._local = renewals.local
         self._catalog = catalog
-        self._timers = timers
         self._peers = peers
-        self._local = share_rows.LocalShares(tolerance * TOLERANCE_SHARE)
-        self._renewals = share_renewals.Renewals(
-            holder, catalog, table, timers, rng, peers, self._local
-        )
+        self._timers = timers
         peers.register(QUESTION, self._lend)
 
-    @property
-    def ready(self) -> bool:
-        """Whether this host holds its part of the accounts."""
-        return self._renewals.ready
-
-    @property
-    def holders(self) -> int:
-        """How many hosts are known, this one included."""
-        return self._renewals.holders
-
-    def start(self) -> None:
-        """Begins to renew."""
-        self._renewals.start()
-
-    def stop(self) -> None:
-        """Renews no longer; the leases lapse."""
-        self._renewals.stop()
-
     def wait(self, account: model.Account, *, fresh: bool) -> float | None:
         """Takes a token of the account, from peers or after a short wait.
 
@@ -202,7 +169,7 @@
             fraction=round(share.fraction, 4),
             tokens=round(share.bucket.level, 2),
             demand=round(share.bucket.demand(now), 1),
-            holders=self.holders,
+            holders=self._renewals.holders,
             lease_left=round(share.until - now, 2),
             fraction_age=round(now - share.written, 2),
         )
@@ -215,7 +182,7 @@
         def spare(entry: share_rows.Entry) -> float:
             return entry.fraction * account.rate - entry.demand
 
-        owner = share_rows.owner(account.name, self._holder, self._peers)
+        owner = self._renewals.owner(account.name)
         lenders = sorted(
             (host for host in share.others if self._may_ask(share, host)),
             key=lambda host: -spare(share.others[host]),
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -182,13 +182,8 @@
         member = super().describe()
         if not hasattr(self, "dispatcher"):
             return member
-        queue = self.queue
         return dataclasses.replace(
-            member,
-            queued=queue.queued,
-            running=queue.running,
-            slots=queue.slots,
-            service_seconds=queue.service_seconds,
+            _with_load(member, self.queue),
             token_seconds=self.dispatcher.pace.token_seconds,
         )
 
@@ -243,11 +238,17 @@
         member = super().describe()
         if not hasattr(self, "services"):
             return member
-        queue = self.queue
-        return dataclasses.replace(
-            member,
-            queued=queue.queued,
-            running=queue.running,
-            slots=queue.slots,
-            service_seconds=queue.service_seconds,
-        )
+        return _with_load(member, self.queue)
+
+
+def _with_load(
+    member: members.Member, queue: queue_lib.Queue
+) -> members.Member:
+    """Returns what a sidecar says of itself, with the load of its queue."""
+    return dataclasses.replace(
+        member,
+        queued=queue.queued,
+        running=queue.running,
+        slots=queue.slots,
+        service_seconds=queue.service_seconds,
+    )
--- a/tests/cover/gateway/test_shares.py
+++ b/tests/cover/gateway/test_shares.py
@@ -55,6 +55,7 @@
         self.accounts = {each.name: each for each in accounts}
         self.peers = {}
         self.hosts = {}
+        self.renewals = {}
         self.admitted = []
         self.refused = 0
         for number in range(count):
@@ -66,18 +67,15 @@
 
     def start(self, name):
         """Starts a host, or starts it again."""
-        if name in self.hosts:
-            self.hosts[name].stop()
-        self.hosts[name] = shares.Shares(
-            name,
-            self,
-            self.table,
-            self.timers,
-            self.rng,
-            PeersOf(name, self.peers, self.timers),
-            TOLERANCE,
+        if name in self.renewals:
+            self.renewals[name].stop()
+        peers = PeersOf(name, self.peers, self.timers)
+        renewals = share_renewals.Renewals(
+            name, self, self.table, self.timers, self.rng, peers, TOLERANCE
         )
-        self.hosts[name].start()
+        self.renewals[name] = renewals
+        self.hosts[name] = shares.Shares(renewals, self, peers, self.timers)
+        renewals.start()
 
     def request(self, host, account, *, fresh=False):
         got = self.hosts[host].wait(self.accounts[account], fresh=fresh)
