--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -7,13 +7,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-import dataclasses
-import json
 import math
-import pathlib
 
-FIGURES = pathlib.Path(__file__).parents[1] / "docs" / "figures"
+from bench import capacity_tables as tables
 
 # The stated size.
 ENTRY_HOSTS = 2900
@@ -44,86 +40,9 @@
 DAY_SECONDS = 86400
 
 
-class Figures:
-    """Measured figures by name."""
-
-    def __init__(self, folder: pathlib.Path = FIGURES) -> None:
-        self._values: dict[str, float] = {}
-        self._baselines: dict[str, float] = {}
-        for path in sorted(folder.glob("*.jsonl")):
-            for line in path.read_text().splitlines():
-                document = json.loads(line)
-                name = document["name"]
-                self._values[name] = float(document["value"])
-                if document["baseline"] is not None:
-                    self._baselines[name] = float(document["baseline"])
-
-    def __getitem__(self, name: str) -> float:
-        """Returns a figure.
-
-        Raises:
-            KeyError: no bench has printed it; run the benches again.
-        """
-        return self._values[name]
-
-    def baseline(self, name: str) -> float:
-        """Returns what a figure was before the change that it measures.
-
-        Raises:
-            KeyError: no bench has printed it; run the benches again.
-        """
-        return self._baselines[name]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Row:
-    """One line of a table of the page.
-
-    Attributes:
-        what: what is counted.
-        how: the arithmetic.
-        value: the result, with its unit.
-        budget: what is allowed, or empty.
-        mechanism: what carries it.
-    """
-
-    what: str
-    how: str
-    value: str
-    budget: str
-    mechanism: str
-
-
-def table(rows: Sequence[Row]) -> str:
-    """Returns a Markdown table."""
-    lines = [
-        "| what | arithmetic | value | budget | carried by |",
-        "| --- | --- | --- | --- | --- |",
-    ]
-    lines += [
-        f"| {r.what} | {r.how} | {r.value} | {r.budget} | {r.mechanism} |"
-        for r in rows
-    ]
-    return "\n".join(lines)
-
-
-def number(value: float, unit: str = "") -> str:
-    """Returns a number with three digits that count, and its unit."""
-    text = f"{value:,.0f}" if abs(value) >= 1000 else f"{value:.3g}"
-    return f"{text} {unit}".strip()
-
-
-def size(value: float) -> str:
-    """Returns a number of bytes in a unit that fits."""
-    for unit, factor in (("GB", 1e9), ("MB", 1e6), ("KB", 1e3)):
-        if value >= factor:
-            return f"{value / factor:.3g} {unit}"
-    return f"{value:.3g} B"
-
-
 def main() -> None:
     """Prints the page."""
-    figures = Figures()
+    figures = tables.Figures()
     sections = (
         _introduction(),
         _entry(figures),
@@ -150,10 +69,11 @@
 `python -m bench.capacity > docs/CAPACITY.md` makes this page from the stated
 size and from the figures that the benches printed into `docs/figures/`. A name
 in quotation marks is a figure there. Slopes were measured on one machine with
-small stand-ins; nothing of this size has run."""
+small stand-ins; nothing of this size has run.
+Entry hosts without sidecars have [their own page](CAPACITY-platform.md)."""
 
 
-def _entry(f: Figures) -> str:
+def _entry(f: tables.Figures) -> str:
     requests = REQUESTS / ENTRY_HOSTS
     tokens = TOKENS / ENTRY_HOSTS
     call = f["CPU a model call, entry"]
@@ -166,47 +86,47 @@
     members = (ENTRY_HOSTS + SIDECARS) / DATA_CENTRES
     state = resident + ACCOUNTS * (account + bucket) + members * member
     rows = (
-        Row(
+        tables.Row(
             "CPU for control",
             '"idle share of a core, entry"',
-            number(idle * 100, "% of a core"),
+            tables.number(idle * 100, "% of a core"),
             f"{CORE_SHARE:.1%}",
             "heartbeats in turn, relays for the configuration",
         ),
-        Row(
+        tables.Row(
             "CPU for calls",
             f'{requests:.1f}/s x "CPU a model call, entry"',
-            number(requests * call * 100, "% of a core"),
+            tables.number(requests * call * 100, "% of a core"),
             "none stated",
             "one task a connection",
         ),
-        Row(
+        tables.Row(
             "CPU for tokens",
             f'{tokens:,.0f}/s x "CPU a streamed token, entry"',
-            number(tokens * token * 100, "% of a core"),
+            tables.number(tokens * token * 100, "% of a core"),
             "none stated",
             "streams passed on token by token",
         ),
-        Row(
+        tables.Row(
             "memory",
             "resident + 14,000 x (account + bucket) + "
             "members of the data centre",
-            size(state),
-            size(MEMORY_BYTES),
+            tables.size(state),
+            tables.size(MEMORY_BYTES),
             "digests of keys, members of the own data centre",
         ),
-        Row(
+        tables.Row(
             "control messages, in and out",
             '"control bytes a process, 144 processes"',
-            number(f["control bytes a process, 144 processes"], "B/s"),
+            tables.number(f["control bytes a process, 144 processes"], "B/s"),
             f"{CONTROL_BYTES:,} B/s",
             "a fixed number of heartbeats a round",
         ),
     )
-    return "## Entry host\n\n" + table(rows)
+    return "## Entry host\n\n" + tables.table(rows)
 
 
-def _sidecar(f: Figures) -> str:
+def _sidecar(f: tables.Figures) -> str:
     requests = REQUESTS / SIDECARS
     tokens = TOKENS / SIDECARS
     programs = PROGRAMS / SIDECARS
@@ -216,123 +136,125 @@
     program = f["memory of a program with one turn at its owner"]
     largest = HISTORY_TOKENS * BYTES_PER_TOKEN
     rows = (
-        Row(
+        tables.Row(
             "CPU for control",
             '"idle share of a core, sidecar1"',
-            number(f["idle share of a core, sidecar1"] * 100, "% of a core"),
+            tables.number(
+                f["idle share of a core, sidecar1"] * 100, "% of a core"
+            ),
             f"{CORE_SHARE:.1%}",
             "as at the entry host",
         ),
-        Row(
+        tables.Row(
             "CPU for calls",
             f'{requests:.1f}/s x "CPU a model call, sidecar1"',
-            number(requests * call * 100, "% of a core"),
+            tables.number(requests * call * 100, "% of a core"),
             "none stated",
             "one task a call, group commit",
         ),
-        Row(
+        tables.Row(
             "CPU for tokens",
             f'{tokens:,.0f}/s x "CPU a streamed token, sidecar1"',
-            number(tokens * token * 100, "% of a core"),
+            tables.number(tokens * token * 100, "% of a core"),
             "none stated",
             "streams passed on token by token",
         ),
-        Row(
+        tables.Row(
             "CPU for effects, if every call were one",
             f'{requests:.1f}/s x "CPU a non-idempotent request, sidecar2"',
-            number(requests * effect * 100, "% of a core"),
+            tables.number(requests * effect * 100, "% of a core"),
             "none stated",
             "claims in groups",
         ),
-        Row(
+        tables.Row(
             "memory without histories",
             f'"resident memory, sidecar1" + {programs:.0f} x program',
-            size(f["resident memory, sidecar1"] + programs * program),
-            size(MEMORY_BYTES),
+            tables.size(f["resident memory, sidecar1"] + programs * program),
+            tables.size(MEMORY_BYTES),
             "idle programs leave memory and are loaded again",
         ),
-        Row(
+        tables.Row(
             "histories in memory, all of the largest size",
             f"{programs:.0f} x {HISTORY_TOKENS:,} tokens x 4 B",
-            size(programs * largest),
-            size(MEMORY_BYTES),
+            tables.size(programs * largest),
+            tables.size(MEMORY_BYTES),
             "the same; see below",
         ),
     )
-    return "## Sidecar\n\n" + table(rows)
+    return "## Sidecar\n\n" + tables.table(rows)
 
 
-def _platform(f: Figures) -> str:
+def _platform(f: tables.Figures) -> str:
     per_call = f["transactions_per_1000_calls"] / 1000
     before = f.baseline("transactions_per_1000_calls") / 1000
     effects = f["transactions_per_1000_effects"] / 1000
     reads = f["reads of the head per data centre with relays"]
     committed = DATA_CENTRES * COMMITTERS_A_DATA_CENTRE * COMMITS_A_SECOND
     rows = (
-        Row(
+        tables.Row(
             "writes for turns, no groups",
             f"{REQUESTS:,}/s x {before:.3g}",
-            number(REQUESTS * before, "/s"),
+            tables.number(REQUESTS * before, "/s"),
             f"several hundred ({TABLE_WRITES})",
             "first version",
         ),
-        Row(
+        tables.Row(
             "writes for turns, groups at a busy owner",
             f"{REQUESTS:,}/s x {per_call:.3g}",
-            number(REQUESTS * per_call, "/s"),
+            tables.number(REQUESTS * per_call, "/s"),
             f"{TABLE_WRITES}/s",
             "group commit at each owner; **does not reach**",
         ),
-        Row(
+        tables.Row(
             "writes for turns, committers",
             f"{DATA_CENTRES} x {COMMITTERS_A_DATA_CENTRE} x "
             f"{COMMITS_A_SECOND}/s, "
             f"{REQUESTS / committed:.0f} turns each",
-            number(committed, "/s"),
+            tables.number(committed, "/s"),
             f"{TABLE_WRITES}/s",
             "owners send changes to committers of their data centre; "
             "**not built**",
         ),
-        Row(
+        tables.Row(
             "writes for effects, if one call in ten is one",
             f"{REQUESTS / 10:,.0f}/s x {effects:.3g}",
-            number(REQUESTS / 10 * effects, "/s"),
+            tables.number(REQUESTS / 10 * effects, "/s"),
             f"{TABLE_WRITES}/s",
             "groups at each sidecar; **does not reach**; committers as above",
         ),
-        Row(
+        tables.Row(
             "writes for configuration",
             f"{CHANGES_A_DAY:,} / day",
-            number(CHANGES_A_DAY / DAY_SECONDS, "/s"),
+            tables.number(CHANGES_A_DAY / DAY_SECONDS, "/s"),
             f"{TABLE_WRITES}/s",
             "one transaction a release note",
         ),
-        Row(
+        tables.Row(
             "reads for leases of programs",
             "about 1,000/s for the fleet at any size",
-            number(1000, "/s"),
+            tables.number(1000, "/s"),
             f"{TABLE_READS:,}/s",
             "the age allowed for a proof of ownership grows with the fleet",
         ),
-        Row(
+        tables.Row(
             "reads for rate shares",
             f"{ENTRY_HOSTS:,} x 1/s",
-            number(ENTRY_HOSTS, "/s"),
+            tables.number(ENTRY_HOSTS, "/s"),
             f"{TABLE_READS:,}/s",
             "each entry host reads the epoch; **does not reach**",
         ),
-        Row(
+        tables.Row(
             "reads for configuration",
             f'{DATA_CENTRES} x "reads of the head per data centre with relays"',
-            number(DATA_CENTRES * reads, "/s"),
+            tables.number(DATA_CENTRES * reads, "/s"),
             f"{TABLE_READS:,}/s",
             "two roots a data centre, a tree of 32 below each",
         ),
     )
-    return "## Table service\n\n" + table(rows)
+    return "## Table service\n\n" + tables.table(rows)
 
 
-def _configuration(f: Figures) -> str:
+def _configuration(f: tables.Figures) -> str:
     slowest = f["note in force everywhere, 128 processes, largest of 8"]
     slope = f["slope of the largest time in force"]
     hosts = (ENTRY_HOSTS + SIDECARS) / DATA_CENTRES
@@ -340,29 +262,29 @@
     snapshot = f["snapshot of 14000 accounts with a key each"]
     delta = f["size of such a delta"]
     rows = (
-        Row(
+        tables.Row(
             "time until a note is in force",
             f"{depth} levels of relays in a data centre of {hosts:,.0f}; "
             f"128 processes, two levels, took {slowest:.3g} s",
-            number(slowest / 2 * depth, "s"),
+            tables.number(slowest / 2 * depth, "s"),
             f"{CONFIGURATION_SECONDS} s",
             "pulls by revision through a tree; announcements speed it up",
         ),
-        Row(
+        tables.Row(
             "the same by the fitted line",
             f"{slope:.3g} s a process, which a tree does not follow",
             "not used",
             "",
             "",
         ),
-        Row(
+        tables.Row(
             "changes sent to each process",
             f'{CHANGES_A_DAY:,}/day x "size of such a delta"',
-            number(CHANGES_A_DAY / DAY_SECONDS * delta, "B/s"),
+            tables.number(CHANGES_A_DAY / DAY_SECONDS * delta, "B/s"),
             f"{CONTROL_BYTES:,} B/s",
             "deltas, not states",
         ),
-        Row(
+        tables.Row(
             "a new process reads",
             "snapshot of all accounts with their keys",
             f"{snapshot:.3g} MB",
@@ -370,10 +292,10 @@
             "object store, once a start",
         ),
     )
-    return "## Configuration\n\n" + table(rows)
+    return "## Configuration\n\n" + tables.table(rows)
 
 
-def _faults(f: Figures) -> str:
+def _faults(f: tables.Figures) -> str:
     shards = SIDECARS * SHARDS_A_SIDECAR
     centre = SIDECARS / DATA_CENTRES * SHARDS_A_SIDECAR
     restarts = RESTARTS_A_DAY * SIDECARS / (SIDECARS + ENTRY_HOSTS)
@@ -382,32 +304,32 @@
     takeovers = failures * SHARDS_A_SIDECAR
     recovery = f["kill_to_next_answer_max"]
     rows = (
-        Row(
+        tables.Row(
             "restarts of sidecars",
             f"{restarts:,.0f}/day x {SHARDS_A_SIDECAR} shards",
-            number(handovers / DAY_SECONDS, "writes/s"),
+            tables.number(handovers / DAY_SECONDS, "writes/s"),
             f"{TABLE_WRITES}/s",
             "handover, one transaction a shard",
         ),
-        Row(
+        tables.Row(
             "lost hosts",
             f"{failures:,.0f}/day x {SHARDS_A_SIDECAR} shards",
-            number(takeovers / DAY_SECONDS, "writes/s"),
+            tables.number(takeovers / DAY_SECONDS, "writes/s"),
             f"{TABLE_WRITES}/s",
             "takeover at the first call, "
             f"an answer within {recovery:.3g} s when measured",
         ),
-        Row(
+        tables.Row(
             "a data centre lost",
             f"{shards:,} shards / {DATA_CENTRES}",
-            number(centre, "writes"),
+            tables.number(centre, "writes"),
             f"{TABLE_WRITES}/s: {centre / TABLE_WRITES:.0f} s",
             "takeover on demand; nobody scans",
         ),
     )
     return (
         "## Faults\n\n"
-        + table(rows)
+        + tables.table(rows)
         + """
 
 **A rack or a switch** is a number of lost hosts at once: the same, a few dozen
@@ -422,10 +344,11 @@
     )
 
 
-def _breaks(f: Figures) -> str:
+def _breaks(f: tables.Figures) -> str:
     token = f["CPU a streamed token, entry"]
     tokens = TOKENS / ENTRY_HOSTS
-    listed = (ENTRY_HOSTS + SIDECARS) * 130
+    list_size = tables.size((ENTRY_HOSTS + SIDECARS) * 130)
+    histories = tables.size(PROGRAMS / SIDECARS * HISTORY_TOKENS * 4)
     return f"""## What breaks first, and the change that comes then
 
 1. **Table writes for turns and effects.** A sidecar with
@@ -437,11 +360,11 @@
    {tokens * token:.0%} of a core. The change: several tokens in one event
    when a process is behind, and two daemons a host.
 3. **The host list.** Every process reads the whole list each second; of
-   {ENTRY_HOSTS + SIDECARS:,} hosts at some 130 B that is {size(listed)} a
+   {ENTRY_HOSTS + SIDECARS:,} hosts at some 130 B that is {list_size} a
    second for each process, against {CONTROL_BYTES:,} B/s. The change: the list
    goes through the configuration's relays, as changes to a revision.
 4. **Histories in memory.** If most programs were of the largest size, their
-   owners would hold {size(PROGRAMS / SIDECARS * HISTORY_TOKENS * 4)}. The
+   owners would hold {histories}. The
    change: an owner keeps only the digests and loads the text for a call.
 5. **Latency** was not measured at this size. On loopback, entry host and
    sidecar add {f["added latency of a call, p50"] * 1000:.3g} ms to a whole call
--- a/bench/report.py
+++ b/bench/report.py
@@ -9,7 +9,7 @@
 import json
 from typing import Any
 
-from bench import capacity
+from bench import capacity_tables
 
 HEAD = """# Measurements
 
@@ -38,7 +38,7 @@
 def main() -> None:
     """Prints the page."""
     print(HEAD)
-    for path in sorted(capacity.FIGURES.glob("*.jsonl")):
+    for path in sorted(capacity_tables.FIGURES.glob("*.jsonl")):
         print(f"\n## {path.stem.replace('_', ' ')}\n")
         print("| figure | value | unit | baseline | bound | |")
         print("| --- | --- | --- | --- | --- | --- |")
--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -14,6 +14,7 @@
 
 from bench import figures
 from bench import simulation
+from bench import simulation_setup as setup_lib
 from bench import workloads
 from endivepier.internal import loop
 from endivepier.scheduling import policies
@@ -29,9 +30,9 @@
 LOADS = (0.5, 0.8, 0.95)
 FAULT_LOAD = 0.8
 
-FIRST_COME = simulation.Setup(policies.FirstCome(), policies.RandomRoute())
-ROUND_ROBIN = simulation.Setup(policies.RoundRobin(), policies.RandomRoute())
-OURS = simulation.Setup(policies.FairShare(), policies.OwnerFirst())
+FIRST_COME = setup_lib.Setup(policies.FirstCome(), policies.RandomRoute())
+ROUND_ROBIN = setup_lib.Setup(policies.RoundRobin(), policies.RandomRoute())
+OURS = setup_lib.Setup(policies.FairShare(), policies.OwnerFirst())
 
 
 BENCH = "scheduling"
@@ -80,7 +81,7 @@
     for load in LOADS:
         plans = workloads.plans(user, seed, base * load, seconds)
         case = f"{user}.load_{load}"
-        fault = simulation.Fault.NONE
+        fault = setup_lib.Fault.NONE
         base_run = measure(FIRST_COME, plans, fault, seconds, seed)
         if load == FAULT_LOAD:
             calm = base_run
@@ -89,11 +90,11 @@
         )
     found.extend(_round_robin(user, base, seconds, seed))
     plans = workloads.plans(user, seed, base * FAULT_LOAD, seconds)
-    for fault in simulation.Fault:
-        if fault is simulation.Fault.NONE:
+    for fault in setup_lib.Fault:
+        if fault is setup_lib.Fault.NONE:
             continue
         # Late events don't concern the baseline, which reads none.
-        first = calm if fault is simulation.Fault.LATE_EVENTS else None
+        first = calm if fault is setup_lib.Fault.LATE_EVENTS else None
         if first is None:
             first = measure(FIRST_COME, plans, fault, seconds, seed)
         case = f"{user}.{fault}"
@@ -108,7 +109,7 @@
 ) -> Sequence[figures.Figure]:
     """Returns the second baseline at the load of the goals, for comparison."""
     plans = workloads.plans(user, seed, rate * FAULT_LOAD, seconds)
-    base = measure(ROUND_ROBIN, plans, simulation.Fault.NONE, seconds, seed)
+    base = measure(ROUND_ROBIN, plans, setup_lib.Fault.NONE, seconds, seed)
     case = f"{user}.round_robin"
     found = {"mean_latency": base.mean, "p99_latency": base.p99}
     return [
@@ -127,12 +128,12 @@
     ]
 
 
-def capacity(setup: simulation.Setup, user: workloads.User, seed: int) -> float:
+def capacity(setup: setup_lib.Setup, user: workloads.User, seed: int) -> float:
     """Returns the programs a second of a setup that is saturated."""
     seconds = SATURATED_SECONDS
     plans = workloads.plans(user, seed, SATURATED_RATE, seconds)
     cluster = simulation.Cluster(setup, seed)
-    outcome = cluster.run(plans, simulation.Fault.NONE, seconds, drain=False)
+    outcome = cluster.run(plans, setup_lib.Fault.NONE, seconds, drain=False)
     late = [
         moment for _, _, moment in outcome.completed if moment > seconds / 3
     ]
@@ -140,14 +141,14 @@
 
 
 def measure(
-    setup: simulation.Setup,
+    setup: setup_lib.Setup,
     plans: Sequence[workloads.Plan],
-    fault: simulation.Fault,
+    fault: setup_lib.Fault,
     seconds: float,
     seed: int,
 ) -> Summary:
     """Runs the plans under a setup."""
-    if fault is simulation.Fault.LATE_EVENTS:
+    if fault is setup_lib.Fault.LATE_EVENTS:
         profile = dataclasses.replace(
             setup.profile, event_lag=LATE_SECONDS, event_loss=LATE_LOSS
         )
@@ -166,7 +167,7 @@
 
 def worst_share(
     plans: Sequence[workloads.Plan],
-    outcome: simulation.Outcome,
+    outcome: setup_lib.Outcome,
     seconds: float,
 ) -> float:
     """Returns the worst-served account's share of its fair share.
@@ -195,7 +196,7 @@
 
 def _ideal(plan: workloads.Plan) -> Sequence[float]:
     """Returns when each call would end in a full batch without a wait."""
-    profile = simulation.PROFILE
+    profile = setup_lib.PROFILE
     pace = 1.0 + profile.batch_slope * (profile.batch - 1)
     found: list[float] = []
     now = plan.start
@@ -221,7 +222,7 @@
 def _compare(
     case: str,
     plans: Sequence[workloads.Plan],
-    fault: simulation.Fault,
+    fault: setup_lib.Fault,
     seconds: float,
     seed: int,
     load: float,
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -6,19 +6,18 @@
 from collections.abc import Sequence
 import contextlib
 import dataclasses
-import enum
 import random
 
 import gevent
 import gevent.event
 
+from bench import simulation_setup as setup_lib
 from bench import workloads
 from endivepier import errors
 from endivepier.membership import members
 from endivepier.ownership import placement
 from endivepier.scheduling import dispatch
 from endivepier.scheduling import ejection
-from endivepier.scheduling import policies
 from endivepier.scheduling import queue as queue_lib
 from endivepier.scheduling import router as router_lib
 from endivepier.scheduling import work as work_lib
@@ -41,78 +40,6 @@
 TRIES = 20
 LEAST_RETRY_SECONDS = 0.2
 LATENCY_SECONDS = 0.0015
-PROFILE = engine_lib.EngineProfile(tokens_per_event=64, kv_tokens=120000)
-
-
-class Fault(enum.StrEnum):
-    """What goes wrong at a third of the run, until its end."""
-
-    NONE = "none"
-    KILLED = "killed"
-    SLOWED = "slowed"
-    LATE_EVENTS = "late_events"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Setup:
-    """What is measured.
-
-    Attributes:
-        queue: the policy of the queues.
-        route: the policy of the routers.
-        slots: requests at an engine at a time.
-        waiting: requests that may wait at a sidecar.
-        profile: the engines' speed and size.
-    """
-
-    queue: policies.QueuePolicy
-    route: policies.RoutePolicy
-    slots: int = 8
-    waiting: int = 512
-    profile: engine_lib.EngineProfile = PROFILE
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OwnedCall:
-    """Message: a call for the router of the sidecar that owns the program."""
-
-    work: work_lib.Work
-    request: ports.Generate
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ProgramOver:
-    """Message: the program has ended; its engine memory is to be freed."""
-
-    program_id: str
-
-
-@dataclasses.dataclass(slots=True)
-class Outcome:
-    """What a run gave.
-
-    Attributes:
-        latencies: seconds for each whole program without the flood's.
-        completed: for each call that ended: its program's number in the
-            plans, its turn and the moment.
-        refusals: refusals that the driver saw, without the flood's.
-        flood_refusals: the flood's.
-        failures: programs that gave up.
-        history_tokens: prompt tokens that an engine had seen before.
-        recomputed_tokens: those of them that were not in a cache.
-        tried: calls sent, without the flood's.
-    """
-
-    latencies: list[float] = dataclasses.field(default_factory=list)
-    completed: list[tuple[int, int, float]] = dataclasses.field(
-        default_factory=list
-    )
-    refusals: int = 0
-    flood_refusals: int = 0
-    failures: int = 0
-    history_tokens: int = 0
-    recomputed_tokens: int = 0
-    tried: int = 0
 
 
 class _View:
@@ -185,7 +112,7 @@
     """The parts of a sidecar that schedule."""
 
     def __init__(
-        self, cluster: Cluster, number: int, setup: Setup, seed: int
+        self, cluster: Cluster, number: int, setup: setup_lib.Setup, seed: int
     ) -> None:
         self.address = f"sidecar:{number}"
         self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
@@ -229,16 +156,20 @@
         )
         self.dispatcher.register(self.host.inbox, lambda: None)
         self.host.inbox.register_stream(
-            OwnedCall, ports.EngineEvent, self._generate
+            setup_lib.OwnedCall, ports.EngineEvent, self._generate
         )
 
-        self.host.inbox.register(ProgramOver, work_lib.Released, self._end)
+        self.host.inbox.register(
+            setup_lib.ProgramOver, work_lib.Released, self._end
+        )
 
-    def _end(self, req: ProgramOver) -> work_lib.Released:
+    def _end(self, req: setup_lib.ProgramOver) -> work_lib.Released:
         self.router.release(req.program_id)
         return work_lib.Released()
 
-    def _generate(self, req: OwnedCall) -> Iterator[ports.EngineEvent]:
+    def _generate(
+        self, req: setup_lib.OwnedCall
+    ) -> Iterator[ports.EngineEvent]:
         yield from self.router.generate(
             work_lib.Generate(req.work, req.request)
         )
@@ -262,14 +193,14 @@
 class Cluster:
     """Engines with sidecars, and a driver that stands for entry hosts."""
 
-    def __init__(self, setup: Setup, seed: int) -> None:
+    def __init__(self, setup: setup_lib.Setup, seed: int) -> None:
         self.timers = clock.VirtualTimers()
         self.network = network_lib.Network(
             self.timers, latency_seconds=LATENCY_SECONDS
         )
         self.entry = self.network.add(ENTRY)
         self.entry_view = _View(self, ENTRY)
-        self.outcome = Outcome()
+        self.outcome = setup_lib.Outcome()
         self.snapshot: list[members.Member] = []
         self._sidecars = {
             sidecar.address: sidecar
@@ -291,11 +222,11 @@
     def run(
         self,
         plans: Sequence[workloads.Plan],
-        fault: Fault,
+        fault: setup_lib.Fault,
         seconds: float,
         *,
         drain: bool = True,
-    ) -> Outcome:
+    ) -> setup_lib.Outcome:
         """Runs all plans and returns what came out."""
         beats = self.timers.every(VIEW_SECONDS, self._beat)
         rounds = self.timers.every(SUSPECT_SECONDS, self._ask_suspects)
@@ -337,14 +268,14 @@
             sidecar.view.ask_suspects()
         self.entry_view.ask_suspects()
 
-    def _break(self, fault: Fault) -> None:
+    def _break(self, fault: setup_lib.Fault) -> None:
         victim = self._sidecars["sidecar:2"]
         match fault:
-            case Fault.KILLED:
+            case setup_lib.Fault.KILLED:
                 victim.host.kill()
-            case Fault.SLOWED:
+            case setup_lib.Fault.SLOWED:
                 victim.engine.faults.slowdown = 10.0
-            case Fault.NONE | Fault.LATE_EVENTS:
+            case setup_lib.Fault.NONE | setup_lib.Fault.LATE_EVENTS:
                 pass
 
     def _program(self, number: int, plan: workloads.Plan) -> None:
@@ -375,7 +306,7 @@
 
     def _end(self, plan: workloads.Plan) -> None:
         owner = self._owner(plan.program_id)
-        over = ProgramOver(plan.program_id)
+        over = setup_lib.ProgramOver(plan.program_id)
         try:
             self.entry.peers.call(
                 owner.address, over, work_lib.Released, seconds=1.0
@@ -397,7 +328,7 @@
         step: workloads.Step,
         conversation: Sequence[ports.ChatMessage],
         attained: int,
-    ) -> OwnedCall:
+    ) -> setup_lib.OwnedCall:
         work = work_lib.Work(
             account=plan.account,
             weight=1.0,
@@ -414,10 +345,10 @@
             messages=tuple(conversation),
             max_tokens=step.output,
         )
-        return OwnedCall(work, request)
+        return setup_lib.OwnedCall(work, request)
 
     def _until_done(
-        self, plan: workloads.Plan, call: OwnedCall
+        self, plan: workloads.Plan, call: setup_lib.OwnedCall
     ) -> ports.Finished | None:
         """Sends a call until it is done, as a patient client does."""
         for attempt in range(TRIES):
@@ -442,7 +373,7 @@
         else:
             self.outcome.refusals += 1
 
-    def _once(self, call: OwnedCall) -> ports.Finished | None:
+    def _once(self, call: setup_lib.OwnedCall) -> ports.Finished | None:
         owner = self._owner(call.work.program_id)
         last: ports.EngineEvent | None = None
         for event in self.entry.peers.stream(
--- a/src/endivepier/history/journal.py
+++ b/src/endivepier/history/journal.py
@@ -17,6 +17,7 @@
 from endivepier.history import commits
 from endivepier.history import records
 from endivepier.history import replicas as replicas_lib
+from endivepier.history import stored as stored_lib
 from endivepier.history import turns as turns_lib
 from endivepier.internal import codec
 from endivepier.internal import ids as ids_lib
@@ -31,62 +32,6 @@
 POLL_SECONDS = 0.25
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class GroupLimits:
-    """When a group commit is due, and how large it gets.
-
-    Attributes:
-        seconds: least time from one transaction's end to the next one's
-            start, in which changes gather. A change that comes after a quiet
-            time does not wait, since nothing would be grouped with it.
-        programs: most programs in one transaction.
-        size: most bytes of turns in one transaction, unless it is one turn.
-        unflushed: most bytes that may wait for the table in an outage.
-    """
-
-    seconds: float = 0.02
-    programs: int = 100
-    size: int = 512 * 1024
-    unflushed: int = 16 * 1024 * 1024
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Stored:
-    """A program as the journal has it.
-
-    Attributes:
-        row: the program's row.
-        version: the row's version in the table; 0 if it is not there yet.
-        turns: all turns, in order.
-        epoch: the epoch under which it was loaded.
-        size: bytes of the turns' text.
-        durable: the serial that the table has.
-        safe: the serial that can't get lost.
-        waiting: turns that the table does not have.
-        waiters: set when one of the above has changed.
-        failure: why nothing more can be written.
-        drawn: what a child is known to have drawn from its parent.
-    """
-
-    row: records.ProgramRow
-    version: int
-    turns: tuple[records.TurnRow, ...]
-    epoch: int
-    size: int = 0
-    durable: int = 0
-    safe: int = 0
-    waiting: tuple[records.TurnRow, ...] = ()
-    waiters: list[gevent.event.Event] = dataclasses.field(default_factory=list)
-    failure: errors.EndivepierError | None = None
-    drawn: records.Draw | None = None
-
-    def notify(self) -> None:
-        """Wakes who waits for a change."""
-        waiters, self.waiters = self.waiters, []
-        for waiter in waiters:
-            waiter.set()
-
-
 class Journal:
     """Reads programs and appends to them."""
 
@@ -99,7 +44,7 @@
         timers: timers_lib.Timers,
         ids: ids_lib.Ids,
         metrics: metrics_lib.Metrics,
-        limits: GroupLimits | None = None,
+        limits: stored_lib.GroupLimits | None = None,
     ) -> None:
         self._table = platform_table
         self._shards = shards
@@ -107,15 +52,15 @@
         self._timers = timers
         self._ids = ids
         self._metrics = metrics
-        self._limits = limits or GroupLimits()
+        self._limits = limits or stored_lib.GroupLimits()
         self._committer = commits.GroupCommitter(
             platform_table, platform_objects, timers, ids
         )
         self._reader = turns_lib.Reader(
             platform_table, platform_objects, timers
         )
-        self._open: dict[str, Stored] = {}
-        self._in_flight: dict[str, Stored] = {}
+        self._open: dict[str, stored_lib.Stored] = {}
+        self._in_flight: dict[str, stored_lib.Stored] = {}
         self._flushing = False
         self._flushed_at = -math.inf
         self._holders: dict[str, set[str]] = {}
@@ -128,7 +73,7 @@
         """
         return self._table.get(records.program_key(program_id))
 
-    def load(self, program_id: str, epoch: int) -> Stored | None:
+    def load(self, program_id: str, epoch: int) -> stored_lib.Stored | None:
         """Returns a program with its turns, or None.
 
         Raises:
@@ -140,7 +85,7 @@
             return None
         row = codec.decode(records.ProgramRow, found.value)
         turns = self._reader.turns(row)
-        return Stored(
+        return stored_lib.Stored(
             row=row,
             version=found.version,
             turns=turns,
@@ -152,7 +97,7 @@
 
     def merge(
         self,
-        stored: Stored,
+        stored: stored_lib.Stored,
         extra: replicas_lib.Unflushed,
         holders: tuple[str, ...],
     ) -> bool:
@@ -190,7 +135,7 @@
 
     def append(
         self,
-        stored: Stored,
+        stored: stored_lib.Stored,
         row: records.ProgramRow,
         turn: records.TurnRow | None = None,
     ) -> None:
@@ -207,7 +152,7 @@
             stored.size += turns_lib.size_of(turn)
         self._submit(stored)
 
-    def settle(self, stored: Stored) -> None:
+    def settle(self, stored: stored_lib.Stored) -> None:
         """Waits until all that a program has can't get lost.
 
         Raises:
@@ -270,7 +215,7 @@
         )
         return waiting < self._limits.unflushed
 
-    def is_open(self, stored: Stored) -> bool:
+    def is_open(self, stored: stored_lib.Stored) -> bool:
         """Returns whether the program has what the table does not."""
         return stored.durable < stored.row.serial and stored.failure is None
 
@@ -288,7 +233,7 @@
             self._timers.sleep(self._limits.seconds)
         return not self._open
 
-    def _submit(self, stored: Stored) -> None:
+    def _submit(self, stored: stored_lib.Stored) -> None:
         self._open[stored.row.program_id] = stored
         if not self._flushing:
             self._flushing = True
@@ -342,7 +287,10 @@
         self._release_replicas(result)
 
     def _written(
-        self, stored: Stored, change: commits.Change, result: commits.Result
+        self,
+        stored: stored_lib.Stored,
+        change: commits.Change,
+        result: commits.Result,
     ) -> None:
         stored.version = result.version
         stored.durable = change.row.serial
@@ -353,13 +301,15 @@
             self._close(stored)
         stored.notify()
 
-    def _fenced(self, stored: Stored, change: commits.Change) -> None:
+    def _fenced(
+        self, stored: stored_lib.Stored, change: commits.Change
+    ) -> None:
         """Gives up a program that somebody else has written."""
         self._metrics.count("fenced_programs")
         if stored.failure is None:
             self._fail(stored)
 
-    def _lost(self, stored: Stored, change: commits.Change) -> None:
+    def _lost(self, stored: stored_lib.Stored, change: commits.Change) -> None:
         """Gives up a program whose shard's row has changed."""
         shard = change.lease.shard
         lease = self._shards.for_writing(shard, stored.epoch)
@@ -371,19 +321,19 @@
             self._fail(stored)
         self._shards.drop(shard, change.lease.epoch)
 
-    def _close(self, stored: Stored) -> None:
+    def _close(self, stored: stored_lib.Stored) -> None:
         program_id = stored.row.program_id
         if self._open.get(program_id) is stored:
             self._open.pop(program_id)
 
-    def _fail(self, stored: Stored) -> None:
+    def _fail(self, stored: stored_lib.Stored) -> None:
         self._close(stored)
         stored.failure = errors.Fenced(
             f"{_shard_of(stored)} is no longer ours; ask its new owner"
         )
         stored.notify()
 
-    def _replicate(self, stored: Stored) -> None:
+    def _replicate(self, stored: stored_lib.Stored) -> None:
         """Has a replica hold what the program has unflushed."""
         lease = self._shards.for_writing(_shard_of(stored), stored.epoch)
         if lease is None or not self.can_hold_more():
@@ -410,5 +360,5 @@
             self._replicas.tell_flushed(address, known[shard], serials)
 
 
-def _shard_of(stored: Stored) -> str:
+def _shard_of(stored: stored_lib.Stored) -> str:
     return ids_lib.parse_program(stored.row.program_id).shard_name
--- a/src/endivepier/limits/limiter.py
+++ b/src/endivepier/limits/limiter.py
@@ -20,6 +20,7 @@
 from endivepier.configuration import state as state_lib
 from endivepier.internal import peers as peers_lib
 from endivepier.limits import bucket as bucket_lib
+from endivepier.limits import forecast as forecast_lib
 from endivepier.limits import lending
 from endivepier.limits import messages
 from endivepier.limits import policies
@@ -31,8 +32,6 @@
 EXPECTED_WAIT_SECONDS = 0.95
 SHORTEST_PAUSE_SECONDS = 0.0005
 MAX_STALE_SECONDS = 0.1
-MAX_RETRY_AFTER_SECONDS = 60.0
-NO_SHARE_RETRY_SECONDS = 1.0
 UPKEEP_SECONDS = 0.1
 PUBLISH_SECONDS = 1.0
 MAX_LABELLED_ACCOUNTS = 64
@@ -70,6 +69,7 @@
         self._metrics = metrics
         self._fallback = fallback
         self._policy = policy or policies.Lending()
+        self._forecast = forecast_lib.Forecast(rights, self._policy)
         self._buckets: dict[str, bucket_lib.Bucket] = {}
         self._active: set[str] = set()
         self._labelled: set[str] = set()
@@ -133,18 +133,20 @@
             raise self._refusal(account, bucket, now)
         bucket = self._touched(account)
         if bucket is None:
-            raise _refused(account, NO_SHARE_RETRY_SECONDS)
+            raise forecast_lib.refused(
+                account, forecast_lib.NO_SHARE_RETRY_SECONDS
+            )
         self._active.add(account)
         bucket.arrive(now)
         if not bucket.waiters and bucket.take():
             bucket.counts.admitted += 1
             self._borrow_ahead(account, bucket, now)
             return
-        wait = self._expected_wait(bucket, len(bucket.waiters) + 1, now)
-        if wait > EXPECTED_WAIT_SECONDS + self._starts_in(bucket):
+        wait = self._forecast.wait(bucket, len(bucket.waiters) + 1, now)
+        if wait > EXPECTED_WAIT_SECONDS + self._forecast.starts_in(bucket):
             bucket.free_at = now + wait
             bucket.refuse_until = bucket.free_at - EXPECTED_WAIT_SECONDS
-            if self._lends():
+            if self._forecast.lends:
                 bucket.refuse_until = min(bucket.refuse_until, bucket.sweep_at)
             raise self._refusal(account, bucket, now)
         self._wait(account, bucket, now)
@@ -162,7 +164,9 @@
                 seconds=2 * MAX_WAIT_SECONDS,
             )
         except errors.PeerUnreachable:
-            raise _refused(account, NO_SHARE_RETRY_SECONDS) from None
+            raise forecast_lib.refused(
+                account, forecast_lib.NO_SHARE_RETRY_SECONDS
+            ) from None
 
     def _take_for_peer(self, req: messages.Take) -> messages.Taken:
         self._admit_here(req.account)
@@ -171,7 +175,7 @@
     def _wait(
         self, account: str, bucket: bucket_lib.Bucket, now: float
     ) -> None:
-        longest = MAX_WAIT_SECONDS + self._starts_in(bucket)
+        longest = MAX_WAIT_SECONDS + self._forecast.starts_in(bucket)
         waiter = bucket_lib.Waiter(now + longest, gevent.event.Event())
         bucket.waiters.append(waiter)
         if not bucket.pumping:
@@ -190,7 +194,7 @@
             bucket.counts.destroyed += 1.0
         if not waiter.admitted or stale:
             bucket.counts.refused += 1
-            raise _refused(account, waiter.retry_after)
+            raise forecast_lib.refused(account, waiter.retry_after)
         bucket.counts.admitted += 1
         bucket.counts.waited += 1
 
@@ -219,14 +223,14 @@
             return
         self._start_sweep(account, bucket, now)
         pause = bucket.waiters[0].deadline - now
-        starts_in = self._starts_in(bucket)
+        starts_in = self._forecast.starts_in(bucket)
         if starts_in > 0:
             pause = min(pause, starts_in)
         speed = bucket.fraction * bucket.rate
         if speed > 0:
             missing = 1.0 - bucket.available()
             pause = min(pause, max(missing / speed, 0.0) * 1.002 + 1e-6)
-        if self._lends() and not bucket.sweeping:
+        if self._forecast.lends and not bucket.sweeping:
             pause = min(pause, bucket.sweep_at - now)
         self._timers.wait(wake, max(pause, SHORTEST_PAUSE_SECONDS))
 
@@ -234,58 +238,19 @@
         """Refuses those for whom no token can come in time, the last first."""
         while bucket.waiters and now >= bucket.waiters[0].deadline:
             first = bucket.waiters.popleft()
-            first.retry_after = _retry_after(
-                self._expected_wait(bucket, len(bucket.waiters) + 1, now)
+            first.retry_after = forecast_lib.retry_after(
+                self._forecast.wait(bucket, len(bucket.waiters) + 1, now)
             )
             first.decide(now)
         while bucket.waiters:
             last = bucket.waiters[-1]
-            wait = self._expected_wait(bucket, len(bucket.waiters), now)
+            wait = self._forecast.wait(bucket, len(bucket.waiters), now)
             if now + wait <= last.deadline:
                 break
             bucket.waiters.pop()
-            last.retry_after = _retry_after(wait)
+            last.retry_after = forecast_lib.retry_after(wait)
             last.decide(now)
 
-    def _expected_wait(
-        self, bucket: bucket_lib.Bucket, position: int, now: float
-    ) -> float:
-        """Returns when the token for a place in the queue will be there.
-
-        As long as peers may have tokens, the whole account's rate is hoped
-        for; after asking in vain, only what refills here.
-        """
-        missing = position - bucket.available()
-        if missing <= 0:
-            return 0.0
-        if self._lends() and self._may_find_loans(bucket, now):
-            return missing / bucket.rate if bucket.rate > 0 else math.inf
-        starts_in = self._starts_in(bucket)
-        fraction = bucket.fraction
-        if starts_in > 0:
-            fraction = 1.0 / max(1, len(self._rights.epoch.holders))
-        speed = fraction * bucket.rate
-        return starts_in + missing / speed if speed > 0 else math.inf
-
-    def _may_find_loans(self, bucket: bucket_lib.Bucket, now: float) -> bool:
-        return (
-            bucket.sweeping or now >= bucket.sweep_at or bucket.backoff == 0.0
-        )
-
-    def _starts_in(self, bucket: bucket_lib.Bucket) -> float:
-        """Returns when this process's share begins; 0 if it has any.
-
-        After a restart of all entry hosts nobody has tokens until the rights
-        of their earlier incarnations are over. Requests wait for that, rather
-        than being refused.
-        """
-        if bucket.fraction > 0:
-            return 0.0
-        return self._rights.starts_in()
-
-    def _lends(self) -> bool:
-        return isinstance(self._policy, policies.Lending)
-
     def _borrow_ahead(
         self, account: str, bucket: bucket_lib.Bucket, now: float
     ) -> None:
@@ -296,7 +261,7 @@
     def _start_sweep(
         self, account: str, bucket: bucket_lib.Bucket, now: float
     ) -> None:
-        if not self._lends() or bucket.sweeping or now < bucket.sweep_at:
+        if not self._forecast.lends or bucket.sweeping or now < bucket.sweep_at:
             return
         if self._borrower.wanted(account, bucket) is None:
             return
@@ -395,7 +360,9 @@
         now: float,
     ) -> errors.Refused:
         bucket.counts.refused += 1
-        return _refused(account, _retry_after(bucket.free_at - now))
+        return forecast_lib.refused(
+            account, forecast_lib.retry_after(bucket.free_at - now)
+        )
 
     def _publish(self, account: str, counts: bucket_lib.Counts) -> None:
         if len(self._labelled) < MAX_LABELLED_ACCOUNTS:
@@ -411,18 +378,3 @@
         ):
             if amount:
                 self._metrics.count(name, amount, account=label)
-
-
-def _retry_after(wait: float) -> float:
-    if math.isinf(wait):
-        return NO_SHARE_RETRY_SECONDS
-    return min(wait, MAX_RETRY_AFTER_SECONDS)
-
-
-def _refused(account: str, wait: float) -> errors.Refused:
-    return errors.Refused(
-        errors.Code.RATE_LIMITED,
-        429,
-        f"client account {account!r} is over its rate; retry later",
-        retry_after=wait,
-    )
--- a/src/endivepier/sidecar/families.py
+++ b/src/endivepier/sidecar/families.py
@@ -14,6 +14,7 @@
 from endivepier.history import journal as journal_lib
 from endivepier.history import messages
 from endivepier.history import records
+from endivepier.history import stored as stored_lib
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import peers as peers_lib
 from endivepier.sidecar import registry as registry_lib
@@ -83,7 +84,7 @@
             self._journal.settle(stored)
         return messages.Drawn(budgets.left_seconds(stored.row, now))
 
-    def cover(self, stored: journal_lib.Stored, wanted: records.Draw) -> None:
+    def cover(self, stored: stored_lib.Stored, wanted: records.Draw) -> None:
         """Makes sure that a child has drawn `wanted` from its parent.
 
         Takes a bit more if the parent has it, so that not every call asks.
--- a/src/endivepier/sidecar/matching.py
+++ b/src/endivepier/sidecar/matching.py
@@ -7,6 +7,7 @@
 from endivepier.history import messages
 from endivepier.history import receipts as receipts_lib
 from endivepier.history import records
+from endivepier.history import stored as stored_lib
 from endivepier.history import turns as turns_lib
 from endivepier.sidecar import registry as registry_lib
 from endivepier.targets import ports as target_ports
@@ -26,7 +27,7 @@
         self._receipts = receipts
 
     def added(
-        self, stored: journal_lib.Stored, req: messages.ModelCall
+        self, stored: stored_lib.Stored, req: messages.ModelCall
     ) -> tuple[target_ports.ChatMessage, ...]:
         """Returns what the call adds to the history.
 
@@ -44,7 +45,7 @@
         return req.messages[len(known) :]
 
     def _check_receipt(
-        self, stored: journal_lib.Stored, req: messages.ModelCall
+        self, stored: stored_lib.Stored, req: messages.ModelCall
     ) -> None:
         """Refuses to run on a history that the caller has not seen.
 
@@ -69,7 +70,7 @@
 
 
 def earlier(
-    stored: journal_lib.Stored, req: messages.ModelCall
+    stored: stored_lib.Stored, req: messages.ModelCall
 ) -> records.TurnRow | None:
     """Returns the turn that the same call made before, or None."""
     for turn in stored.turns:
--- a/src/endivepier/sidecar/measures.py
+++ b/src/endivepier/sidecar/measures.py
@@ -4,8 +4,8 @@
 
 from endivepier import timers as timers_lib
 from endivepier.configuration import current as current_lib
-from endivepier.history import journal as journal_lib
 from endivepier.history import records
+from endivepier.history import stored as stored_lib
 from endivepier.targets import ports as target_ports
 from endivepier.telemetry import metrics as metrics_lib
 
@@ -32,7 +32,7 @@
         self._metrics.observe("program_seconds", seconds, kind=row.kind)
 
     def call_done(
-        self, stored: journal_lib.Stored, event: target_ports.Finished
+        self, stored: stored_lib.Stored, event: target_ports.Finished
     ) -> None:
         """Counts a model call before its turn is added to the history.
 
--- a/src/endivepier/sidecar/programs.py
+++ b/src/endivepier/sidecar/programs.py
@@ -15,6 +15,7 @@
 from endivepier.history import messages
 from endivepier.history import receipts as receipts_lib
 from endivepier.history import records
+from endivepier.history import stored as stored_lib
 from endivepier.history import turns as turns_lib
 from endivepier.internal import ids as ids_lib
 from endivepier.internal import peers as peers_lib
@@ -164,7 +165,7 @@
 
     def _run(
         self,
-        stored: journal_lib.Stored,
+        stored: stored_lib.Stored,
         req: messages.ModelCall,
         added: tuple[target_ports.ChatMessage, ...],
         seconds: float,
@@ -223,7 +224,7 @@
 
     def _finish(
         self,
-        stored: journal_lib.Stored,
+        stored: stored_lib.Stored,
         req: messages.ModelCall,
         turn: records.TurnRow,
     ) -> None:
@@ -235,14 +236,14 @@
         self._journal.append(stored, row, turn)
         self._journal.settle(stored)
 
-    def _charge(self, stored: journal_lib.Stored, used: int) -> None:
+    def _charge(self, stored: stored_lib.Stored, used: int) -> None:
         """Counts what a call that failed may have used."""
         if stored.failure is None:
             row = budgets.settle(stored.row, used, 0, stored.epoch)
             self._journal.append(stored, row)
 
     def _reserve(
-        self, stored: journal_lib.Stored, req: messages.ModelCall
+        self, stored: stored_lib.Stored, req: messages.ModelCall
     ) -> float:
         """Reserves a call's budget; returns the seconds that it may take."""
         seconds = self._open_seconds(stored.row, req.seconds)
@@ -253,14 +254,14 @@
         self._settle_before_dispatch(stored)
         return seconds
 
-    def _cover(self, stored: journal_lib.Stored, tokens: int) -> None:
+    def _cover(self, stored: stored_lib.Stored, tokens: int) -> None:
         """Draws what a child's call needs from its parent."""
         if stored.row.parent:
             budgets.reserve(stored.row, tokens, stored.epoch)
             wanted = budgets.needed(stored.row, tokens, 1)
             self._families.cover(stored, wanted)
 
-    def _settle_before_dispatch(self, stored: journal_lib.Stored) -> None:
+    def _settle_before_dispatch(self, stored: stored_lib.Stored) -> None:
         """Waits for what must be safe first; nothing has been sent yet."""
         shard = ids_lib.parse_program(stored.row.program_id).shard_name
         lease = self._shards.for_writing(shard, stored.epoch)
@@ -288,7 +289,7 @@
 
     def _generate(
         self,
-        stored: journal_lib.Stored,
+        stored: stored_lib.Stored,
         req: messages.ModelCall,
         added: tuple[target_ports.ChatMessage, ...],
         seconds: float,
@@ -316,7 +317,7 @@
 
     def _turn(
         self,
-        stored: journal_lib.Stored,
+        stored: stored_lib.Stored,
         req: messages.ModelCall,
         added: tuple[target_ports.ChatMessage, ...],
         answer: str,
@@ -334,7 +335,7 @@
         )
 
     def _answer(
-        self, stored: journal_lib.Stored, turn: records.TurnRow, cached: int
+        self, stored: stored_lib.Stored, turn: records.TurnRow, cached: int
     ) -> messages.Answer:
         receipt = receipts_lib.Receipt(
             stored.row.program_id, turn.turn, turn.digest
@@ -351,12 +352,12 @@
         )
 
     def _replay(
-        self, stored: journal_lib.Stored, turn: records.TurnRow
+        self, stored: stored_lib.Stored, turn: records.TurnRow
     ) -> Iterator[messages.CallEvent]:
         yield messages.Chunk(turn.answer)
         yield self._answer(stored, turn, 0)
 
-    def _view_of(self, stored: journal_lib.Stored) -> messages.ProgramView:
+    def _view_of(self, stored: stored_lib.Stored) -> messages.ProgramView:
         row = stored.row
         receipt = receipts_lib.Receipt(row.program_id, row.turn, row.digest)
         return messages.ProgramView(
--- a/src/endivepier/sidecar/registry.py
+++ b/src/endivepier/sidecar/registry.py
@@ -19,6 +19,7 @@
 from endivepier.history import journal as journal_lib
 from endivepier.history import records
 from endivepier.history import replicas as replicas_lib
+from endivepier.history import stored as stored_lib
 from endivepier.internal import ids as ids_lib
 from endivepier.membership import view as view_lib
 from endivepier.ownership import leases
@@ -43,7 +44,7 @@
         counted: bytes of its history that the registry has counted.
     """
 
-    stored: journal_lib.Stored
+    stored: stored_lib.Stored
     lock: gevent.lock.BoundedSemaphore
     used: float
     counted: int
@@ -163,7 +164,7 @@
         lease = self.lease(row.program_id)
         program = self._loaded(row.program_id, lease)
         if program is None:
-            stored = journal_lib.Stored(row, 0, (), lease.epoch)
+            stored = stored_lib.Stored(row, 0, (), lease.epoch)
             program = self._add(row.program_id, stored)
             self._journal.append(stored, row)
         return program
@@ -173,7 +174,7 @@
         lease = self.lease(program_id)
         return self._loaded(program_id, lease) is not None
 
-    def reload(self, program_id: str, stored: journal_lib.Stored) -> None:
+    def reload(self, program_id: str, stored: stored_lib.Stored) -> None:
         """Brings what memory has of a program to what the table has."""
         found = self._load(program_id, self.lease(program_id))
         if found is not None:
@@ -193,7 +194,7 @@
             program_id = extra.row.program_id
             stored = self._load(program_id, lease)
             if stored is None:
-                stored = journal_lib.Stored(
+                stored = stored_lib.Stored(
                     dataclasses.replace(extra.row, serial=0, turn=0, digest=""),
                     0,
                     (),
@@ -288,7 +289,7 @@
 
     def _load(
         self, program_id: str, lease: leases.Lease
-    ) -> journal_lib.Stored | None:
+    ) -> stored_lib.Stored | None:
         try:
             stored = self._journal.load(program_id, lease.epoch)
         except errors.Unavailable:
@@ -299,7 +300,7 @@
         return stored
 
     def _write_off(
-        self, stored: journal_lib.Stored, lease: leases.Lease
+        self, stored: stored_lib.Stored, lease: leases.Lease
     ) -> None:
         """Counts what a lost owner had reserved as used."""
         row = stored.row
@@ -314,7 +315,7 @@
             return
         stored.row = budgets.write_off(row)
 
-    def _add(self, program_id: str, stored: journal_lib.Stored) -> Program:
+    def _add(self, program_id: str, stored: stored_lib.Stored) -> Program:
         self._remove(program_id)
         program = Program(
             stored,
--- a/tests/cover/test_router.py
+++ b/tests/cover/test_router.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bench import simulation
+from bench import simulation_setup as setup_lib
 from endivepier import errors
 from endivepier.membership import members
 from endivepier.scheduling import ejection
@@ -17,7 +18,7 @@
 from endivepier.standins import engine as engine_lib
 from endivepier.targets import ports
 
-SETUP = simulation.Setup(policies.FairShare(), policies.OwnerFirst())
+SETUP = setup_lib.Setup(policies.FairShare(), policies.OwnerFirst())
 
 
 def member(number, *, pace=0.01, **fields):
