--- a/src/endivepier/standins/network.py
+++ b/src/endivepier/standins/network.py
@@ -43,7 +43,8 @@
         self.timers = _HostTimers(self, network.timers)
         self.peers = _HostPeers(self)
         self.alive = True
-        self.serving: set[gevent.Greenlet] = set()
+        # In the order of their start, so that a seed ends them alike.
+        self.serving: dict[gevent.Greenlet, None] = {}
         self._runs = gevent.event.Event()
         self._runs.set()
 
@@ -218,8 +219,8 @@
         self._network.bytes += len(body)
         self._peer = peer
         self._task = gevent.spawn(self._serve, peer, type(req), body)
-        peer.serving.add(self._task)
-        self._task.link(lambda task: peer.serving.discard(task))
+        peer.serving[self._task] = None
+        self._task.link(lambda task: peer.serving.pop(task, None))
         self._task.link(lambda task: self._queue.put(_END))
 
     def first(self) -> bytes:
--- a/tests/common/callers.py
+++ b/tests/common/callers.py
@@ -60,8 +60,8 @@
 
         done = gevent.event.Event()
         task = gevent.spawn(run)
-        host.serving.add(task)
-        task.link(lambda _: (host.serving.discard(task), done.set()))
+        host.serving[task] = None
+        task.link(lambda _: (host.serving.pop(task, None), done.set()))
         in_time = self.fleet.timers.wait(done, seconds)
         if not in_time or not outcome:
             task.kill(block=False)
