--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -120,10 +120,6 @@
             self._links.now() - self._sent_at,
         )
 
-    def buffered(self) -> bool:
-        """Returns whether more of the body can be read without waiting."""
-        return self._conn.buffered()
-
     def __enter__(self) -> Exchange:
         return self
 
--- a/src/endivepier/gateway/model.py
+++ b/src/endivepier/gateway/model.py
@@ -238,7 +238,6 @@
         seconds_left: how long the client still waits.
         body: what the target receives as body.
         last_event: event after which the stream shall go on, or None.
-        urgency: 0 (first) to 9, or None for the target's default.
     """
 
     target: Target
@@ -246,7 +245,6 @@
     seconds_left: float
     body: bytes
     last_event: int | None = None
-    urgency: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/endivepier/http1/client.py
+++ b/src/endivepier/http1/client.py
@@ -69,10 +69,6 @@
                 return part
             self._receive(deadline)
 
-    def buffered(self) -> bool:
-        """Returns whether a part can be read without waiting."""
-        return bool(self._reader.parts)
-
     def reusable(self) -> bool:
         """Returns whether another request may be sent on it now.
 
