Hold each account's rate at a few owners instead of one

Cause: a host wrote its demand into an account's row only if it held a part of it, so that no second host ever held one: every account lay whole at one owner. Change: the first two or more hosts by hash hold equal parts, one for each 40 tokens of burst. A program has one of them as its home, which decides whether it may begin; others are asked where it has no room. Demand in rows, and the parts that followed it, are gone. A full bucket is never pressed.

--- a/src/endivepier/gateway/share_renewals.py
+++ b/src/endivepier/gateway/share_renewals.py
@@ -1,7 +1,9 @@
 """Renews this host's fractions of the accounts' rates.
 
-The rows say what each host holds and how much is asked of it. A host gives up
-what is more than its part of the demand, and takes what others have given up.
+Each account has a few owners, found by hashing, that hold its rate in equal
+parts and lend to all other hosts. Several, so that the account keeps most of
+its rate when one of them is lost: what that one held is free only after its
+lease. Few, so that one host has enough tokens to carry programs to their ends.
 """
 
 from __future__ import annotations
@@ -20,6 +22,7 @@
 from endivepier.gateway import share_rows
 from endivepier.internal import codec
 from endivepier.internal import rendezvous
+from endivepier.limits import bucket as bucket_lib
 from endivepier.limits import leases
 from endivepier.storage import commit
 from endivepier.storage import ports
@@ -27,15 +30,12 @@
 # Longer than the store outages that the deployments' pages tell of (9 s), so
 # that accounts keep their rates through one.
 LEASE_SECONDS = 15.0
-RENEW_SECONDS = 1.0  # how soon fractions follow a shift of demand
-SHORT_RENEW_SECONDS = 0.3  # while this host lacks tokens
+RENEW_SECONDS = 1.0  # how soon a lost owner's successor looks for its part
 KEEP_ALIVE_SECONDS = 4.0  # a lease survives three lost renewals
 COMMIT_SECONDS = 2.0  # below the wait between two renewals of a calm host
-MIN_CHANGE = 0.1  # relative change of a fraction that is worth a write
-# Part of an account's rate that stays with its owner, whatever the demand,
-# to be lent to hosts that demand comes to.
-EVEN_SHARE = 0.15
-LEAST_TOKENS = 4.0  # what a bucket must be able to hold to be worth a share
+# What an owner's bucket must be able to hold: some four programs at once.
+OWNER_TOKENS = 40.0
+LEAST_OWNERS = 2  # one may be lost at any time
 BATCH_ROWS = 45  # a transaction holds 100 entries: a condition and a put each
 # A host that has just started has admitted nothing for longer than this:
 # its former process had ended, and this one had to start.
@@ -53,6 +53,7 @@
         ready: whether the rows have been read and written once.
         holders: how many hosts are known, this one included.
         local: what this host holds.
+        holder: name of this host, the same after a restart.
     """
 
     def __init__(
@@ -79,7 +80,7 @@
         """
         self.ready = False
         self.holders = 1
-        self._holder = holder
+        self.holder = holder
         self._catalog = catalog
         self._table = table
         self._timers = timers
@@ -100,11 +101,12 @@
         if self._task is not None:
             self._task.kill()
 
-    def owner(self, account: str) -> str:
-        """Returns the host that holds what no other host asks for."""
-        return rendezvous.choose(
-            account, [*self._peers.askable(), self._holder]
-        )
+    def owners(self, account: model.Account) -> list[str]:
+        """Returns the hosts that hold an account's rate, in a fixed order."""
+        hosts = [*self._peers.askable(), self.holder]
+        tokens = account.burst + self.local.tolerance
+        count = max(LEAST_OWNERS, int(tokens / OWNER_TOKENS))
+        return rendezvous.rank(account.name, hosts, count)
 
     def _run(self) -> None:
         while True:
@@ -118,9 +120,6 @@
             except (errors.Unavailable, errors.OutcomeUnknown) as exc:
                 self._note(exc)
             seconds = RENEW_SECONDS if self.ready else RENEW_SECONDS / 10
-            if self.local.short:
-                seconds = SHORT_RENEW_SECONDS
-            self.local.short = False
             self._timers.sleep(seconds * self._rng.uniform(0.8, 1.2))
 
     def _note(self, exc: Exception | None) -> None:
@@ -179,7 +178,7 @@
                 else ports.VersionIs(key, row.version)
             )
             puts.append(ports.Put(key, codec.encode(after)))
-            planned.append((share, after.holders[self._holder].fraction))
+            planned.append((share, after.holders[self.holder].fraction))
         if puts:
             self._commit(conditions, puts, planned, write, now)
 
@@ -194,59 +193,20 @@
         """Returns the row with our new entry; None if nothing is to change."""
         others = self._living(account.name, before, now)
         share.others = others
-        demand = share.bucket.demand(now)
         free = 1.0 - sum(entry.fraction for entry in others.values())
-        owner = self.owner(account.name)
-        if owner == self._holder:
-            wanted = self._rest(account, others, demand)
-        else:
-            wanted = self._wanted(account, others, demand, demand)
+        owners = self.owners(account)
+        wanted = 1.0 / len(owners) if self.holder in owners else 0.0
         fraction = max(0.0, min(wanted, free))
-        mine = before.holders.get(self._holder)
+        mine = before.holders.get(self.holder)
         held = share.fraction if now < share.until else 0.0
         if not (fraction or held) and (mine is None or not mine.fraction):
             return None
-        calm = abs(fraction - held) <= MIN_CHANGE * held
+        calm = abs(fraction - held) <= bucket_lib.ROUNDING
         if calm and mine and now - share.written < KEEP_ALIVE_SECONDS:
             return None
         renewals = 0 if mine is None else mine.renewals + 1
-        entry = share_rows.Entry(fraction, renewals, demand, write)
-        return share_rows.Row({**others, self._holder: entry})
-
-    def _wanted(
-        self,
-        account: model.Account,
-        others: dict[str, share_rows.Entry],
-        own: float,
-        demand: float,
-    ) -> float:
-        """Returns the fraction for a demand; 0 if it would hold no tokens.
-
-        A bucket that can't hold a few tokens is of no use: its host borrows
-        from the owner instead.
-        """
-        floor = EVEN_SHARE * account.rate
-        total = floor + own + sum(entry.demand for entry in others.values())
-        wanted = demand / total
-        if wanted * (account.burst + self.local.tolerance) < LEAST_TOKENS:
-            return 0.0
-        return wanted
-
-    def _rest(
-        self,
-        account: model.Account,
-        others: dict[str, share_rows.Entry],
-        demand: float,
-    ) -> float:
-        """Returns the owner's fraction: what others neither have nor want."""
-        wanted = (
-            max(
-                entry.fraction,
-                self._wanted(account, others, demand, entry.demand),
-            )
-            for entry in others.values()
-        )
-        return 1.0 - sum(wanted)
+        entry = share_rows.Entry(fraction, renewals, write)
+        return share_rows.Row({**others, self.holder: entry})
 
     def _living(
         self, account: str, row: share_rows.Row, now: float
@@ -254,7 +214,7 @@
         """Returns the other holders whose leases may still be in use."""
         living = {}
         for holder, entry in row.holders.items():
-            if holder == self._holder:
+            if holder == self.holder:
                 continue
             seen = self._seen.get((account, holder))
             if seen is None or seen[0] != entry.renewals:
@@ -281,7 +241,7 @@
         assert isinstance(first, ports.Put)
 
         def is_ours(value: bytes) -> bool:
-            mine = codec.decode(share_rows.Row, value).holders.get(self._holder)
+            mine = codec.decode(share_rows.Row, value).holders.get(self.holder)
             return mine is not None and mine.write == write
 
         self._committer.commit(
--- a/src/endivepier/gateway/share_rows.py
+++ b/src/endivepier/gateway/share_rows.py
@@ -16,13 +16,11 @@
     Attributes:
         fraction: of rate and burst.
         renewals: rises with each write of the entry.
-        demand: requests a second that reach the host.
         write: name of the write, to recognize it.
     """
 
     fraction: float
     renewals: int
-    demand: float
     write: str
 
 
@@ -61,11 +59,7 @@
 
 
 class LocalShares:
-    """This host's parts of all accounts.
-
-    Attributes:
-        short: whether a call lacked a token since this was last cleared.
-    """
+    """This host's parts of all accounts."""
 
     def __init__(self, tolerance: float) -> None:
         """Makes an empty set.
@@ -73,7 +67,6 @@
         Args:
             tolerance: requests that each account may make beyond its burst.
         """
-        self.short = False
         self.tolerance = tolerance
         self._shares: dict[str, Share] = {}
 
--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/shares.py
@@ -1,18 +1,16 @@
-"""Rates of client accounts, split over entry hosts by demand.
+"""Rates of client accounts, split over a few owners.
 
-Each entry host holds a fraction of each account's rate and burst, and the
-fractions of one account never add up to more than one. They stand in one row
-an account, which a host changes only under the condition that nobody else
-has. A host asks for the fraction that its demand is of all demand; it gives
-up what is above that at once and gets what is missing once others have.
+The owners of an account (`share_renewals`) hold its rate and burst in parts
+that never add up to more than one. They stand in one row an account, which a
+host changes only under the condition that nobody else has. All other hosts
+ask an owner for each token; what one gives, the other uses at once, so that
+the sum stays.
 
-Demand moves faster than fractions do. A host that runs out of tokens asks the
-account's owner, then peers that have some to spare, for a few; what one gives
-the other gets, so that the sum stays. Beyond that, a call waits a short time
-for the next token. The owner, found by hashing, holds what no other host asks
-for, so that an account whose tokens are too few to be split is not split.
+A program has one of the owners as its home, which decides whether it may
+begin. Later requests take what they find: here, at the home, then at the
+other owners. Beyond that, a request waits a short time for the next token.
 
-A fraction is a lease: a host that can't renew it stops using it before any
+A part is a lease: a host that can't renew it stops using it before any
 other host may count it as free. Others measure that by their own clocks, from
 when they first saw the last renewal. A host that starts again takes over
 what its former process held, since that process is gone.
@@ -32,6 +30,7 @@
 from endivepier.gateway import share_renewals
 from endivepier.gateway import share_rows
 from endivepier.internal import codec
+from endivepier.internal import rendezvous
 
 MAX_RETRY_SECONDS = 2.0  # clients wait a third of their 4 s at most
 QUESTION = "borrow"
@@ -41,9 +40,7 @@
 MIN_WAIT_SECONDS = 0.005  # rounding must not make a wait of nothing
 BORROWED_TOKENS = 3  # a program's turn and its two calls
 BORROW_RETRY_SECONDS = 0.1  # between two questions to the owner
-START_RETRY_SECONDS = 0.5  # for a new program that the owner had no room for
 IDLE_DEMAND = 0.5  # requests a second below which a host lends all it has
-LENDERS_ASKED = 6  # all others of the users' seven hosts
 BORROW_PAUSE_SECONDS = 0.1  # a peer that had nothing to give is not asked
 
 
@@ -114,23 +111,47 @@
         Args and result are those of `admit`.
         """
         end = self._timers.now() + WAIT_SECONDS
-        missing = self.admit(account, program, left, fresh=fresh)
-        while missing is not None:
+        again = False
+        while True:
+            missing = self._try(account, program, left, fresh, again)
+            if missing is None:
+                return None
             share = self._local.of(account, self._timers.now())
-            begins = fresh and not share.starts.knows(program)
-            if begins and share.fraction:
+            if fresh and not share.starts.knows(program):
                 return missing
-            if self._borrow(account, program, left, fresh=fresh):
-                return None
-            if begins:
-                return START_RETRY_SECONDS
             if self._timers.now() + missing > end:
                 return missing
             self._timers.sleep(max(missing, MIN_WAIT_SECONDS))
+            again = True
+
+    def _try(
+        self,
+        account: model.Account,
+        program: str,
+        left: float,
+        fresh: bool,
+        again: bool,
+    ) -> float | None:
+        """Takes a token here or from an owner; see `admit`."""
+        if account.rate <= 0:
+            return None
+        owners = self._renewals.owners(account)
+        home = rendezvous.choose(program or self._renewals.holder, owners)
+        if home == self._renewals.holder:
+            owners.remove(home)
             missing = self.admit(
-                account, program, left, fresh=fresh, again=True
+                account, program, left, fresh=fresh, again=again
             )
-        return None
+            if missing is None:
+                return missing
+        else:
+            owners.sort(key=lambda host: host != home)
+            missing = BORROW_RETRY_SECONDS
+        if self._borrow(account, owners, program, left, fresh=fresh):
+            return None
+        if home != self._renewals.holder:
+            return self.admit(account, program, left, fresh=fresh, again=again)
+        return missing
 
     def admit(
         self,
@@ -167,9 +188,7 @@
         refill = share.fraction * account.rate
         share.starts.see(program, now)
         if fresh and not share.starts.knows(program):
-            missing = share.starts.missing(
-                program, left, now, refill, share.bucket.level
-            )
+            missing = share.starts.missing(program, left, now, share.bucket)
             if missing > 0:
                 return min(missing, MAX_RETRY_SECONDS)
         if share.bucket.take():
@@ -205,33 +224,21 @@
     def _borrow(
         self,
         account: model.Account,
+        owners: list[str],
         program: str,
-        left: float = 0.0,
+        left: float,
         *,
         fresh: bool,
     ) -> bool:
-        """Asks peers for a token; returns whether one was given."""
-        self._local.short = True
+        """Asks owners for a token; returns whether one was given."""
         share = self._local.of(account, self._timers.now())
-
-        def spare(entry: share_rows.Entry) -> float:
-            return entry.fraction * account.rate - entry.demand
-
-        owner = self._renewals.owner(account.name)
-        lenders = sorted(
-            (host for host in share.others if self._may_ask(share, host)),
-            key=lambda host: -spare(share.others[host]),
-        )
-        if self._may_ask(share, owner):
-            lenders = [owner, *(host for host in lenders if host != owner)]
-        if fresh:
-            # What others have to spare is for their programs under way.
-            lenders = lenders[:1]
         # A host without a share can't keep what it does not use at once.
         single = fresh or not share.fraction
         tokens = 1 if single else BORROWED_TOKENS
         body = codec.encode(Borrow(account.name, tokens, program, left, fresh))
-        for host in lenders[:LENDERS_ASKED]:
+        for host in owners:
+            if not self._may_ask(share, host):
+                continue
             try:
                 answer = self._peers.ask(host, QUESTION, body)
             except errors.PeerUnreachable:
@@ -242,7 +249,8 @@
                 self._count(share, program, self._timers.now())
                 return True
             until = self._timers.now() + BORROW_PAUSE_SECONDS
-            share.empty_until[host] = until
+            if not fresh:
+                share.empty_until[host] = until
         return False
 
     def _may_ask(self, share: share_rows.Share, host: str) -> bool:
--- a/src/endivepier/gateway/starts.py
+++ b/src/endivepier/gateway/starts.py
@@ -13,9 +13,13 @@
 import collections
 import dataclasses
 
+from endivepier.limits import bucket as bucket_lib
+
 # Tokens that are gained within this time count as there. Most programs last
 # one to two seconds, so that one which begins finds tokens until its end.
-HORIZON_SECONDS = 1.0
+HORIZON_SECONDS = 1.5
+# A bucket that is so full is not pressed, whatever programs were like before.
+CALM_SHARE = 0.9
 # A program that was silent for so long has ended: between two requests lie
 # one turn at most, and a refusal's `Retry-After`.
 QUIET_SECONDS = 1.5
@@ -92,7 +96,11 @@
         self._programs.move_to_end(program)
 
     def missing(
-        self, program: str, left: float, now: float, rate: float, level: float
+        self,
+        program: str,
+        left: float,
+        now: float,
+        bucket: bucket_lib.Bucket,
     ) -> float:
         """Returns the seconds until a program may begin; 0 for now.
 
@@ -100,11 +108,12 @@
             program: its name.
             left: seconds until it should have ended.
             now: the time.
-            rate: requests a second that this host may admit.
-            level: tokens that it has.
+            bucket: this host's tokens, up to date.
         """
         self._drop_ended(now)
-        if not self._programs:
+        level = bucket.level
+        most = bucket.fraction * bucket.burst
+        if not self._programs or level >= CALM_SHARE * most:
             return 0.0
         owed = sum(
             self._need(each.requests) * _likely(now - each.seen)
@@ -113,6 +122,7 @@
         needed = self._need(0)
         if left < IN_TIME_SHARE * self._refused.get(program, 0.0):
             needed *= 2.0
+        rate = bucket.fraction * bucket.rate
         lacking = owed + needed - level - rate * HORIZON_SECONDS
         if lacking <= 0:
             self._refused.pop(program, None)
--- a/src/endivepier/internal/rendezvous.py
+++ b/src/endivepier/internal/rendezvous.py
@@ -19,3 +19,9 @@
 def choose(name: str, candidates: Iterable[str]) -> str:
     """Returns the candidate that looks after `name`."""
     return max(candidates, key=lambda candidate: weight(name, candidate))
+
+
+def rank(name: str, candidates: Iterable[str], count: int) -> list[str]:
+    """Returns the `count` candidates for `name`, the heaviest first."""
+    heaviest = sorted(candidates, key=lambda each: -weight(name, each))
+    return heaviest[:count]
--- a/tests/cover/gateway/test_shares.py
+++ b/tests/cover/gateway/test_shares.py
@@ -280,6 +280,47 @@
     assert fleet.timers.run(main) is None
 
 
+def test_an_account_goes_on_when_one_of_its_owners_is_lost_for_good():
+    # Each account had one owner that held all of it; when that host was lost,
+    # the account was refused everything for the 15 s of its lease.
+    account = gateway_parts.account(rate=40.0, burst=40.0)
+    fleet = Fleet(7, [account])
+
+    def main():
+        fleet.timers.sleep(3.0)
+        owners = fleet.renewals["h0"].owners(account)
+        fleet.renewals[owners[0]].stop()
+        del fleet.peers[owners[0]]
+        others = [name for name in fleet.hosts if name != owners[0]]
+        for number in range(20):
+            fleet.load(others[number % 6], "acme", 15.0, 1.0)
+
+    fleet.timers.run(main)
+    assert fleet.refused <= 0.02 * len(fleet.admitted)
+    assert fleet.worst_window() <= allowed(account)
+
+
+def test_a_lost_owners_part_is_taken_over_after_its_lease():
+    account = gateway_parts.account(rate=40.0, burst=40.0)
+    fleet = Fleet(7, [account])
+
+    def main():
+        fleet.timers.sleep(3.0)
+        owners = fleet.renewals["h0"].owners(account)
+        fleet.renewals[owners[0]].stop()
+        del fleet.peers[owners[0]]
+        fleet.timers.sleep(
+            share_renewals.LEASE_SECONDS + 3 * share_renewals.RENEW_SECONDS
+        )
+        return sum(
+            renewals.local.find("acme").fraction
+            for name, renewals in fleet.renewals.items()
+            if name != owners[0]
+        )
+
+    assert fleet.timers.run(main) == 1.0
+
+
 def test_a_small_account_is_not_split_into_useless_parts():
     # On the grown deployments 83 accounts were split over 35 hosts, so that
     # no bucket could hold a token: 7,588 refusals on a quiet day.
