Refuse programs before the engines are full, by what all hosts have there

Nearly all began and were late: a host saw only its own calls and noticed a full engine by first events that waited; a turn that came to another host than the one before had its prompt read again wherever the hash pointed; programs refused at first began when it was too late for them; every turn of a kind whose prompts have two parts was taken for its program's first (and sent ahead of its tokens: 502 where 402 was true). Change: hosts exchange their calls under way in headers of their questions; the owner of a budget tells where the program ran last; the owner of an account tells whether a program has begun and how much time it had; tokens of requests that were not sent go back.

--- a/src/endivepier/gateway/budget_owners.py
+++ b/src/endivepier/gateway/budget_owners.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import itertools
@@ -36,6 +37,7 @@
 # A turn that its host has not settled by now never will be: its client has
 # long left. It counts with all it might have generated.
 UNSETTLED_SECONDS = 12.0
+KNOWN_PLACES = 20_000  # programs; an entry is some 200 bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,18 +52,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Begun:
-    """The owner's answer; `number` names what was granted."""
+    """The owner's answer.
+
+    Attributes:
+        state: whether the turn has its tokens.
+        number: names what was granted.
+        place: the target that ran the program's last turn, or empty.
+    """
 
     state: budget_state.State
     number: int
+    place: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class End:
-    """Tells the owner what a turn has used."""
+    """Tells the owner what a turn has used, and at which target."""
 
     number: int
     used: int
+    place: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +90,8 @@
         decided: set once that is known.
         settle: gives back what was not used; set once they are held.
         used: tokens that the turn used, once it has ended.
+        place: the target that ran the program's last turn, or empty. It has
+            the program's prompt in memory.
     """
 
     most: int
@@ -88,15 +100,16 @@
     decided: gevent.event.Event = dataclasses.field(
         default_factory=gevent.event.Event
     )
-    settle: Callable[[int], None] | None = None
+    settle: Callable[[int, str], None] | None = None
     used: int | None = None
+    place: str = ""
 
     def decide(
-        self, state: budget_state.State, settle: Callable[[int], None]
+        self, state: budget_state.State, settle: Callable[[int, str], None]
     ) -> None:
         """Notes the decision, also if the turn has ended meanwhile."""
         if self.used is not None:
-            settle(self.used)
+            settle(self.used, self.place)
             return
         self.settle = settle
         self.state = state
@@ -119,6 +132,9 @@
         self._timers = timers
         self._numbers = itertools.count(1)
         self._lent: dict[int, tuple[budget_state.Reservation, float]] = {}
+        self._places: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
         peers.register(BEGIN, self._answer_begin)
         peers.register(END, self._answer_end)
 
@@ -148,11 +164,32 @@
         gevent.spawn(self._begin_there, owner, asked, reservation)
         return reservation
 
-    def end(self, reservation: Reservation, used: int) -> None:
-        """Settles a turn: `used` tokens were handed to the client."""
+    def end(self, reservation: Reservation, used: int, place: str = "") -> None:
+        """Settles a turn: `used` tokens were handed to the client.
+
+        Args:
+            reservation: the turn's.
+            used: how many tokens.
+            place: the target that ran it, or empty.
+        """
         reservation.used = used
+        reservation.place = place
         if reservation.settle is not None:
-            reservation.settle(used)
+            reservation.settle(used, place)
+
+    def _note_place(self, program: str, place: str) -> None:
+        if not place:
+            return
+        self._places[program] = place
+        self._places.move_to_end(program)
+        if len(self._places) > KNOWN_PLACES:
+            self._places.popitem(last=False)
+
+    def _end_here(
+        self, local: budget_state.Reservation, used: int, place: str
+    ) -> None:
+        self._note_place(local.program.name, place)
+        self._ledger.end(local, used)
 
     def _owner(self, program: str) -> str:
         hosts = [*self._peers.askable(), self._host]
@@ -163,13 +200,16 @@
             asked.program, asked.budget, asked.most, first=asked.first
         )
         reservation = Reservation(asked.most, likely=local.likely)
+        reservation.place = self._places.get(asked.program, "")
         if local.decided.is_set():
             self._take_over(reservation, local)
         else:
             local.decided.rawlink(lambda _: self._take_over(reservation, local))
         # A turn that ends before the decision is taken out of the queue.
         if reservation.settle is None:
-            reservation.settle = lambda used: self._ledger.end(local, used)
+            reservation.settle = lambda used, place: self._end_here(
+                local, used, place
+            )
         return reservation
 
     def _take_over(
@@ -177,7 +217,9 @@
     ) -> None:
         if reservation.used is not None:
             return
-        reservation.settle = lambda used: self._ledger.end(local, used)
+        reservation.settle = lambda used, place: self._end_here(
+            local, used, place
+        )
         reservation.state = local.state
         reservation.decided.set()
 
@@ -199,8 +241,11 @@
             self._begin_instead(asked, reservation)
             return
         begun: Begun = codec.decode(Begun, answer)
+        if reservation.used is None:
+            reservation.place = begun.place
         reservation.decide(
-            begun.state, lambda used: self._end_there(owner, begun, used)
+            begun.state,
+            lambda used, place: self._end_there(owner, begun, used, place),
         )
 
     def _begin_instead(self, asked: Begin, reservation: Reservation) -> None:
@@ -210,13 +255,18 @@
         local = self._ledger.begin(
             asked.program, asked.budget, asked.most, first=False
         )
-        reservation.settle = lambda used: self._ledger.end(local, used)
+        reservation.settle = lambda used, place: self._end_here(
+            local, used, place
+        )
         local.decided.wait()
         self._take_over(reservation, local)
 
-    def _end_there(self, owner: str, begun: Begun, used: int) -> None:
+    def _end_there(
+        self, owner: str, begun: Begun, used: int, place: str
+    ) -> None:
         if begun.state is budget_state.State.GRANTED:
-            gevent.spawn(self._tell_end, owner, End(begun.number, used))
+            end = End(begun.number, used, place)
+            gevent.spawn(self._tell_end, owner, end)
 
     def _tell_end(self, owner: str, end: End) -> None:
         try:
@@ -245,13 +295,14 @@
         if local.state is budget_state.State.GRANTED:
             until = self._timers.now() + UNSETTLED_SECONDS
             self._lent[number] = (local, until)
-        return codec.encode(Begun(local.state, number))
+        place = self._places.get(asked.program, "")
+        return codec.encode(Begun(local.state, number, place))
 
     def _answer_end(self, body: bytes) -> bytes:
         end: End = codec.decode(End, body)
         lent = self._lent.pop(end.number, None)
         if lent is not None:
-            self._ledger.end(lent[0], end.used)
+            self._end_here(lent[0], end.used, end.place)
         return codec.encode(Ended())
 
     def _expire(self) -> None:
--- a/src/endivepier/gateway/calls.py
+++ b/src/endivepier/gateway/calls.py
@@ -35,6 +35,10 @@
         engine: what is known of the service's engines, or None.
         responder: the way back to the client.
         limit: when it must be answered, monotonic seconds.
+        place: the target that ran the program's turn before, or empty.
+        begins: whether it is its program's first turn, as far as is known.
+        delayed: whether its program begins so late, after refusals, that it
+            would not end in time.
         tried: incarnations of targets that it was sent to.
         unreachable: incarnations of targets that took no connection.
         may_have_run: whether some target may have run the call.
@@ -47,6 +51,9 @@
     engine: model.Engine | None
     responder: server_lib.Responder
     limit: float
+    place: str = ""
+    begins: bool = False
+    delayed: bool = False
     tried: list[str] = dataclasses.field(default_factory=list)
     unreachable: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
@@ -74,7 +81,9 @@
         )
     targets = catalog.targets(passage.service)
     excluded = passage.unreachable | set(passage.tried)
-    target = placement.choose(passage.call, targets, passage.engine, excluded)
+    target = placement.choose(
+        passage.call, targets, passage.engine, excluded, passage.place
+    )
     if target is None:
         raise no_room(passage, f"{len(targets)} targets, none takes the call")
     return target
--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -214,6 +214,7 @@
             target=target.name,
             unread=unread,
             running=load.running,
+            elsewhere=self.placement.reports.elsewhere(target.incarnation),
             wait=round(load.waiting(self._timers.now()), 3),
             errors=round(load.errors, 2),
             connection="kept" if conn.used else "new",
--- a/src/endivepier/gateway/handler.py
+++ b/src/endivepier/gateway/handler.py
@@ -12,6 +12,7 @@
 from endivepier.gateway import dialect as dialect_lib
 from endivepier.gateway import model
 from endivepier.gateway import plain as plain_lib
+from endivepier.gateway import share_messages
 from endivepier.gateway import shares as shares_lib
 from endivepier.gateway import streams as streams_lib
 from endivepier.http1 import errors as http_errors
@@ -55,6 +56,7 @@
             self._serve(passage)
         except errors.Refused as exc:
             exc = self._truthful(passage, exc)
+            self._give_back(passage)
             outcome, reason = f"refused {exc.status}", exc.detail
             self._metrics.count("refusals", code=exc.code.value)
             headers, body = self._dialect.encode_refusal(call, exc)
@@ -71,6 +73,18 @@
         finally:
             self._log(call, passage, outcome, reason)
 
+    def _give_back(self, passage: calls.Passage | None) -> None:
+        """Returns the token of a call that was refused before it was sent."""
+        if passage is None or passage.tried or not passage.account:
+            return
+        declaration = self._catalog.declaration
+        assert declaration is not None
+        account = declaration.accounts.get(passage.account)
+        if account is not None:
+            self._shares.give_back(
+                account, passage.call.program, began=passage.begins
+            )
+
     def _truthful(
         self, passage: calls.Passage | None, exc: errors.Refused
     ) -> errors.Refused:
@@ -113,8 +127,12 @@
         limit = call.received + route.timeout
         if call.deadline is not None:
             limit = min(limit, call.deadline)
+        left = 0.0
+        if call.program_deadline is not None:
+            left = call.program_deadline - self._timers.now()
+        admission = share_messages.Admission()
         if account is not None:
-            self._check_rate(call, account)
+            admission = self._check_rate(call, account, left)
         return calls.Passage(
             call=call,
             route=route,
@@ -123,6 +141,8 @@
             engine=None if declared is None else declared.engine,
             responder=responder,
             limit=limit,
+            begins=admission.begins,
+            delayed=admission.delayed,
         )
 
     def _authenticate(
@@ -141,21 +161,20 @@
             )
         return account
 
-    def _check_rate(self, call: model.Call, account: model.Account) -> None:
-        left = 0.0
-        if call.program_deadline is not None:
-            left = call.program_deadline - self._timers.now()
-        retry_after = self._shares.wait(
-            account, call.program, left, fresh=call.begins_program
-        )
-        if retry_after is not None:
+    def _check_rate(
+        self, call: model.Call, account: model.Account, left: float
+    ) -> share_messages.Admission:
+        ask = share_messages.Ask(call.program, left, call.may_begin_program)
+        admission = self._shares.wait(account, ask)
+        if admission.retry_after is not None:
             self._shares.log_refusal(account, call.id)
             raise errors.Refused(
                 errors.Code.RATE_LIMITED,
                 429,
                 f"account {account.name!r} is over {account.rate} requests/s",
-                retry_after=retry_after,
+                retry_after=admission.retry_after,
             )
+        return admission
 
     def _serve(self, passage: calls.Passage) -> None:
         match passage.route.kind:
--- a/src/endivepier/gateway/model.py
+++ b/src/endivepier/gateway/model.py
@@ -219,21 +219,18 @@
     affinity: str = ""
 
     @property
-    def is_first_turn(self) -> bool:
-        """Whether it begins a program, as far as the call itself tells.
+    def may_begin_program(self) -> bool:
+        """Whether it may be the first turn of its program.
 
-        The prompt of a first turn is a shared part and one of its own; each
-        later turn and each sub-agent adds to what came before.
+        The prompt of a first turn is a shared part and one of its own. That
+        of a later turn may be of two parts as well, the last one longer; the
+        prompt of a sub-agent has more, and calls of tools have no budget.
         """
-        return not self.previous and len(self.parts) <= FIRST_TURN_PARTS
-
-    @property
-    def begins_program(self) -> bool:
-        """Whether it is the first turn of a program; calls of tools are not."""
         return (
             bool(self.program)
             and self.budget is not None
-            and (self.is_first_turn)
+            and not self.previous
+            and len(self.parts) <= FIRST_TURN_PARTS
         )
 
 
--- a/src/endivepier/gateway/peers.py
+++ b/src/endivepier/gateway/peers.py
@@ -16,6 +16,7 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.gateway import follower as follower_lib
+from endivepier.gateway import load_reports
 from endivepier.gateway import rows
 from endivepier.http1 import client
 from endivepier.http1 import errors as http_errors
@@ -30,6 +31,10 @@
 FIRST_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
 
+# Who asks, and what it and its peer have under way at targets.
+HOST_HEADER = b"entry-host"
+LOAD_HEADER = b"load"
+
 Answer = Callable[[bytes], bytes]
 
 
@@ -51,8 +56,10 @@
         table: ports.Table,
         feed: ports.Feed,
         timers: timers_lib.Timers,
+        reports: load_reports.LoadReports,
     ) -> None:
         self._host = host
+        self._reports = reports
         self._own = own
         self._table = table
         self._timers = timers
@@ -145,22 +152,35 @@
                 client.encode_request(
                     b"POST",
                     f"/{question}".encode(),
-                    [(b"Host", address.encode())],
+                    [
+                        (b"Host", address.encode()),
+                        (HOST_HEADER, self._host.encode()),
+                        (LOAD_HEADER, self._reports.encode()),
+                    ],
                     body,
                 ),
                 deadline,
             )
-            status, answer = client.read_whole(conn, deadline)
+            head, answer = client.read_whole(conn, deadline)
             whole = True
         finally:
             if whole:
                 self._pool.put(host, conn)
             else:
                 conn.close()
-        if status != 200:
-            raise ValueError(f"it answered {status}")
+        if head.status != 200:
+            raise ValueError(f"it answered {head.status}")
+        self._note_load(host, head.header(LOAD_HEADER))
         return answer
 
+    def _note_load(self, host: str, report: bytes | None) -> None:
+        if not report:
+            return
+        try:
+            self._reports.note(host, report)
+        except ValueError as exc:
+            eliot.log_message("peer.bad_report", peer=host, reason=str(exc))
+
     def _serve(
         self, req: messages.Request, responder: server_lib.Responder
     ) -> None:
@@ -168,12 +188,18 @@
         if answer is None:
             responder.send(404, [], b"")
             return
+        host = (req.header(HOST_HEADER) or b"").decode("latin-1")
+        self._note_load(host, req.header(LOAD_HEADER))
         try:
             body = answer(req.body)
         except errors.Refused as exc:
             responder.send(exc.status, [], exc.detail.encode())
             return
-        responder.send(200, [(b"Content-Type", b"application/json")], body)
+        headers = [
+            (b"Content-Type", b"application/json"),
+            (LOAD_HEADER, self._reports.encode()),
+        ]
+        responder.send(200, headers, body)
 
     def _announce(self) -> None:
         key = rows.single(rows.HOSTS, self._host)
--- a/src/endivepier/gateway/placement.py
+++ b/src/endivepier/gateway/placement.py
@@ -13,14 +13,15 @@
 import random
 
 from endivepier import timers as timers_lib
+from endivepier.gateway import load_reports
 from endivepier.gateway import model
 from endivepier.internal import rendezvous
 
 PREFILL_TOKENS_PER_SECOND = 60_000.0  # the slower of the sheets' engines
-RUNNING_SECONDS = 0.006  # what each running request adds to another's time
+RUNNING_SECONDS = 0.002  # what each running request adds to another's time
 QUEUED_SECONDS = 0.030  # what each request beyond the slots adds
 OTHER_CENTRE_SECONDS = 0.004  # two ways between data centres, and the bytes
-HASH_SECONDS = 0.012  # preference of the target that the hash names
+HASH_SECONDS = 0.004  # preference of the target that the hash names
 PLAIN_RUNNING_SECONDS = 0.020  # a request in front, at a plain service
 ERROR_SECONDS = 0.6  # cost of a target that fails every request
 ERROR_WEIGHT = 0.25  # of the newest result in the error rate
@@ -95,8 +96,10 @@
         data_centre: str,
         timers: timers_lib.Timers,
         rng: random.Random,
+        reports: load_reports.LoadReports,
     ) -> None:
-        self.hosts = 1
+        self.reports = reports
+        reports.tell(self._under_way)
         self._data_centre = data_centre
         self._timers = timers
         self._rng = rng
@@ -116,6 +119,7 @@
         targets: list[model.Target],
         engine: model.Engine | None,
         excluded: set[str],
+        place: str = "",
     ) -> model.Target | None:
         """Returns the target with the lowest cost; None if there is none.
 
@@ -125,6 +129,8 @@
             engine: what is known of the service's engines; None for a plain
                 service.
             excluded: incarnations that must not be chosen.
+            place: the incarnation that ran the program's turn before this
+                one and has its prompt in memory, or empty.
         """
         choices = [t for t in targets if t.incarnation not in excluded]
         if not choices:
@@ -133,7 +139,9 @@
         preferred = rendezvous.choose(key, [t.name for t in choices])
         return min(
             choices,
-            key=lambda t: self._cost(call, t, engine, t.name == preferred),
+            key=lambda t: self._cost(
+                call, t, engine, t.name == preferred, place
+            ),
         )
 
     def began(self, target: model.Target, call: model.Call) -> None:
@@ -180,6 +188,26 @@
         load.wait = before + WAIT_WEIGHT * (excess - before)
         load.wait_at = now
 
+    def running(self, target: model.Target) -> float:
+        """Returns about how many calls all hosts have at a target."""
+        own = self.load(target).running
+        elsewhere = self.reports.elsewhere(target.incarnation)
+        if elsewhere is None:
+            return float(own * self.reports.hosts)
+        return own + elsewhere
+
+    def crowd(self, targets: list[model.Target]) -> float:
+        """Returns the calls under way for each slot of the targets."""
+        slots = sum(target.slots for target in targets)
+        return sum(self.running(target) for target in targets) / max(slots, 1)
+
+    def _under_way(self) -> dict[str, int]:
+        return {
+            incarnation: load.running
+            for incarnation, load in self._loads.items()
+            if load.running
+        }
+
     def least_wait(self, targets: list[model.Target]) -> float:
         """Returns how long a turn waits at the target where it waits least."""
         now = self._timers.now()
@@ -202,6 +230,7 @@
         target: model.Target,
         engine: model.Engine | None,
         preferred: bool,
+        place: str = "",
     ) -> float:
         load = self.load(target)
         cost = load.errors * ERROR_SECONDS
@@ -213,10 +242,13 @@
             cost += load.running * PLAIN_RUNNING_SECONDS
         else:
             cost += load.waiting(self._timers.now())
-            cost += load.unread(call) / PREFILL_TOKENS_PER_SECOND
-            cost += load.running * RUNNING_SECONDS
-            if not preferred:
+            unread = load.unread(call)
+            if target.incarnation == place and call.parts:
+                unread = min(unread, call.parts[-1].tokens)
+            cost += unread / PREFILL_TOKENS_PER_SECOND
+            running = self.running(target)
+            cost += running * RUNNING_SECONDS
+            cost += max(running + 1.0 - target.slots, 0.0) * QUEUED_SECONDS
+            if not preferred and not place:
                 cost += HASH_SECONDS
-        slots = max(target.slots / self.hosts, 1.0)
-        cost += max(load.running - slots, 0.0) * QUEUED_SECONDS
         return cost + self._rng.random() * 1e-4
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -19,6 +19,7 @@
 from endivepier.gateway import dialect as dialect_lib
 from endivepier.gateway import exchange
 from endivepier.gateway import handler as handler_lib
+from endivepier.gateway import load_reports
 from endivepier.gateway import peers as peers_lib
 from endivepier.gateway import placement as placement_lib
 from endivepier.gateway import plain
@@ -97,6 +98,7 @@
         self.metrics = metrics_lib.Metrics()
         self.kernel = kernel_lib.Kernel()
         self.incarnation = ids_lib.Ids(rng).unique()[:12]
+        reports = load_reports.LoadReports(timers)
         table = reach.Store(adapters.table, adapters.feed, timers, rng)
         self.catalog = self.kernel.register(
             "catalog", catalog_lib.Catalog(table, adapters.decoder, timers)
@@ -109,6 +111,7 @@
                 adapters.table,
                 adapters.feed,
                 timers,
+                reports,
             ),
         )
         table.join(self.peers)
@@ -138,7 +141,9 @@
             "turns", turns_lib.Turns(table, timers)
         )
         self.pool = pool_lib.Pool(timers)
-        self.placement = placement_lib.Placement(cfg.data_centre, timers, rng)
+        self.placement = placement_lib.Placement(
+            cfg.data_centre, timers, rng, reports
+        )
         self.links = exchange.Links(
             adapters.dialect, self.pool, self.placement, timers
         )
@@ -235,7 +240,7 @@
 
     def _tend(self) -> None:
         self.pool.prune()
-        self.placement.hosts = self.renewals.holders
+        self.placement.reports.hosts = self.renewals.holders
         counts = self.pool.counts
         self.metrics.set("connections_opened", counts.opened)
         self.metrics.set("connections_reused", counts.reused)
--- a/src/endivepier/gateway/starts.py
+++ b/src/endivepier/gateway/starts.py
@@ -30,11 +30,6 @@
 FIRST_REQUESTS = 12.0
 FIRST_PACE = 10.0  # requests a second, of the same programs
 ENDED_WEIGHT = 0.1  # of the newest program in the mean
-# A program needs about six tenths of the time that it is given (the users'
-# sheets). With less than this share left after a refusal it would be late, so
-# that it begins only if there is room for another one as well.
-IN_TIME_SHARE = 0.6
-REFUSED_KEPT = 1000  # programs
 LEAST_RETRY_SECONDS = 0.1  # a program under way ends no sooner
 
 
@@ -64,19 +59,12 @@
         )
         self._requests_each = FIRST_REQUESTS
         self._pace = FIRST_PACE
-        self._refused: collections.OrderedDict[str, float] = (
-            collections.OrderedDict()
-        )
 
     @property
     def requests_each(self) -> float:
         """Requests that a program makes here, as counted lately."""
         return self._requests_each
 
-    def knows(self, program: str) -> bool:
-        """Returns whether a program has begun here."""
-        return program in self._programs
-
     def see(self, program: str, now: float) -> None:
         """Notes that a program under way asks; `admit` may follow."""
         found = self._programs.get(program)
@@ -95,20 +83,29 @@
         found.refused = False
         self._programs.move_to_end(program)
 
+    def withdraw(self, program: str) -> None:
+        """Takes back an admitted request that was not sent anywhere."""
+        found = self._programs.get(program)
+        if found is None:
+            return
+        found.requests -= 1
+        if found.requests <= 0:
+            del self._programs[program]
+
     def missing(
         self,
-        program: str,
-        left: float,
         now: float,
         bucket: bucket_lib.Bucket,
+        *,
+        delayed: bool = False,
     ) -> float:
         """Returns the seconds until a program may begin; 0 for now.
 
         Args:
-            program: its name.
-            left: seconds until it should have ended.
             now: the time.
             bucket: this host's tokens, up to date.
+            delayed: whether it begins too late to end in time; it needs
+                room for another one as well then.
         """
         self._drop_ended(now)
         level = bucket.level
@@ -120,16 +117,12 @@
             for each in self._programs.values()
         )
         needed = self._need(0)
-        if left < IN_TIME_SHARE * self._refused.get(program, 0.0):
+        if delayed:
             needed *= 2.0
         rate = bucket.fraction * bucket.rate
         lacking = owed + needed - level - rate * HORIZON_SECONDS
         if lacking <= 0:
-            self._refused.pop(program, None)
             return 0.0
-        self._refused.setdefault(program, left)
-        if len(self._refused) > REFUSED_KEPT:
-            self._refused.popitem(last=False)
         return max(lacking / max(rate, 1e-3), LEAST_RETRY_SECONDS)
 
     def _need(self, made: int) -> float:
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -89,6 +89,8 @@
         self._check_room(passage)
         body = self._body(passage)
         reservation = self._tokens.reserve(passage)
+        if reservation is not None:
+            passage.place = reservation.place
         progress = Progress(last=passage.call.last_event)
         try:
             self._run(passage, body, reservation, progress)
@@ -97,21 +99,26 @@
                 self._tokens.settle(passage, reservation, progress.handed)
 
     def _check_room(self, passage: calls.Passage) -> None:
-        """Refuses a turn while others wait too long at all engines.
+        """Refuses a turn while the engines have too much to do.
 
         Raises:
             errors.Refused: the call has not run.
         """
         if passage.engine is None:
             return
-        targets = self._catalog.targets(passage.service)
-        wait = self._links.placement.least_wait(targets)
-        if wait > order.patience(passage.call, self._timers.now()):
+        reason = order.refusal(
+            passage.call,
+            self._links.placement,
+            self._catalog.targets(passage.service),
+            self._timers.now(),
+            begins=passage.begins,
+            delayed=passage.delayed,
+        )
+        if reason:
             raise errors.Refused(
                 errors.Code.OVERLOADED,
                 503,
-                f"turns wait {wait:.2f} s at the engines of service "
-                f"{passage.service!r}",
+                f"service {passage.service!r}: {reason}",
                 retry_after=BUSY_RETRY_SECONDS,
             )
 
--- a/src/endivepier/gateway/turn_tokens.py
+++ b/src/endivepier/gateway/turn_tokens.py
@@ -47,7 +47,7 @@
         chunk = self.event_tokens(passage)
         most = -(-call.max_tokens // chunk) * chunk
         reservation = self._budgets.begin(
-            call.program, call.budget, most, first=call.is_first_turn
+            call.program, call.budget, most, first=passage.begins
         )
         if (
             reservation.state is budget_state.State.GRANTED
@@ -107,7 +107,8 @@
     ) -> None:
         """Settles a turn of which `events` were handed to the client."""
         used = events * self.event_tokens(passage)
-        self._budgets.end(reservation, used)
+        place = passage.tried[-1] if passage.tried else ""
+        self._budgets.end(reservation, used, place)
         eliot.log_message(
             "turn.settled",
             request=passage.call.id,
--- a/src/endivepier/http1/client.py
+++ b/src/endivepier/http1/client.py
@@ -135,8 +135,10 @@
     return None
 
 
-def read_whole(conn: Connection, deadline: float) -> tuple[int, bytes]:
-    """Reads a whole answer; returns its status and body.
+def read_whole(
+    conn: Connection, deadline: float
+) -> tuple[messages.Head, bytes]:
+    """Reads a whole answer; returns its head and body.
 
     Raises:
         errors.ExchangeTimeout: it was not whole before `deadline`.
@@ -152,7 +154,7 @@
             case answers.Data(content=content):
                 pieces.append(content)
             case answers.End():
-                return head.status, b"".join(pieces)
+                return head, b"".join(pieces)
             case _:
                 raise errors.ExchangeBroken("two answers in one")
 
--- a/tests/cover/gateway/test_budget_owners.py
+++ b/tests/cover/gateway/test_budget_owners.py
@@ -199,3 +199,21 @@
 
     fleet.timers.run(main)
     assert fleet.handed <= budget + MOST
+
+
+def test_every_host_learns_where_a_program_ran_last():
+    fleet = Fleet()
+
+    def main():
+        places = []
+        for number, name in enumerate(("h0", "h1", "h2", "h0")):
+            host = fleet.hosts[name]
+            reservation = host.begin("p", 1000, MOST, first=False)
+            fleet.timers.wait(reservation.decided, 3.0)
+            places.append(reservation.place)
+            host.end(reservation, 10, f"engine-{number}")
+            fleet.timers.sleep(0.1)
+        return places
+
+    places = fleet.timers.run(main)
+    assert places == ["", "engine-0", "engine-1", "engine-2"]
--- a/tests/cover/gateway/test_placement.py
+++ b/tests/cover/gateway/test_placement.py
@@ -1,8 +1,12 @@
 """Where calls go, for the loads that the users' days bring."""
 
 import collections
+import json
 import random
 
+import pytest
+
+from endivepier.gateway import load_reports
 from endivepier.gateway import model
 from endivepier.gateway import order
 from endivepier.gateway import placement
@@ -14,7 +18,10 @@
 
 def make(seed=0):
     timers = clock.VirtualTimers()
-    return timers, placement.Placement("a", timers, random.Random(seed))
+    reports = load_reports.LoadReports(timers)
+    return timers, placement.Placement(
+        "a", timers, random.Random(seed), reports
+    )
 
 
 def turn(program, number):
@@ -159,6 +166,66 @@
     late.program_deadline = 10.0
     in_time = turn("p", 3)
     in_time.program_deadline = 20.0
-    waits = [order.patience(call, 15.0) for call in (first, late, in_time)]
+    found = [
+        order.limits(first, 15.0, begins=True, delayed=True),
+        order.limits(first, 15.0, begins=True, delayed=False),
+        order.limits(late, 15.0, begins=False, delayed=False),
+        order.limits(in_time, 15.0, begins=False, delayed=False),
+    ]
+    waits = [bounds.wait for bounds in found[1:]]
+    crowds = [bounds.crowd for bounds in found]
     assert waits == sorted(waits)
     assert len(set(waits)) == 3
+    assert crowds == sorted(crowds)
+    assert len(set(crowds)) == 4
+
+
+def test_calls_of_other_hosts_count():
+    _, chooser = make()
+    found = targets(2)
+    call = turn("p", 0)
+    chosen = chooser.choose(call, found, ENGINE, set())
+    chooser.reports.note("other", json.dumps({chosen.incarnation: 12}).encode())
+    assert chooser.choose(call, found, ENGINE, set()) != chosen
+    assert chooser.crowd(found) == 0.5
+
+
+def test_hosts_that_are_not_heard_are_taken_to_be_like_this_one():
+    timers, chooser = make()
+    found = targets(1)
+    chooser.reports.hosts = 6
+    chooser.began(found[0], turn("p", 0))
+    assert chooser.running(found[0]) == 6
+    chooser.reports.note("other", b"{}")
+    assert chooser.running(found[0]) == 1
+    timers.advance(load_reports.FRESH_SECONDS + 0.1)
+    assert chooser.running(found[0]) == 6
+
+
+def test_hosts_that_are_heard_stand_for_the_others():
+    _, chooser = make()
+    found = targets(1)
+    chooser.reports.hosts = 5
+    report = json.dumps({found[0].incarnation: 3}).encode()
+    chooser.reports.note("h1", report)
+    chooser.reports.note("h2", b"{}")
+    assert chooser.running(found[0]) == 6
+
+
+def test_a_report_that_is_none_is_refused():
+    _, chooser = make()
+    for wrong in (b"[]", b"{", b'{"t": "many"}'):
+        with pytest.raises(ValueError):
+            chooser.reports.note("h1", wrong)
+
+
+def test_a_turn_goes_where_its_program_ran_before_though_seen_elsewhere():
+    # Two of five turns of a program come to another host than the one before.
+    # Its engine read the whole prompt again wherever the hash pointed.
+    _, chooser = make()
+    found = targets()
+    call = turn("p", 3)
+    usual = chooser.choose(call, found, ENGINE, set())
+    place = next(t for t in found if t != usual)
+    chosen = chooser.choose(call, found, ENGINE, set(), place.incarnation)
+    assert chosen == place
--- a/tests/cover/gateway/test_shares.py
+++ b/tests/cover/gateway/test_shares.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from endivepier import errors
+from endivepier.gateway import share_messages
 from endivepier.gateway import share_renewals
 from endivepier.gateway import shares
 from endivepier.standins import clock
@@ -79,9 +80,9 @@
         renewals.start()
 
     def request(self, host, account, program="", left=0.0, *, fresh=False):
-        got = self.hosts[host].wait(
-            self.accounts[account], program, left, fresh=fresh
-        )
+        ask = share_messages.Ask(program, left, fresh)
+        found = self.hosts[host].wait(self.accounts[account], ask)
+        got = found.retry_after
         if got is None:
             self.admitted.append(self.timers.now())
         else:
@@ -224,6 +225,73 @@
     assert ends.late <= 0.02 * ends.begun
 
 
+def test_a_token_of_a_request_that_was_not_sent_comes_back():
+    # Programs that loop were told 51 times that their budget is spent, each
+    # time for a token of an account that lacked them (cnt quiet-1).
+    account = gateway_parts.account(rate=1.0, burst=10.0)
+    fleet = Fleet(3, [account])
+
+    def main():
+        fleet.timers.sleep(15.0)
+        for number in range(100):
+            host = f"h{number % 3}"
+            if fleet.request(host, "acme", "loops") is not None:
+                return number
+            fleet.hosts[host].give_back(account, "loops", began=False)
+            fleet.timers.sleep(0.01)
+        return None
+
+    assert fleet.timers.run(main) is None
+
+
+def test_a_start_that_was_held_up_is_known_at_all_hosts():
+    account = gateway_parts.account(rate=20.0, burst=20.0)
+    fleet = Fleet(3, [account])
+
+    def begin(host, program, left):
+        ask = share_messages.Ask(program, left, may_begin=True)
+        found = fleet.hosts[host].wait(account, ask)
+        assert found.retry_after is None
+        fleet.hosts[host].give_back(account, program, began=True)
+        fleet.timers.sleep(0.1)
+        return found.begins, found.delayed
+
+    def main():
+        fleet.timers.sleep(3.0)
+        return [
+            begin("h0", "p", 4.0),
+            begin("h1", "p", 3.9),
+            begin("h2", "p", 3.0),
+            begin("h0", "q", 3.0),
+        ]
+
+    assert fleet.timers.run(main) == [
+        (True, False),
+        (True, False),
+        (True, True),
+        (True, False),
+    ]
+
+
+def test_a_program_that_has_begun_does_not_begin_at_another_host():
+    # All turns of cheque-read look like first ones: a shared part and one of
+    # their own. They were refused as if their program began with them, and
+    # sent ahead of their tokens when the budget was spent (502 for 402).
+    account = gateway_parts.account(rate=20.0, burst=20.0)
+    fleet = Fleet(5, [account])
+
+    def main():
+        fleet.timers.sleep(3.0)
+        ask = share_messages.Ask("p", 4.0, may_begin=True)
+        found = []
+        for name in fleet.hosts:
+            found.append(fleet.hosts[name].wait(account, ask).begins)
+            fleet.timers.sleep(0.1)
+        return found
+
+    assert fleet.timers.run(main) == [True, False, False, False, False]
+
+
 def test_a_program_that_was_refused_is_not_under_way():
     fleet = Fleet(1, [gateway_parts.account(rate=5.0, burst=10.0)])
 
--- a/tests/cover/gateway/test_starts.py
+++ b/tests/cover/gateway/test_starts.py
@@ -36,7 +36,7 @@
         if rng.random() < offered * 0.01:
             count += 1
             name = f"p{count}"
-            missing = begun.missing(name, 4.0, now, bucket(tokens))
+            missing = begun.missing(now, bucket(tokens))
             if not gated or missing <= 0:
                 programs.append([name, REQUESTS, 2, now])
         for program in list(programs):
@@ -72,7 +72,7 @@
     for number in range(100):
         now += 1.0  # a program a second, ten requests each
         name = f"p{number}"
-        assert begun.missing(name, 4.0, now, bucket(RATE)) == 0.0
+        assert begun.missing(now, bucket(RATE)) == 0.0
         for _ in range(10):
             begun.admit(name, now)
 
@@ -80,7 +80,7 @@
 def fill(begun, now):
     """Has programs begin until one is refused; returns its retry time."""
     number = 0
-    while not (seconds := begun.missing(f"p{number}", 4.0, now, bucket(RATE))):
+    while not (seconds := begun.missing(now, bucket(RATE))):
         begun.admit(f"p{number}", now)
         number += 1
     return seconds
@@ -90,23 +90,22 @@
     begun = starts.Starts()
     seconds = fill(begun, 0.0)
     gained = RATE + seconds * RATE
-    assert begun.missing("q", 4.0, 0.0, bucket(gained + 1e-6)) == 0.0
+    assert begun.missing(0.0, bucket(gained + 1e-6)) == 0.0
 
 
 def test_a_start_that_would_be_late_waits_for_more_room():
     begun = starts.Starts()
     seconds = fill(begun, 0.0)
     level = RATE + seconds * RATE + 1e-6
-    assert begun.missing("late", 4.0, 0.0, bucket(RATE)) > 0
-    assert begun.missing("late", 2.0, 0.0, bucket(level)) > 0
-    assert begun.missing("new", 4.0, 0.0, bucket(level)) == 0.0
+    assert begun.missing(0.0, bucket(level), delayed=True) > 0
+    assert begun.missing(0.0, bucket(level)) == 0.0
 
 
 def test_programs_that_have_been_silent_make_room():
     begun = starts.Starts()
     fill(begun, 0.0)
     later = starts.QUIET_SECONDS + 0.01
-    assert begun.missing("q", 4.0, later, bucket(RATE)) == 0.0
+    assert begun.missing(later, bucket(RATE)) == 0.0
 
 
 def test_the_requests_of_a_program_are_learned():
@@ -114,7 +113,7 @@
     for number in range(60):
         for request in range(30):
             begun.admit(f"p{number}", number * 3.0 + request * 0.05)
-        begun.missing("q", 4.0, number * 3.0 + 2.99, bucket(0.0))
+        begun.missing(number * 3.0 + 2.99, bucket(0.0))
     assert 25 <= begun.requests_each <= 35
 
 
@@ -123,12 +122,12 @@
     for number in range(60):
         begun.admit(f"p{number}", number * 3.0)
         begun.see(f"p{number}", number * 3.0 + 0.1)
-        begun.missing("q", 4.0, number * 3.0 + 2.99, bucket(0.0))
+        begun.missing(number * 3.0 + 2.99, bucket(0.0))
     assert begun.requests_each == starts.FIRST_REQUESTS
 
 
 def test_a_full_bucket_lets_programs_begin():
     begun = starts.Starts()
     fill(begun, 0.0)
-    assert begun.missing("q", 4.0, 0.0, bucket(RATE)) > 0
-    assert begun.missing("q", 4.0, 0.0, bucket(950.0)) == 0.0
+    assert begun.missing(0.0, bucket(RATE)) > 0
+    assert begun.missing(0.0, bucket(950.0)) == 0.0
