Hand over at a stop; find silent peers by a probe

Cause: a host that left kept its part of accounts' rates for the 15 s of its lease. A frozen or cut-off owner of budgets held each turn for 1.5 s, and again every 2 s, since its avoidance did not grow. Change: at SIGTERM a host takes itself off the list and gives up its parts; it answers until its end. A question that takes over 0.25 s is followed by a short one on another connection; if that fails, the first one is broken. Avoidance doubles up to 8 s and ends with any sign of life.

--- a/src/endivepier/gateway/peers.py
+++ b/src/endivepier/gateway/peers.py
@@ -1,8 +1,11 @@
 """Other entry hosts: who they are, and short questions to them.
 
 Each process writes a row with its address when it starts and deletes it when
-it stops. The row of a lost process stays until its host starts again; a peer
-that does not answer is left alone for a while.
+it is told to stop. The row of a lost process stays until its host starts
+again; a peer that does not answer is left alone, longer each time.
+
+Some questions may take long for good reasons. If one does, a short one on
+another connection tells whether the peer still answers at all.
 """
 
 from __future__ import annotations
@@ -27,7 +30,10 @@
 from endivepier.storage import ports
 
 ASK_SECONDS = 0.08  # some ten times the way between two data centres
-AVOID_SECONDS = 2.0  # how long a silent peer is left alone: a restart's time
+AVOID_SECONDS = 1.0  # how long a silent peer is left alone at first
+MAX_AVOID_SECONDS = 8.0  # a frozen or cut-off host is back after some seconds
+PROBE_AFTER_SECONDS = 0.25  # most answers come within some milliseconds
+PROBE = "probe"
 FIRST_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
 
@@ -38,6 +44,19 @@
 Answer = Callable[[bytes], bytes]
 
 
+@dataclasses.dataclass(slots=True)
+class Silence:
+    """A peer that did not answer.
+
+    Attributes:
+        until: until when it is left alone, monotonic seconds.
+        seconds: how long that was.
+    """
+
+    until: float
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Entry:
     """The row of a process: where other entry hosts reach it."""
@@ -63,10 +82,12 @@
         self._own = own
         self._table = table
         self._timers = timers
+        self._listed: set[str] = set()
+        # Also of hosts that have left: they answer until their end.
         self._entries: dict[str, Entry] = {}
-        self._avoided: dict[str, float] = {}
+        self._silent: dict[str, Silence] = {}
         self._pool = pool_lib.Pool(timers)
-        self._answers: dict[str, Answer] = {}
+        self._answers: dict[str, Answer] = {PROBE: lambda _: b"{}"}
         self._tasks: list[gevent.Greenlet] = []
         self._follower = follower_lib.Follower(
             feed,
@@ -84,33 +105,42 @@
         """Has `answer` answer a question of other hosts."""
         self._answers[question] = answer
 
+    @property
+    def address(self) -> str:
+        """Where this process listens for other hosts."""
+        return self._server.address
+
     def start(self) -> None:
         """Listens, and makes this process known."""
         self._server.start()
         self._follower.start()
         self._tasks.append(gevent.spawn(self._announce))
 
-    def stop(self) -> None:
-        """Takes this process off the list."""
-        self._follower.stop()
-        for task in self._tasks:
-            task.kill()
+    def drain(self) -> None:
+        """Takes this process off the list; it still asks and answers."""
+        gevent.killall(self._tasks)
         key = rows.single(rows.HOSTS, self._host)
         try:
             self._table.transact(ports.Transaction((), (ports.Delete(key),)))
         except (errors.Unavailable, errors.OutcomeUnknown) as exc:
             eliot.log_message("peers.not_deleted", reason=str(exc))
+
+    def stop(self) -> None:
+        """Neither asks nor answers any longer."""
+        self._follower.stop()
+        gevent.killall(self._tasks)
         self._server.stop()
 
     def can_ask(self, host: str) -> bool:
         """Returns whether a host is known and has not just been silent."""
-        if host not in self._entries or host == self._host:
+        if host not in self._listed or host == self._host:
             return False
-        return self._avoided.get(host, 0.0) <= self._timers.now()
+        silence = self._silent.get(host)
+        return silence is None or silence.until <= self._timers.now()
 
     def askable(self) -> list[str]:
         """Returns the hosts that may be asked now."""
-        return [host for host in self._entries if self.can_ask(host)]
+        return [host for host in self._listed if self.can_ask(host)]
 
     def ask(
         self,
@@ -126,16 +156,34 @@
         """
         entry = self._entries.get(host)
         if entry is None:
-            raise errors.PeerUnreachable(host, "not on the list", sent=False)
+            raise errors.PeerUnreachable(host, "not known", sent=False)
         try:
             return self._exchange(host, entry.address, question, body, seconds)
         except (http_errors.HttpError, ValueError) as exc:
-            self._avoided[host] = self._timers.now() + AVOID_SECONDS
-            self._pool.drop(host)
-            eliot.log_message("peer.silent", peer=host, reason=str(exc))
+            self._note_silence(host, exc)
             sent = not isinstance(exc, http_errors.ConnectFailed)
             raise errors.PeerUnreachable(host, str(exc), sent=sent) from exc
 
+    def _note_silence(self, host: str, exc: Exception) -> None:
+        now = self._timers.now()
+        silence = self._silent.get(host)
+        if silence is None:
+            silence = self._silent[host] = Silence(now, AVOID_SECONDS / 2)
+        if silence.until <= now:
+            silence.seconds = min(silence.seconds * 2, MAX_AVOID_SECONDS)
+            silence.until = now + silence.seconds
+            eliot.log_message(
+                "peer.silent",
+                peer=host,
+                reason=str(exc),
+                avoided=silence.seconds,
+            )
+        self._pool.drop(host)
+
+    def _note_answer(self, host: str) -> None:
+        if self._silent.pop(host, None) is not None:
+            eliot.log_message("peer.answers", peer=host)
+
     def _exchange(
         self,
         host: str,
@@ -146,6 +194,11 @@
     ) -> bytes:
         deadline = self._timers.now() + seconds
         conn = self._pool.take(host, address, connect_seconds=ASK_SECONDS)
+        probe: timers_lib.Handle | None = None
+        if seconds > PROBE_AFTER_SECONDS and question != PROBE:
+            probe = self._timers.after(
+                PROBE_AFTER_SECONDS, lambda: self._probe(host, conn)
+            )
         whole = False
         try:
             conn.send(
@@ -164,15 +217,25 @@
             head, answer = client.read_whole(conn, deadline)
             whole = True
         finally:
+            if probe is not None:
+                probe.cancel()
             if whole:
                 self._pool.put(host, conn)
             else:
                 conn.close()
         if head.status != 200:
             raise ValueError(f"it answered {head.status}")
+        self._note_answer(host)
         self._note_load(host, head.header(LOAD_HEADER))
         return answer
 
+    def _probe(self, host: str, conn: client.Connection) -> None:
+        """Breaks a connection that is silent if its peer is silent, too."""
+        try:
+            self.ask(host, PROBE, b"{}")
+        except errors.PeerUnreachable:
+            conn.close()
+
     def _note_load(self, host: str, report: bytes | None) -> None:
         if not report:
             return
@@ -189,6 +252,7 @@
             responder.send(404, [], b"")
             return
         host = (req.header(HOST_HEADER) or b"").decode("latin-1")
+        self._note_answer(host)
         self._note_load(host, req.header(LOAD_HEADER))
         try:
             body = answer(req.body)
@@ -215,14 +279,15 @@
             backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
 
     def _replace(self, changes: ports.Changes) -> None:
-        self._entries.clear()
+        self._listed.clear()
         self._change(changes)
 
     def _change(self, changes: ports.Changes) -> None:
         for key in changes.removed:
-            self._entries.pop(key.rpartition("/")[2], None)
+            self._listed.discard(key.rpartition("/")[2])
         for row in changes.rows:
             host = row.key.rpartition("/")[2]
+            self._listed.add(host)
             self._entries[host] = codec.decode(Entry, row.value)
-            self._avoided.pop(host, None)
+            self._silent.pop(host, None)
             self._pool.drop(host)
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -214,6 +214,7 @@
         began = self.timers.now()
         self.draining = True
         self.server.closing = True
+        gevent.spawn(self.kernel.drain)
         eliot.log_message(
             "process.draining",
             running=self.server.active,
--- a/src/endivepier/gateway/share_renewals.py
+++ b/src/endivepier/gateway/share_renewals.py
@@ -12,6 +12,7 @@
 
 import eliot
 import gevent
+import gevent.event
 
 from endivepier import errors
 from endivepier import timers as timers_lib
@@ -90,12 +91,19 @@
         self._committer = commit.Committer(table, timers, rng)
         self._seen: dict[tuple[str, str], tuple[int, float]] = {}
         self._failing = False
+        self._leaving = False
+        self._wake = gevent.event.Event()
         self._task: gevent.Greenlet | None = None
 
     def start(self) -> None:
         """Begins to renew."""
         self._task = gevent.spawn(self._run)
 
+    def drain(self) -> None:
+        """Gives up what this host holds, so that others take it at once."""
+        self._leaving = True
+        self._wake.set()
+
     def stop(self) -> None:
         """Renews no longer; the leases lapse."""
         if self._task is not None:
@@ -103,13 +111,16 @@
 
     def owners(self, account: model.Account) -> list[str]:
         """Returns the hosts that hold an account's rate, in a fixed order."""
-        hosts = [*self._peers.askable(), self.holder]
+        hosts = self._peers.askable()
+        if not (self._leaving and hosts):
+            hosts.append(self.holder)
         tokens = account.burst + self.local.tolerance
         count = max(LEAST_OWNERS, int(tokens / OWNER_TOKENS))
         return rendezvous.rank(account.name, hosts, count)
 
     def _run(self) -> None:
         while True:
+            self._wake.clear()
             try:
                 self._renew_all()
                 self._note(None)
@@ -120,7 +131,7 @@
             except (errors.Unavailable, errors.OutcomeUnknown) as exc:
                 self._note(exc)
             seconds = RENEW_SECONDS if self.ready else RENEW_SECONDS / 10
-            self._timers.sleep(seconds * self._rng.uniform(0.8, 1.2))
+            self._timers.wait(self._wake, seconds * self._rng.uniform(0.8, 1.2))
 
     def _note(self, exc: Exception | None) -> None:
         if exc is not None and not self._failing:
--- a/tests/cover/gateway/test_shares.py
+++ b/tests/cover/gateway/test_shares.py
@@ -389,6 +389,29 @@
     assert fleet.timers.run(main) == 1.0
 
 
+def test_a_host_that_leaves_hands_over_what_it_holds():
+    # Its part was free only after the lease of 15 s.
+    account = gateway_parts.account(rate=40.0, burst=40.0)
+    fleet = Fleet(4, [account])
+
+    def main():
+        fleet.timers.sleep(3.0)
+        leaving = fleet.renewals["h0"].owners(account)[0]
+        peers = fleet.peers.pop(leaving)
+        peers.hosts = dict(fleet.peers)
+        fleet.renewals[leaving].drain()
+        fleet.timers.sleep(3 * share_renewals.RENEW_SECONDS)
+        return {
+            name: renewals.local.find("acme").fraction
+            for name, renewals in fleet.renewals.items()
+            if name != leaving or renewals.local.find("acme").fraction
+        }
+
+    held = fleet.timers.run(main)
+    assert sum(held.values()) == 1.0
+    assert len(held) == 3
+
+
 def test_a_small_account_is_not_split_into_useless_parts():
     # On the grown deployments 83 accounts were split over 35 hosts, so that
     # no bucket could hold a token: 7,588 refusals on a quiet day.
