Read answers of our own interface's targets strictly

Change: internal.http_client keeps its interface over http1.client, which learned TLS; the library is gone. The test of withdrawn keys took an idle connection out of the library's pool; it takes it from ours, with the same check that the server closed it. Before and after: the test for both framings fails on the library, passes now.

--- a/src/endivepier/http1/client.py
+++ b/src/endivepier/http1/client.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import socket as socket_lib
+import ssl
 
 from gevent import socket
+from gevent import ssl as gevent_ssl
 
 from endivepier import timers as timers_lib
 from endivepier.http1 import answers
@@ -82,8 +84,11 @@
             return False
         try:
             self._sock.settimeout(0)
-            self._sock.recv(1, socket_lib.MSG_PEEK)
-        except (BlockingIOError, TimeoutError):
+            if isinstance(self._sock, gevent_ssl.SSLSocket):
+                self._sock.recv(1)  # can't peek; any byte makes it useless
+            else:
+                self._sock.recv(1, socket_lib.MSG_PEEK)
+        except (BlockingIOError, TimeoutError, ssl.SSLWantReadError):
             return True
         except OSError:
             return False
@@ -165,6 +170,7 @@
     *,
     seconds: float,
     user_timeout: float,
+    tls: ssl.SSLContext | None = None,
 ) -> Connection:
     """Opens a connection.
 
@@ -174,6 +180,7 @@
         seconds: longest time for the connection to be made.
         user_timeout: seconds after which data that the peer does not
             acknowledge breaks the connection.
+        tls: checks the server's certificate and name; None for plain TCP.
 
     Raises:
         errors.ConnectFailed: nothing was sent.
@@ -189,6 +196,8 @@
         )
         sock.settimeout(seconds)
         sock.connect((host, int(port)))
+        if tls is not None:
+            sock = tls.wrap_socket(sock, server_hostname=host)
     except OSError as exc:
         sock.close()
         raise errors.ConnectFailed(f"{address}: {exc or 'timed out'}") from exc
--- a/src/endivepier/internal/http_client.py
+++ b/src/endivepier/internal/http_client.py
@@ -1,8 +1,7 @@
 """An HTTP client that sends each request once and says how far it came.
 
-`geventhttpclient` repeats requests with an idempotent method when a reused
-connection turns out to be closed. Whether a call may be repeated is decided
-elsewhere here, so the pool's retry count is set to none.
+Answers are read strictly (`endivepier.http1`): one that breaks off is not
+whole, and bytes that follow a whole one belong to no request.
 """
 
 from __future__ import annotations
@@ -12,18 +11,23 @@
 import contextlib
 import dataclasses
 import ssl
-from typing import Any
 import urllib.parse
 
-import gevent
 from gevent import ssl as gevent_ssl
-import geventhttpclient.client
-import geventhttpclient.response
+import gevent.lock
+
+from endivepier import timers as timers_lib
+from endivepier.http1 import answers
+from endivepier.http1 import client as http1_client
+from endivepier.http1 import errors as http_errors
+from endivepier.http1 import messages
 
 DEFAULT_CONNECT_SECONDS = 1.0
 DEFAULT_READ_SECONDS = 30.0
 DEFAULT_CONNECTIONS = 64
-BLOCK_BYTES = 16384
+# Data that the server does not acknowledge breaks a connection after this.
+USER_TIMEOUT_SECONDS = 10.0
+PORTS = {"http": 80, "https": 443}
 
 
 def default_ssl_context() -> gevent_ssl.SSLContext:
@@ -61,17 +65,30 @@
 
 
 class StreamedAnswer:
-    """An HTTP answer whose body arrives line by line."""
+    """An HTTP answer whose body arrives line by line.
+
+    Its connection is given back once the body was read, and closed if that
+    fails.
+    """
 
     def __init__(
-        self, response: geventhttpclient.response.HTTPSocketPoolResponse
+        self,
+        conn: http1_client.Connection,
+        head: messages.Head,
+        read_part: Callable[[], answers.Part],
+        give_back: Callable[[http1_client.Connection, bool], None],
     ) -> None:
-        self._response = response
-        self.status = int(response.status_code)
+        self.status = head.status
+        self._head = head
+        self._conn: http1_client.Connection | None = conn
+        self._read_part = read_part
+        self._give_back = give_back
+        self._whole = False
 
     def header(self, name: str) -> str:
         """Returns a header of the answer, or an empty string."""
-        return str(self._response.get(name) or "")
+        value = self._head.header(name.lower().encode()) or b""
+        return value.decode("latin-1")
 
     def read(self) -> bytes:
         """Returns the rest of the body.
@@ -79,8 +96,7 @@
         Raises:
             ExchangeFailed: the connection broke.
         """
-        with _as_exchange_failure():
-            return bytes(self._response.read())
+        return b"".join(self._pieces())
 
     def lines(self) -> Iterator[bytes]:
         r"""Yields the lines of the body, each without its "\n".
@@ -88,34 +104,49 @@
         Raises:
             ExchangeFailed: the connection broke before the body's end.
         """
-        while True:
-            with _as_exchange_failure():
-                line = bytes(self._response.readline(b"\n"))
-            if not line:
-                return
-            yield line[:-1]
+        rest = b""
+        for piece in self._pieces():
+            *lines, rest = (rest + piece).split(b"\n")
+            yield from lines
+        if rest:
+            yield rest
 
     def close(self) -> None:
         """Closes the connection; the server sees that nobody listens."""
-        sock, pool = self._response._sock, self._response._pool
-        if sock is None or pool is None:
-            return
-        self._response._sock = None
-        self._response._pool = None
-        pool.release_socket(sock)
+        self._end(keep=False)
 
     def release(self) -> None:
         """Gives the connection back after the whole body was read."""
-        self._response.release()
+        self._end(keep=self._whole)
+
+    def _pieces(self) -> Iterator[bytes]:
+        while not self._whole:
+            try:
+                part = self._read_part()
+            except ExchangeFailed:
+                self.close()
+                raise
+            match part:
+                case answers.Data(content=content):
+                    yield content
+                case answers.End():
+                    self._whole = True
+                    self.release()
+                case _:
+                    self.close()
+                    raise ExchangeFailed("an answer began inside another one")
+
+    def _end(self, *, keep: bool) -> None:
+        conn, self._conn = self._conn, None
+        if conn is not None:
+            self._give_back(conn, keep)
 
 
 @contextlib.contextmanager
 def _as_exchange_failure() -> Iterator[None]:
     try:
         yield
-    except gevent.GreenletExit:
-        raise
-    except Exception as exc:
+    except http_errors.HttpError as exc:
         raise ExchangeFailed(f"{type(exc).__name__}: {exc}") from exc
 
 
@@ -133,22 +164,16 @@
     ) -> None:
         url = urllib.parse.urlsplit(base_url)
         self._prefix = url.path.rstrip("/")
-        options: dict[str, Any] = {}
+        self._host = url.hostname or ""
+        self._address = f"{self._host}:{url.port or PORTS[url.scheme]}"
+        self._tls: ssl.SSLContext | None = None
         if url.scheme == "https":
-            context = ssl_context or default_ssl_context()
-            options = {"ssl": True, "ssl_context_factory": lambda: context}
-        self._client = geventhttpclient.client.HTTPClient(
-            url.hostname or "",
-            url.port,
-            connection_timeout=connect_seconds,
-            network_timeout=read_seconds,
-            concurrency=connections,
-            **options,
-        )
-        self._pool = self._client._connection_pool
-        # The client derives its number of retries from the pool's size; the
-        # pool's limits were set from it already. -1 leaves no retry.
-        self._pool.size = -1
+            self._tls = ssl_context or default_ssl_context()
+        self._connect_seconds = connect_seconds
+        self._read_seconds = read_seconds
+        self._timers = timers_lib.SystemTimers()
+        self._idle: list[http1_client.Connection] = []
+        self._free = gevent.lock.BoundedSemaphore(connections)
 
     def request(
         self,
@@ -164,10 +189,8 @@
             ExchangeFailed: something may have been sent.
         """
         answer = self.open(method, path, body, headers)
-        content_type = answer.header("content-type")
         content = answer.read()
-        answer.release()
-        return Answer(answer.status, content_type, content)
+        return Answer(answer.status, answer.header("content-type"), content)
 
     def open(
         self,
@@ -191,27 +214,71 @@
             ConnectFailed: nothing was sent.
             ExchangeFailed: something may have been sent.
         """
-        self._connect()
-        if check is not None:
-            check()
-        with _as_exchange_failure():
-            response = self._client.request(
-                method, self._prefix + path, body, headers or {}
-            )
-        return StreamedAnswer(response)
+        lines = [(b"Host", self._address.encode())]
+        for name, value in (headers or {}).items():
+            lines.append((name.encode(), value.encode("latin-1")))
+        data = http1_client.encode_request(
+            method.encode(), (self._prefix + path).encode(), lines, body
+        )
+        self._free.acquire()
+        conn: http1_client.Connection | None = None
+        try:
+            conn = self._connect()
+            if check is not None:
+                check()
+            with _as_exchange_failure():
+                conn.send(data, self._deadline())
+                head = conn.read(self._deadline())
+            if not isinstance(head, messages.Head):
+                raise ExchangeFailed("the answer has no head")
+        except BaseException:
+            self._give_back(conn, keep=False)
+            raise
+        found = conn
+        return StreamedAnswer(
+            conn,
+            head,
+            lambda: self._read_part(found),
+            lambda conn, keep: self._give_back(conn, keep=keep),
+        )
 
     def close(self) -> None:
         """Closes the idle connections."""
-        self._client.close()
+        while self._idle:
+            self._idle.pop().close()
 
-    def _connect(self) -> None:
-        """Makes sure that there is a live connection before anything is sent.
+    def _deadline(self) -> float:
+        return self._timers.now() + self._read_seconds
 
-        A failure here is certain not to have reached the server, which the
-        client's own exceptions don't tell apart.
-        """
+    def _read_part(self, conn: http1_client.Connection) -> answers.Part:
+        with _as_exchange_failure():
+            return conn.read(self._deadline())
+
+    def _give_back(
+        self, conn: http1_client.Connection | None, *, keep: bool
+    ) -> None:
+        self._free.release()
+        if conn is None:
+            return
+        if keep and conn.reusable():
+            self._idle.append(conn)
+        else:
+            conn.close()
+
+    def _connect(self) -> http1_client.Connection:
+        """Returns a connection that stands; nothing has been sent on it."""
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.reusable():
+                return conn
+            conn.close()
         try:
-            sock = self._pool.get_socket()
-        except Exception as exc:
-            raise ConnectFailed(f"{type(exc).__name__}: {exc}") from exc
-        self._pool.return_socket(sock)
+            return http1_client.connect(
+                self._address,
+                self._timers,
+                seconds=self._connect_seconds,
+                user_timeout=USER_TIMEOUT_SECONDS,
+                tls=self._tls,
+            )
+        except http_errors.ConnectFailed as exc:
+            raise ConnectFailed(str(exc)) from exc
--- a/tests/cover/test_http_client.py
+++ b/tests/cover/test_http_client.py
@@ -46,6 +46,12 @@
             sock.shutdown(gevent.socket.SHUT_RDWR)
         gevent.sleep(0.02)
 
+    def send_all(self, data):
+        """Sends bytes that nobody asked for on all connections."""
+        for sock in self._socks:
+            sock.sendall(data)
+        gevent.sleep(0.02)
+
     def stop(self):
         self._server.stop()
 
@@ -83,6 +89,44 @@
     return request.param
 
 
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("first", [WHOLE, CHUNKED])
+def test_bytes_after_a_whole_answer_are_no_part_of_it(first):
+    # geventhttpclient 2.6.1 gave both answers as the body of the first.
+    server = Server(first + WHOLE, WHOLE)
+    client = http_client.HttpClient(server.url)
+    assert client.request("POST", "/first", b"body").body == b"ok"
+    assert client.request("POST", "/second", b"body").body == b"ok"
+    assert server.connections == 2
+    server.stop()
+
+
+def test_an_answer_that_comes_too_late_is_not_the_next_ones():
+    server = Server(WHOLE, WHOLE)
+    client = http_client.HttpClient(server.url)
+    client.request("POST", "/first", b"body")
+    server.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nBAD")
+    assert client.request("POST", "/second", b"body").body == b"ok"
+    assert server.connections == 2
+    server.stop()
+
+
+def test_lines_of_a_stream_come_whole():
+    body = b"a\nbc\n\nd"
+    pieces = [b"1\r\n" + body[n : n + 1] + b"\r\n" for n in range(len(body))]
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    server = Server(head + b"".join(pieces) + b"0\r\n\r\n")
+    client = http_client.HttpClient(server.url)
+    answer = client.open("GET", "/stream")
+    assert list(answer.lines()) == [b"a", b"bc", b"", b"d"]
+    answer.release()
+    server.stop()
+
+
 @pytest.mark.parametrize("method", METHODS)
 @pytest.mark.parametrize("broken", [None, HALF])
 @pytest.mark.parametrize("reused", [False, True])
--- a/tests/nocover/test_configuration_keys.py
+++ b/tests/nocover/test_configuration_keys.py
@@ -115,7 +115,9 @@
         monkeypatch.setattr(daemon.base.limiter, "admit", _never_the_slow_one)
     key, other, slow = _grant(fleet), _grant(fleet), _grant(fleet, "slow")
     idle = Caller(fleet, key)
-    assert idle.open("/v1/programs", {"template": "x"}).status == 400
+    refusal = idle.open("/v1/programs", {"template": "x"})
+    assert refusal.status == 400
+    refusal.read()
     unread = Caller(fleet, key)
     body = {"model": "model", "messages": [{"role": "user", "content": "x"}]}
     body.update(stream=True, max_tokens=10**5)
@@ -143,8 +145,7 @@
     assert {caller.status for caller in waiting} == {401}
     assert b"key was withdrawn" in unread_answer.read()
     _wait_until(lambda: engine.load().running <= 1 and queue.queued == 0)
-    pool = idle.client._pool
-    sock = pool.get_socket()
+    sock = idle.client._idle.pop()._sock
     sock.settimeout(GIVE_UP_SECONDS)
     assert sock.recv(1) == b""
     assert staying.ended.wait(GIVE_UP_SECONDS)
