Answer whole requests before refusing what follows them

Cause: found by a new Hypothesis test of the whole edge against fake targets: where a whole request and a bad one came in one packet, the first was dropped and the 400 of the second stood in the place of its answer. Change: the reader keeps the refusal until what came before was taken. The older test of cut bytes takes requests up to that refusal, as before it did up to the end; what it compares is the same.

--- a/src/endivepier/http1/requests.py
+++ b/src/endivepier/http1/requests.py
@@ -44,6 +44,7 @@
         self.wants_continue = False
         self.keep_alive = True
         self._parser = httptools.HttpRequestParser(self)
+        self._failed: BadRequest | None = None
         self._ready: collections.deque[tuple[messages.Request, bool]] = (
             collections.deque()
         )
@@ -60,6 +61,15 @@
                 connection after the answer.
         """
         self._begun = True
+        try:
+            self._parse(data)
+        except BadRequest as exc:
+            # Whole requests before the bad one are answered first.
+            self._failed = exc
+            if not self._ready:
+                raise
+
+    def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
@@ -76,8 +86,14 @@
             self._check_header_size()
 
     def take(self) -> messages.Request | None:
-        """Returns the next whole request, or None if more bytes are needed."""
+        """Returns the next whole request, or None if more bytes are needed.
+
+        Raises:
+            BadRequest: what follows is no request.
+        """
         if not self._ready:
+            if self._failed is not None:
+                raise self._failed
             return None
         req, self.keep_alive = self._ready.popleft()
         return req
--- a/tests/cover/http1/test_requests.py
+++ b/tests/cover/http1/test_requests.py
@@ -1,5 +1,7 @@
 """Framings that a lenient server ran as two requests, and other bad ones."""
 
+import contextlib
+
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -126,8 +128,21 @@
                 rest = rest[size:]
         except requests.BadRequest:
             pass
-        while (req := reader.take()) is not None:
-            taken.append((req.method, req.target, req.body))
+        with contextlib.suppress(requests.BadRequest):  # told once all is taken
+            while (req := reader.take()) is not None:
+                taken.append((req.method, req.target, req.body))
         outcomes.append(taken)
     assert outcomes[0][:1] == outcomes[1][:1] == [(b"POST", b"/a", b"ok")]
     assert outcomes[0] == outcomes[1]
+
+
+def test_a_whole_request_before_a_bad_one_is_taken_first():
+    # Found by tests/cover/gateway/test_edge_fuzz.py: the 400 of the second
+    # came in the place of the first one's answer.
+    reader = requests.RequestReader(LIMITS)
+    reader.feed(post(b"Content-Length: 2\r\n", b"in") + post(b"X: a\nY: b\r\n"))
+    found = reader.take()
+    assert found is not None
+    assert found.body == b"in"
+    with pytest.raises(requests.BadRequest):
+        reader.take()
