Lines for a stored turn and a lapsed lease; what a 429 was decided on

Change: turn.stored, shares.lapsed; account.refused tells owners, begins and delayed. Test: a lapse is told once.

--- a/src/endivepier/gateway/handler.py
+++ b/src/endivepier/gateway/handler.py
@@ -167,7 +167,7 @@
         ask = share_messages.Ask(call.program, left, call.may_begin_program)
         admission = self._shares.wait(account, ask)
         if admission.retry_after is not None:
-            self._shares.log_refusal(account, call.id)
+            self._shares.log_refusal(account, call.id, admission)
             raise errors.Refused(
                 errors.Code.RATE_LIMITED,
                 429,
--- a/src/endivepier/gateway/share_renewals.py
+++ b/src/endivepier/gateway/share_renewals.py
@@ -130,6 +130,7 @@
                 continue
             except (errors.Unavailable, errors.OutcomeUnknown) as exc:
                 self._note(exc)
+            self._note_lapses()
             seconds = RENEW_SECONDS if self.ready else RENEW_SECONDS / 10
             self._timers.wait(self._wake, seconds * self._rng.uniform(0.8, 1.2))
 
@@ -140,6 +141,19 @@
             eliot.log_message("shares.renewed")
         self._failing = exc is not None
 
+    def _note_lapses(self) -> None:
+        now = self._timers.now()
+        for account, share in self.local.lapsed(now):
+            eliot.log_message(
+                "shares.lapsed",
+                account=account,
+                fraction=round(share.fraction, 4),
+                written=round(now - share.written, 2),
+                lease=LEASE_SECONDS,
+                action="requests of the account need another owner",
+            )
+            share.fraction = 0.0
+
     def _renew_all(self) -> None:
         declaration = self._catalog.declaration
         if declaration is None:
--- a/src/endivepier/gateway/share_rows.py
+++ b/src/endivepier/gateway/share_rows.py
@@ -74,6 +74,14 @@
         """Returns the part of an account, if it was asked for before."""
         return self._shares.get(name)
 
+    def lapsed(self, now: float) -> list[tuple[str, Share]]:
+        """Returns the parts whose leases have ended, with their accounts."""
+        return [
+            (name, share)
+            for name, share in self._shares.items()
+            if share.fraction and now >= share.until
+        ]
+
     def of(self, account: model.Account, now: float) -> Share:
         """Returns the part of an account, as it is declared now."""
         share = self._shares.get(account.name)
--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/shares.py
@@ -167,7 +167,12 @@
             share.starts.admit(program, now)
             self._first_seen.mark(program, begun=True)
 
-    def log_refusal(self, account: model.Account, request: str) -> None:
+    def log_refusal(
+        self,
+        account: model.Account,
+        request: str,
+        admission: share_messages.Admission,
+    ) -> None:
         """Logs what a refusal of a request was decided on."""
         now = self._timers.now()
         share = self._local.of(account, now)
@@ -175,6 +180,9 @@
             "account.refused",
             request=request,
             account=account.name,
+            begins=admission.begins,
+            delayed=admission.delayed,
+            owners=self._renewals.owners(account),
             rate=account.rate,
             burst=account.burst,
             fraction=round(share.fraction, 4),
--- a/src/endivepier/gateway/turns.py
+++ b/src/endivepier/gateway/turns.py
@@ -93,6 +93,7 @@
         Raises:
             errors.OutcomeUnknown: the store has not confirmed it in time.
         """
+        began = self._timers.now()
         pieces = _split(turn)
         keys = [_key(turn.id, number) for number in range(len(pieces))]
         puts = [
@@ -105,6 +106,13 @@
         expires = self._timers.now() + retention + RETENTION_MARGIN_SECONDS
         self._written.append((expires, keys))
         self._remember(turn)
+        eliot.log_message(
+            "turn.stored",
+            request=turn.id,
+            bytes=len(turn.history),
+            rows=len(keys),
+            seconds=round(self._timers.now() - began, 4),
+        )
 
     def _put(self, turn: Turn, txn: ports.Transaction, deadline: float) -> None:
         backoff = FIRST_BACKOFF_SECONDS
--- a/tests/cover/gateway/test_shares.py
+++ b/tests/cover/gateway/test_shares.py
@@ -320,6 +320,25 @@
     assert fleet.timers.run(main) is not None
 
 
+def test_a_lapsed_lease_is_told_once(monkeypatch):
+    fleet = Fleet(1, [gateway_parts.account(rate=20.0, burst=20.0)])
+    lines = []
+    monkeypatch.setattr(
+        share_renewals.eliot,
+        "log_message",
+        lambda message_type, **fields: lines.append(message_type),
+    )
+
+    def main():
+        fleet.timers.sleep(3.0)
+        fleet.table.faults.outage = True
+        fleet.timers.sleep(share_renewals.LEASE_SECONDS + 10.0)
+
+    fleet.timers.run(main)
+    assert lines.count("shares.lapsed") == 1
+    assert lines.count("shares.not_renewed") == 1
+
+
 def test_an_outage_of_nine_seconds_takes_nothing_from_an_account():
     fleet = Fleet(3, [gateway_parts.account(rate=20.0, burst=20.0)])
 
