Prefer targets that have an idle connection

Change: the cost of a target counts a new connection as 5 ms; fleet-wide queues at plain services count like those at engines.

--- a/src/endivepier/gateway/placement.py
+++ b/src/endivepier/gateway/placement.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import random
 
@@ -20,6 +21,9 @@
 PREFILL_TOKENS_PER_SECOND = 60_000.0  # the slower of the sheets' engines
 RUNNING_SECONDS = 0.002  # what each running request adds to another's time
 QUEUED_SECONDS = 0.030  # what each request beyond the slots adds
+# A way there and back, and what a server takes for a new connection (1 ms on
+# the users' sheets); it may hold a slot meanwhile.
+CONNECT_SECONDS = 0.005
 OTHER_CENTRE_SECONDS = 0.004  # two ways between data centres, and the bytes
 HASH_SECONDS = 0.004  # preference of the target that the hash names
 PLAIN_RUNNING_SECONDS = 0.020  # a request in front, at a plain service
@@ -97,12 +101,24 @@
         timers: timers_lib.Timers,
         rng: random.Random,
         reports: load_reports.LoadReports,
+        is_connected: Callable[[str], bool] = lambda _: True,
     ) -> None:
+        """Makes a placement that knows no target yet.
+
+        Args:
+            data_centre: where this host stands.
+            timers: the timer service.
+            rng: breaks ties.
+            reports: what other hosts have under way.
+            is_connected: tells whether there is an idle connection to a
+                target, by its incarnation.
+        """
         self.reports = reports
         reports.tell(self._under_way)
         self._data_centre = data_centre
         self._timers = timers
         self._rng = rng
+        self._is_connected = is_connected
         self._loads: dict[str, Load] = collections.defaultdict(Load)
 
     def load(self, target: model.Target) -> Load:
@@ -236,8 +252,12 @@
         cost = load.errors * ERROR_SECONDS
         if target.data_centre != self._data_centre:
             cost += OTHER_CENTRE_SECONDS
+        if not self._is_connected(target.incarnation):
+            cost += CONNECT_SECONDS
         if load.avoid_until > self._timers.now():
             cost += DOWN_COST_SECONDS
+        running = self.running(target)
+        cost += max(running + 1.0 - target.slots, 0.0) * QUEUED_SECONDS
         if engine is None:
             cost += load.running * PLAIN_RUNNING_SECONDS
         else:
@@ -246,9 +266,7 @@
             if target.incarnation == place and call.parts:
                 unread = min(unread, call.parts[-1].tokens)
             cost += unread / PREFILL_TOKENS_PER_SECOND
-            running = self.running(target)
             cost += running * RUNNING_SECONDS
-            cost += max(running + 1.0 - target.slots, 0.0) * QUEUED_SECONDS
             if not preferred and not place:
                 cost += HASH_SECONDS
         return cost + self._rng.random() * 1e-4
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -142,7 +142,7 @@
         )
         self.pool = pool_lib.Pool(timers)
         self.placement = placement_lib.Placement(
-            cfg.data_centre, timers, rng, reports
+            cfg.data_centre, timers, rng, reports, self.pool.has_idle
         )
         self.links = exchange.Links(
             adapters.dialect, self.pool, self.placement, timers
--- a/src/endivepier/http1/pool.py
+++ b/src/endivepier/http1/pool.py
@@ -85,6 +85,10 @@
             self.counts.discarded += 1
             conn.close()
 
+    def has_idle(self, name: str) -> bool:
+        """Returns whether there is an idle connection to a server."""
+        return bool(self._idle.get(name))
+
     def drop(self, name: str) -> None:
         """Closes all idle connections to a server."""
         for conn in self._idle.pop(name, ()):
--- a/tests/cover/gateway/test_placement.py
+++ b/tests/cover/gateway/test_placement.py
@@ -229,3 +229,22 @@
     place = next(t for t in found if t != usual)
     chosen = chooser.choose(call, found, ENGINE, set(), place.incarnation)
     assert chosen == place
+
+
+def test_of_equal_targets_one_that_is_connected_is_chosen():
+    # New connections are dear on bgw-sentro: 380 on a quiet day for 112 pairs
+    # of a host and a target.
+    timers = clock.VirtualTimers()
+    connected = {"t2@1"}
+    chooser = placement.Placement(
+        "a",
+        timers,
+        random.Random(0),
+        load_reports.LoadReports(timers),
+        connected.__contains__,
+    )
+    found = targets(5)
+    call = gateway_parts.call()
+    assert chooser.choose(call, found, None, set()).name == "t2"
+    chooser.began(found[2], call)
+    assert chooser.choose(call, found, None, set()).name != "t2"
