An isolated host is not ready

Change: after a second without the store, some peers are probed; if none answers, the host says that it isn't ready and closes connections after their next answer. A store that is down for all isolates nobody.

--- a/src/endivepier/gateway/peers.py
+++ b/src/endivepier/gateway/peers.py
@@ -66,7 +66,11 @@
 
 
 class Peers:
-    """The other entry hosts."""
+    """The other entry hosts.
+
+    Attributes:
+        heard_at: when one last asked or answered, monotonic seconds.
+    """
 
     def __init__(
         self,
@@ -85,6 +89,7 @@
         self._listed: set[str] = set()
         # Also of hosts that have left: they answer until their end.
         self._entries: dict[str, Entry] = {}
+        self.heard_at = float("-inf")
         self._silent: dict[str, Silence] = {}
         self._pool = pool_lib.Pool(timers)
         self._answers: dict[str, Answer] = {PROBE: lambda _: b"{}"}
@@ -142,6 +147,10 @@
         """Returns the hosts that may be asked now."""
         return [host for host in self._listed if self.can_ask(host)]
 
+    def others(self) -> list[str]:
+        """Returns all hosts on the list but this one, silent ones too."""
+        return [host for host in self._listed if host != self._host]
+
     def ask(
         self,
         host: str,
@@ -181,6 +190,7 @@
         self._pool.drop(host)
 
     def _note_answer(self, host: str) -> None:
+        self.heard_at = self._timers.now()
         if self._silent.pop(host, None) is not None:
             eliot.log_message("peer.answers", peer=host)
 
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -19,6 +19,7 @@
 from endivepier.gateway import dialect as dialect_lib
 from endivepier.gateway import exchange
 from endivepier.gateway import handler as handler_lib
+from endivepier.gateway import isolation
 from endivepier.gateway import load_reports
 from endivepier.gateway import peers as peers_lib
 from endivepier.gateway import placement as placement_lib
@@ -115,6 +116,7 @@
             ),
         )
         table.join(self.peers)
+        self.isolation = isolation.Isolation(table, self.peers, timers, rng)
         self.renewals = self.kernel.register(
             "share_renewals",
             share_renewals.Renewals(
@@ -179,6 +181,7 @@
         """Returns whether this host takes new connections."""
         return (
             not self.draining
+            and not self.isolation.isolated
             and self.catalog.is_complete()
             and self.renewals.ready
         )
@@ -241,6 +244,8 @@
 
     def _tend(self) -> None:
         self.pool.prune()
+        self.isolation.look()
+        self.server.closing = self.draining or self.isolation.isolated
         self.placement.reports.hosts = self.renewals.holders
         counts = self.pool.counts
         self.metrics.set("connections_opened", counts.opened)
--- a/src/endivepier/gateway/reach.py
+++ b/src/endivepier/gateway/reach.py
@@ -79,7 +79,12 @@
 
 
 class Store:
-    """A `storage.ports.Table` and `storage.ports.Feed` over two ways."""
+    """A `storage.ports.Table` and `storage.ports.Feed` over two ways.
+
+    Attributes:
+        lost_at: since when the direct way does not work, monotonic seconds,
+            or None.
+    """
 
     def __init__(
         self,
@@ -95,7 +100,7 @@
         self._peers: peers_lib.Peers | None = None
         self._direct_until = 0.0
         self._relay_until = 0.0
-        self._lost_at: float | None = None
+        self.lost_at: float | None = None
 
     def join(self, peers: peers_lib.Peers) -> None:
         """Uses peers from now on, and answers them."""
@@ -193,14 +198,14 @@
             found = call()
         except (errors.Unavailable, errors.OutcomeUnknown) as exc:
             self._direct_until = self._timers.now() + SUSPECT_SECONDS
-            if self._lost_at is None:
-                self._lost_at = self._timers.now()
+            if self.lost_at is None:
+                self.lost_at = self._timers.now()
                 eliot.log_message("store.turned_away", reason=str(exc))
             raise
         self._direct_until = 0.0
-        if self._lost_at is not None:
-            seconds = self._timers.now() - self._lost_at
-            self._lost_at = None
+        if self.lost_at is not None:
+            seconds = self._timers.now() - self.lost_at
+            self.lost_at = None
             eliot.log_message("store.reached_again", seconds=round(seconds, 3))
         return found
 
