Decide who waits while the store is away

Change: after three failures in a row one call at a time tries the store; programs that begin are refused at once, turns under way wait up to 1 s for its first answer; Retry-After grows with the outage.

--- a/src/endivepier/gateway/calls.py
+++ b/src/endivepier/gateway/calls.py
@@ -17,7 +17,11 @@
 # How soon a client may come back when all targets are full or unreachable:
 # a turn at an engine lasts some 200 ms, and slots come free all the time.
 FULL_RETRY_SECONDS = 0.15
-STORE_RETRY_SECONDS = 0.7  # the store's outages last seconds
+STORE_RETRY_SECONDS = 0.7  # at least: the store's outages last seconds
+# A quarter of the users' deadlines, so that a client's tries last longer than
+# most outages.
+STORE_PATIENCE_SECONDS = 1.0
+MAX_STORE_RETRY_SECONDS = 2.0  # clients wait a third of their 4 s at most
 NOT_READY_RETRY_SECONDS = 0.5
 # What is left of a deadline below which no target can answer in time.
 MIN_SECONDS = 0.01
@@ -99,13 +103,32 @@
     )
 
 
-def store_away(detail: str) -> errors.Refused:
-    """Returns the refusal of a call that needs the store."""
+def store_patience(passage: Passage) -> float:
+    """Returns how long a call may wait for a store that is away, in seconds.
+
+    A program under way loses all that it has done if its turn is refused too
+    often before the store is back; one that begins can come back later.
+    """
+    return 0.0 if passage.begins else STORE_PATIENCE_SECONDS
+
+
+def store_away(detail: str, seconds: float) -> errors.Refused:
+    """Returns the refusal of a call that needs the store.
+
+    An outage that has lasted for a while is likely to last as long again. A
+    client has few tries, and one that comes back too early has one less.
+
+    Args:
+        detail: what can't be done.
+        seconds: how long the store has been away.
+    """
     return errors.Refused(
         errors.Code.STORE_UNAVAILABLE,
         503,
         detail,
-        retry_after=STORE_RETRY_SECONDS,
+        retry_after=min(
+            max(seconds, STORE_RETRY_SECONDS), MAX_STORE_RETRY_SECONDS
+        ),
     )
 
 
--- a/src/endivepier/gateway/reach.py
+++ b/src/endivepier/gateway/reach.py
@@ -3,6 +3,11 @@
 The store may turn some hosts away while it serves the others. A host that is
 turned away asks a peer to make the call. A call by way of a peer keeps the
 three outcomes apart: done, certainly not done, and unknown.
+
+While the store is silent for all, a call would only wait for its time-out. So
+once several calls in a row have failed, one at a time tries; the others fail
+at once. Feeds are not held back: they try all the time, and the first answer
+of any call ends this.
 """
 
 from __future__ import annotations
@@ -15,6 +20,7 @@
 from typing import TypeVar
 
 import eliot
+import gevent.event
 import pydantic
 
 from endivepier import errors
@@ -28,6 +34,8 @@
 
 # How long a way that failed is left alone before it is tried again.
 SUSPECT_SECONDS = 0.5
+# Answers of writes may be lost one by one; so many in a row are an outage.
+OUTAGE_FAILURES = 3
 RELAY_SECONDS = (
     0.5  # far above a call's few milliseconds, below a client's wait
 )
@@ -101,6 +109,9 @@
         self._direct_until = 0.0
         self._relay_until = 0.0
         self.lost_at: float | None = None
+        self._back = gevent.event.Event()
+        self._failures = 0
+        self._trying = False
 
     def join(self, peers: peers_lib.Peers) -> None:
         """Uses peers from now on, and answers them."""
@@ -114,10 +125,26 @@
     def is_away(self) -> bool:
         """Returns whether neither way has worked a moment ago."""
         now = self._timers.now()
-        if self._direct_until <= now:
+        if self._direct_until <= now and not self._is_out():
             return False
         return self._relay_until > now or not self._ways()
 
+    def wait_back(self, seconds: float) -> bool:
+        """Waits until the store is not away; returns whether it is not."""
+        if self.is_away():
+            self._timers.wait(self._back, seconds)
+        return not self.is_away()
+
+    def away_seconds(self) -> float:
+        """Returns for how long the direct way has not worked; 0 if it does."""
+        if self.lost_at is None:
+            return 0.0
+        return self._timers.now() - self.lost_at
+
+    def _is_out(self) -> bool:
+        """Returns whether the direct way is left to one call at a time."""
+        return self._failures >= OUTAGE_FAILURES
+
     def get(self, key: str) -> ports.Row | None:
         """Returns a row; see `storage.ports.Table.get`."""
         rows = self._read(
@@ -154,13 +181,14 @@
             CHANGES,
             codec.encode(Since(table, after, wait)),
             wait + RELAY_MARGIN_SECONDS,
+            feed=True,
         )
 
     def transact(self, txn: ports.Transaction) -> int:
         """Commits a transaction; see `storage.ports.Table.transact`."""
         if not self._prefers_relay():
             try:
-                return self._direct(lambda: self._table.transact(txn))
+                return self._try(lambda: self._table.transact(txn))
             except errors.Unavailable:
                 if not self._ways():
                     raise
@@ -180,10 +208,12 @@
         question: str,
         body: bytes,
         seconds: float = RELAY_SECONDS,
+        *,
+        feed: bool = False,
     ) -> ports.Changes:
         if not self._prefers_relay():
             try:
-                return self._direct(direct)
+                return self._direct(direct) if feed else self._try(direct)
             except errors.Unavailable:
                 if not self._ways():
                     raise
@@ -193,16 +223,36 @@
         rows = tuple(row.row() for row in reply.rows)
         return ports.Changes(rows, reply.removed, reply.version)
 
+    def _try(self, call: Callable[[], T]) -> T:
+        """Makes a call directly, unless others find the store silent.
+
+        Raises:
+            errors.Unavailable: it was not made, or certainly had no effect.
+        """
+        if not self._is_out():
+            return self._direct(call)
+        if self._trying or self._direct_until > self._timers.now():
+            raise errors.Unavailable("the store has been silent for some time")
+        self._trying = True
+        try:
+            return self._direct(call)
+        finally:
+            self._trying = False
+
     def _direct(self, call: Callable[[], T]) -> T:
         try:
             found = call()
         except (errors.Unavailable, errors.OutcomeUnknown) as exc:
             self._direct_until = self._timers.now() + SUSPECT_SECONDS
+            self._failures += 1
+            self._back.clear()
             if self.lost_at is None:
                 self.lost_at = self._timers.now()
                 eliot.log_message("store.turned_away", reason=str(exc))
             raise
         self._direct_until = 0.0
+        self._failures = 0
+        self._back.set()
         if self.lost_at is not None:
             seconds = self._timers.now() - self.lost_at
             self.lost_at = None
@@ -280,7 +330,7 @@
     def _answer(self, call: Callable[[], ports.Changes | int]) -> bytes:
         """Makes a call for a peer, over the direct way only."""
         try:
-            found = self._direct(call)
+            found = self._try(call)
         except errors.ConditionFailed as exc:
             return _encode(wire.Conflict(exc.key))
         except errors.HistoryLost as exc:
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -127,15 +127,19 @@
         call = passage.call
         if not passage.route.retained:
             return call.body
-        if self._store.is_away():
-            raise calls.store_away("the turn could not be kept now")
+        patience = calls.store_patience(passage)
+        if not self._store.wait_back(patience):
+            raise calls.store_away(
+                "the turn could not be kept now", self._store.away_seconds()
+            )
         if not call.previous:
             return call.body
         try:
             turn = self._turns.find(call.previous, passage.account)
         except errors.Unavailable as exc:
             raise calls.store_away(
-                f"turn {call.previous!r} can't be read now: {exc}"
+                f"turn {call.previous!r} can't be read now: {exc}",
+                self._store.away_seconds(),
             ) from exc
         if turn is None:
             raise errors.Refused(
--- a/src/endivepier/gateway/turn_tokens.py
+++ b/src/endivepier/gateway/turn_tokens.py
@@ -49,10 +49,8 @@
         reservation = self._budgets.begin(
             call.program, call.budget, most, first=passage.begins
         )
-        if (
-            reservation.state is budget_state.State.GRANTED
-            or reservation.likely
-        ):
+        granted = reservation.state is budget_state.State.GRANTED
+        if granted or (reservation.likely and not self._store.is_away()):
             return reservation
         try:
             self.wait(passage, reservation, RESERVE_SECONDS)
@@ -73,8 +71,11 @@
             errors.Refused: the turn does not get its tokens.
         """
         if reservation.state is budget_state.State.PENDING:
-            if self._store.is_away() and not passage.tried:
-                raise calls.store_away("the budget can't be read now")
+            patience = calls.store_patience(passage)
+            if not passage.tried and not self._store.wait_back(patience):
+                raise calls.store_away(
+                    "the budget can't be read now", self._store.away_seconds()
+                )
             seconds = min(seconds, passage.limit - self._timers.now())
             self._timers.wait(reservation.decided, seconds)
         call = passage.call
@@ -89,7 +90,10 @@
                     f"{call.budget} tokens",
                 )
             case _ if not passage.tried:
-                raise calls.store_away("the budget can't be written now")
+                raise calls.store_away(
+                    "the budget can't be written now",
+                    self._store.away_seconds(),
+                )
             case _:
                 raise errors.Refused(
                     errors.Code.STORE_UNAVAILABLE,
--- a/tests/cover/gateway/test_reach.py
+++ b/tests/cover/gateway/test_reach.py
@@ -2,9 +2,11 @@
 
 import random
 
+import gevent
 import pytest
 
 from endivepier import errors
+from endivepier.gateway import calls
 from endivepier.gateway import reach
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
@@ -145,3 +147,133 @@
         return away, store.is_away()
 
     assert timers.run(main) == (True, False)
+
+
+class Silent:
+    """A store that answers nothing, after a time-out, until it is back."""
+
+    def __init__(self, timers):
+        self.timers = timers
+        self.back = False
+        self.calls = 0
+
+    def call(self):
+        self.calls += 1
+        if self.back:
+            return None
+        self.timers.sleep(1.0)
+        raise errors.Unavailable("no answer in time")
+
+    def get(self, key):
+        return self.call()
+
+    def changes(self, table, after, wait):
+        self.call()
+        return ports.Changes((), (), after)
+
+
+def silent_store(timers):
+    table = Silent(timers)
+    return table, reach.Store(table, table, timers, random.Random(0))
+
+
+def lasts(timers, call):
+    """Returns how long a call takes that fails."""
+    began = timers.now()
+    with pytest.raises(errors.Unavailable):
+        call()
+    return timers.now() - began
+
+
+def test_calls_to_a_silent_store_fail_at_once_after_a_few(timers):
+    # Each turn waited a second for its time-out while the store was silent,
+    # and clients left before they were refused (cnt trouble-3).
+    table, store = silent_store(timers)
+
+    def main():
+        for _ in range(reach.OUTAGE_FAILURES):
+            lasts(timers, lambda: store.get("t//a"))
+        assert store.is_away()
+        return [lasts(timers, lambda: store.get("t//a")) for _ in range(20)]
+
+    assert max(timers.run(main)) == 0.0
+    assert table.calls == reach.OUTAGE_FAILURES
+
+
+def test_one_call_at_a_time_tries_a_silent_store(timers):
+    table, store = silent_store(timers)
+
+    def main():
+        for _ in range(reach.OUTAGE_FAILURES):
+            lasts(timers, lambda: store.get("t//a"))
+        timers.sleep(reach.SUSPECT_SECONDS + 0.01)
+        tasks = [
+            gevent.spawn(lasts, timers, lambda: store.get("t//a"))
+            for _ in range(10)
+        ]
+        gevent.joinall(tasks, raise_error=True)
+        return sorted(task.value for task in tasks)
+
+    assert timers.run(main) == [0.0] * 9 + [1.0]
+    assert table.calls == reach.OUTAGE_FAILURES + 1
+
+
+def test_the_first_answer_of_a_feed_ends_an_outage(timers):
+    table, store = silent_store(timers)
+
+    def main():
+        for _ in range(reach.OUTAGE_FAILURES):
+            lasts(timers, lambda: store.get("t//a"))
+        table.back = True
+        store.changes("t", 0, 1.0)
+        return store.get("t//a")
+
+    assert timers.run(main) is None
+    assert not store.is_away()
+
+
+def test_a_lost_answer_now_and_then_is_no_outage(timers):
+    table, store = silent_store(timers)
+
+    def main():
+        for number in range(20):
+            table.back = bool(number % 3)
+            if table.back:
+                store.get("t//a")
+            else:
+                lasts(timers, lambda: store.get("t//a"))
+        table.back = True
+        return store.get("t//a")
+
+    assert timers.run(main) is None
+
+
+@pytest.mark.parametrize(
+    ("away", "retry_after"),
+    [(0.0, 0.7), (0.3, 0.7), (1.2, 1.2), (9.0, 2.0)],
+)
+def test_clients_come_back_later_the_longer_the_store_is_away(
+    away, retry_after
+):
+    # With 0.7 s always, a client's six tries were over before an outage of
+    # seven seconds was (cnt trouble-3, bgw trouble-2).
+    assert calls.store_away("now", away).retry_after == retry_after
+
+
+def test_a_wait_for_the_store_ends_with_its_first_answer(timers):
+    table, store = silent_store(timers)
+
+    def main():
+        assert store.wait_back(1.0)
+        for _ in range(reach.OUTAGE_FAILURES):
+            lasts(timers, lambda: store.get("t//a"))
+        began = timers.now()
+        assert not store.wait_back(1.0)
+        assert timers.now() - began == pytest.approx(1.0)
+        table.back = True
+        timers.after(0.3, lambda: store.changes("t", 0, 1.0))
+        began = timers.now()
+        assert store.wait_back(1.0)
+        return timers.now() - began
+
+    assert timers.run(main) == pytest.approx(0.3)
