A peer without the store does not close the way by the others

Change: peers that lack the store are remembered one by one; only three of them, with no call made by another, count as an outage for all. A turn waits only then, or until a peer makes a call. A host's own row is written again if it is deleted late; programs that ended are forgotten though none begins.

--- a/src/endivepier/gateway/peers.py
+++ b/src/endivepier/gateway/peers.py
@@ -86,6 +86,7 @@
         self._own = own
         self._table = table
         self._timers = timers
+        self._leaving = False
         self._listed: set[str] = set()
         # Also of hosts that have left: they answer until their end.
         self._entries: dict[str, Entry] = {}
@@ -123,6 +124,7 @@
 
     def drain(self) -> None:
         """Takes this process off the list; it still asks and answers."""
+        self._leaving = True
         gevent.killall(self._tasks)
         key = rows.single(rows.HOSTS, self._host)
         try:
@@ -294,7 +296,11 @@
 
     def _change(self, changes: ports.Changes) -> None:
         for key in changes.removed:
-            self._listed.discard(key.rpartition("/")[2])
+            host = key.rpartition("/")[2]
+            self._listed.discard(host)
+            if host == self._host and not self._leaving:
+                # A former process's row was deleted late.
+                self._tasks.append(gevent.spawn(self._announce))
         for row in changes.rows:
             host = row.key.rpartition("/")[2]
             self._listed.add(host)
--- a/src/endivepier/gateway/reach.py
+++ b/src/endivepier/gateway/reach.py
@@ -36,11 +36,15 @@
 SUSPECT_SECONDS = 0.5
 # Answers of writes may be lost one by one; so many in a row are an outage.
 OUTAGE_FAILURES = 3
+# So many peers that lack the store, and none that has it, are an outage for
+# all: the store may turn a third of the hosts away.
+OUTAGE_PEERS = 3
+PEERS_ASKED = OUTAGE_PEERS  # for one call
+LOOK_SECONDS = 0.1  # how often a call that waits looks for another way
 RELAY_SECONDS = (
     0.5  # far above a call's few milliseconds, below a client's wait
 )
 RELAY_MARGIN_SECONDS = 0.8  # what a relayed feed may take beyond its wait
-PEERS_ASKED = 2
 GET = "store-get"
 SCAN = "store-scan"
 TRANSACT = "store-transact"
@@ -107,7 +111,10 @@
         self._rng = rng
         self._peers: peers_lib.Peers | None = None
         self._direct_until = 0.0
-        self._relay_until = 0.0
+        # Until when peers that lack the store are not asked, and when one
+        # last made a call.
+        self._lacking: dict[str, float] = {}
+        self._relayed_at = float("-inf")
         self.lost_at: float | None = None
         self._back = gevent.event.Event()
         self._failures = 0
@@ -127,13 +134,28 @@
         now = self._timers.now()
         if self._direct_until <= now and not self._is_out():
             return False
-        return self._relay_until > now or not self._ways()
+        return not self._ways()
 
     def wait_back(self, seconds: float) -> bool:
-        """Waits until the store is not away; returns whether it is not."""
-        if self.is_away():
-            self._timers.wait(self._back, seconds)
-        return not self.is_away()
+        """Waits until the store is not away; returns whether it is not.
+
+        It waits only if a peer lacks the store, too: else other hosts can
+        serve what this one can't.
+        """
+        if not self.is_away():
+            return True
+        if not self._lacking_now():
+            return False
+        end = self._timers.now() + seconds
+        while (left := end - self._timers.now()) > 0:
+            self._timers.wait(self._back, min(left, LOOK_SECONDS))
+            if self.lost_at is None or self._has_relayed():
+                return True
+        return False
+
+    def _has_relayed(self) -> bool:
+        """Returns whether a peer made a call a moment ago."""
+        return self._timers.now() - self._relayed_at <= SUSPECT_SECONDS
 
     def away_seconds(self) -> float:
         """Returns for how long the direct way has not worked; 0 if it does."""
@@ -266,9 +288,20 @@
 
     def _ways(self) -> list[str]:
         """Returns the peers that may be asked now."""
-        if self._peers is None or self._relay_until > self._timers.now():
+        if self._peers is None:
             return []
-        return self._peers.askable()
+        lacking = self._lacking_now()
+        if len(lacking) >= OUTAGE_PEERS and not self._has_relayed():
+            return []
+        return [host for host in self._peers.askable() if host not in lacking]
+
+    def _lacking_now(self) -> set[str]:
+        """Returns the peers that lacked the store, too, a moment ago."""
+        now = self._timers.now()
+        self._lacking = {
+            host: until for host, until in self._lacking.items() if until > now
+        }
+        return set(self._lacking)
 
     def _relay(
         self, question: str, body: bytes, seconds: float, *, once: bool
@@ -292,13 +325,13 @@
                 continue
             reply: Reply = codec.decode(Reply, answer)
             if not isinstance(reply, Failed):
+                self._relayed_at = self._timers.now()
                 return reply
             if reply.reason == "history":
                 raise errors.HistoryLost(reply.detail)
-            self._relay_until = self._timers.now() + SUSPECT_SECONDS
-            if reply.reason == "unknown":
+            self._lacking[host] = self._timers.now() + SUSPECT_SECONDS
+            if once and reply.reason == "unknown":
                 raise errors.OutcomeUnknown(f"by way of {host}: {reply.detail}")
-            break
         raise errors.Unavailable("neither the store nor a peer makes the call")
 
     def _answer_get(self, body: bytes) -> bytes:
--- a/src/endivepier/gateway/starts.py
+++ b/src/endivepier/gateway/starts.py
@@ -75,6 +75,7 @@
 
     def admit(self, program: str, now: float) -> None:
         """Counts an admitted request; the first one begins the program."""
+        self._drop_ended(now)
         found = self._programs.get(program)
         if found is None:
             found = self._programs[program] = UnderWay(0, now, now)
--- a/tests/cover/gateway/test_peers.py
+++ b/tests/cover/gateway/test_peers.py
@@ -95,6 +95,18 @@
     assert hosts["h0"].peers.can_ask("h1")
 
 
+def test_a_host_whose_row_is_deleted_late_makes_itself_known_again(hosts):
+    # A write without an answer may be performed seconds later, such as the
+    # deletion of the row by the process before this one.
+    key = rows.single(rows.HOSTS, "h1")
+    table = hosts["h1"].peers._table
+    before = table.get(key).version
+    table.transact(ports.Transaction((), (ports.Delete(key),)))
+    with gevent.Timeout(5):
+        while not ((row := table.get(key)) and row.version > before):
+            gevent.sleep(0.01)
+
+
 def test_a_host_that_leaves_still_answers(hosts):
     # What a leaving host granted is settled with it.
     hosts["h1"].peers.drain()
--- a/tests/cover/gateway/test_starts.py
+++ b/tests/cover/gateway/test_starts.py
@@ -131,3 +131,10 @@
     fill(begun, 0.0)
     assert begun.missing(0.0, bucket(RATE)) > 0
     assert begun.missing(0.0, bucket(950.0)) == 0.0
+
+
+def test_programs_that_have_ended_are_forgotten_though_none_begins():
+    begun = starts.Starts()
+    for number in range(1000):
+        begun.admit(f"p{number}", number * 1.0)
+    assert len(begun._programs) <= starts.QUIET_SECONDS + 1
