--- a/src/endivepier/gateway/budget_owners.py
+++ b/src/endivepier/gateway/budget_owners.py
@@ -37,7 +37,7 @@
 # A turn that its host has not settled by now never will be: its client has
 # long left. It counts with all it might have generated.
 UNSETTLED_SECONDS = 12.0
-KNOWN_PLACES = 20_000  # programs; an entry is some 200 bytes
+KNOWN_LAST_TARGETS = 20_000  # programs; an entry is some 200 bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,12 +57,12 @@
     Attributes:
         state: whether the turn has its tokens.
         number: names what was granted.
-        place: the target that ran the program's last turn, or empty.
+        last_target: the target that ran the program's last turn, or empty.
     """
 
     state: budget_state.State
     number: int
-    place: str = ""
+    last_target: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,7 +71,7 @@
 
     number: int
     used: int
-    place: str = ""
+    last_target: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,8 +90,8 @@
         decided: set once that is known.
         settle: gives back what was not used; set once they are held.
         used: tokens that the turn used, once it has ended.
-        place: the target that ran the program's last turn, or empty. It has
-            the program's prompt in memory.
+        last_target: the target that ran the program's last turn, or empty. It
+            has the program's prompt in memory.
     """
 
     most: int
@@ -102,14 +102,14 @@
     )
     settle: Callable[[int, str], None] | None = None
     used: int | None = None
-    place: str = ""
+    last_target: str = ""
 
     def decide(
         self, state: budget_state.State, settle: Callable[[int, str], None]
     ) -> None:
         """Notes the decision, also if the turn has ended meanwhile."""
         if self.used is not None:
-            settle(self.used, self.place)
+            settle(self.used, self.last_target)
             return
         self.settle = settle
         self.state = state
@@ -132,7 +132,7 @@
         self._timers = timers
         self._numbers = itertools.count(1)
         self._lent: dict[int, tuple[budget_state.Reservation, float]] = {}
-        self._places: collections.OrderedDict[str, str] = (
+        self._last_targets: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
         )
         peers.register(BEGIN, self._answer_begin)
@@ -164,31 +164,33 @@
         gevent.spawn(self._begin_there, owner, asked, reservation)
         return reservation
 
-    def end(self, reservation: Reservation, used: int, place: str = "") -> None:
+    def end(
+        self, reservation: Reservation, used: int, last_target: str = ""
+    ) -> None:
         """Settles a turn: `used` tokens were handed to the client.
 
         Args:
             reservation: the turn's.
             used: how many tokens.
-            place: the target that ran it, or empty.
+            last_target: the target that ran it, or empty.
         """
         reservation.used = used
-        reservation.place = place
+        reservation.last_target = last_target
         if reservation.settle is not None:
-            reservation.settle(used, place)
+            reservation.settle(used, last_target)
 
-    def _note_place(self, program: str, place: str) -> None:
-        if not place:
+    def _note_last_target(self, program: str, last_target: str) -> None:
+        if not last_target:
             return
-        self._places[program] = place
-        self._places.move_to_end(program)
-        if len(self._places) > KNOWN_PLACES:
-            self._places.popitem(last=False)
+        self._last_targets[program] = last_target
+        self._last_targets.move_to_end(program)
+        if len(self._last_targets) > KNOWN_LAST_TARGETS:
+            self._last_targets.popitem(last=False)
 
     def _end_here(
-        self, local: budget_state.Reservation, used: int, place: str
+        self, local: budget_state.Reservation, used: int, last_target: str
     ) -> None:
-        self._note_place(local.program.name, place)
+        self._note_last_target(local.program.name, last_target)
         self._ledger.end(local, used)
 
     def _owner(self, program: str) -> str:
@@ -200,15 +202,15 @@
             asked.program, asked.budget, asked.most, first=asked.first
         )
         reservation = Reservation(asked.most, likely=local.likely)
-        reservation.place = self._places.get(asked.program, "")
+        reservation.last_target = self._last_targets.get(asked.program, "")
         if local.decided.is_set():
             self._take_over(reservation, local)
         else:
             local.decided.rawlink(lambda _: self._take_over(reservation, local))
         # A turn that ends before the decision is taken out of the queue.
         if reservation.settle is None:
-            reservation.settle = lambda used, place: self._end_here(
-                local, used, place
+            reservation.settle = lambda used, last_target: self._end_here(
+                local, used, last_target
             )
         return reservation
 
@@ -217,8 +219,8 @@
     ) -> None:
         if reservation.used is not None:
             return
-        reservation.settle = lambda used, place: self._end_here(
-            local, used, place
+        reservation.settle = lambda used, last_target: self._end_here(
+            local, used, last_target
         )
         reservation.state = local.state
         reservation.decided.set()
@@ -242,10 +244,12 @@
             return
         begun: Begun = codec.decode(Begun, answer)
         if reservation.used is None:
-            reservation.place = begun.place
+            reservation.last_target = begun.last_target
         reservation.decide(
             begun.state,
-            lambda used, place: self._end_there(owner, begun, used, place),
+            lambda used, last_target: self._end_there(
+                owner, begun, used, last_target
+            ),
         )
 
     def _begin_instead(self, asked: Begin, reservation: Reservation) -> None:
@@ -255,17 +259,17 @@
         local = self._ledger.begin(
             asked.program, asked.budget, asked.most, first=False
         )
-        reservation.settle = lambda used, place: self._end_here(
-            local, used, place
+        reservation.settle = lambda used, last_target: self._end_here(
+            local, used, last_target
         )
         local.decided.wait()
         self._take_over(reservation, local)
 
     def _end_there(
-        self, owner: str, begun: Begun, used: int, place: str
+        self, owner: str, begun: Begun, used: int, last_target: str
     ) -> None:
         if begun.state is budget_state.State.GRANTED:
-            end = End(begun.number, used, place)
+            end = End(begun.number, used, last_target)
             gevent.spawn(self._tell_end, owner, end)
 
     def _tell_end(self, owner: str, end: End) -> None:
@@ -295,14 +299,14 @@
         if local.state is budget_state.State.GRANTED:
             until = self._timers.now() + UNSETTLED_SECONDS
             self._lent[number] = (local, until)
-        place = self._places.get(asked.program, "")
-        return codec.encode(Begun(local.state, number, place))
+        last_target = self._last_targets.get(asked.program, "")
+        return codec.encode(Begun(local.state, number, last_target))
 
     def _answer_end(self, body: bytes) -> bytes:
         end: End = codec.decode(End, body)
         lent = self._lent.pop(end.number, None)
         if lent is not None:
-            self._end_here(lent[0], end.used, end.place)
+            self._end_here(lent[0], end.used, end.last_target)
         return codec.encode(Ended())
 
     def _expire(self) -> None:
--- a/src/endivepier/gateway/calls.py
+++ b/src/endivepier/gateway/calls.py
@@ -39,7 +39,7 @@
         engine: what is known of the service's engines, or None.
         responder: the way back to the client.
         limit: when it must be answered, monotonic seconds.
-        place: the target that ran the program's turn before, or empty.
+        last_target: the target that ran the program's turn before, or empty.
         begins: whether it is its program's first turn, as far as is known.
         delayed: whether its program begins so late, after refusals, that it
             would not end in time.
@@ -55,7 +55,7 @@
     engine: model.Engine | None
     responder: server_lib.Responder
     limit: float
-    place: str = ""
+    last_target: str = ""
     begins: bool = False
     delayed: bool = False
     tried: list[str] = dataclasses.field(default_factory=list)
@@ -86,7 +86,7 @@
     targets = catalog.targets(passage.service)
     excluded = passage.unreachable | set(passage.tried)
     target = placement.choose(
-        passage.call, targets, passage.engine, excluded, passage.place
+        passage.call, targets, passage.engine, excluded, passage.last_target
     )
     if target is None:
         raise no_room(passage, f"{len(targets)} targets, none takes the call")
--- a/src/endivepier/gateway/placement.py
+++ b/src/endivepier/gateway/placement.py
@@ -19,7 +19,9 @@
 from endivepier.internal import rendezvous
 
 PREFILL_TOKENS_PER_SECOND = 60_000.0  # the slower of the sheets' engines
-RUNNING_SECONDS = 0.002  # what each running request adds to another's time
+# What each running request adds to the time of another: 0.04 ms a step (the
+# users' sheets) for some 35 steps, and a part of its prompt between them.
+RUNNING_SECONDS = 0.002
 QUEUED_SECONDS = 0.030  # what each request beyond the slots adds
 # A way there and back, and what a server takes for a new connection (1 ms on
 # the users' sheets); it may hold a slot meanwhile.
@@ -135,7 +137,7 @@
         targets: list[model.Target],
         engine: model.Engine | None,
         excluded: set[str],
-        place: str = "",
+        last_target: str = "",
     ) -> model.Target | None:
         """Returns the target with the lowest cost; None if there is none.
 
@@ -145,7 +147,7 @@
             engine: what is known of the service's engines; None for a plain
                 service.
             excluded: incarnations that must not be chosen.
-            place: the incarnation that ran the program's turn before this
+            last_target: the incarnation that ran the program's turn before this
                 one and has its prompt in memory, or empty.
         """
         choices = [t for t in targets if t.incarnation not in excluded]
@@ -156,7 +158,7 @@
         return min(
             choices,
             key=lambda t: self._cost(
-                call, t, engine, t.name == preferred, place
+                call, t, engine, t.name == preferred, last_target
             ),
         )
 
@@ -246,7 +248,7 @@
         target: model.Target,
         engine: model.Engine | None,
         preferred: bool,
-        place: str = "",
+        last_target: str = "",
     ) -> float:
         load = self.load(target)
         cost = load.errors * ERROR_SECONDS
@@ -263,10 +265,10 @@
         else:
             cost += load.waiting(self._timers.now())
             unread = load.unread(call)
-            if target.incarnation == place and call.parts:
+            if target.incarnation == last_target and call.parts:
                 unread = min(unread, call.parts[-1].tokens)
             cost += unread / PREFILL_TOKENS_PER_SECOND
             cost += running * RUNNING_SECONDS
-            if not preferred and not place:
+            if not preferred and not last_target:
                 cost += HASH_SECONDS
         return cost + self._rng.random() * 1e-4
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -90,7 +90,7 @@
         body = self._body(passage)
         reservation = self._tokens.reserve(passage)
         if reservation is not None:
-            passage.place = reservation.place
+            passage.last_target = reservation.last_target
         progress = Progress(last=passage.call.last_event)
         try:
             self._run(passage, body, reservation, progress)
--- a/src/endivepier/gateway/turn_tokens.py
+++ b/src/endivepier/gateway/turn_tokens.py
@@ -111,8 +111,8 @@
     ) -> None:
         """Settles a turn of which `events` were handed to the client."""
         used = events * self.event_tokens(passage)
-        place = passage.tried[-1] if passage.tried else ""
-        self._budgets.end(reservation, used, place)
+        last_target = passage.tried[-1] if passage.tried else ""
+        self._budgets.end(reservation, used, last_target)
         eliot.log_message(
             "turn.settled",
             request=passage.call.id,
--- a/tests/common/engine_load.py
+++ b/tests/common/engine_load.py
@@ -85,7 +85,7 @@
         self.engine = model.Engine(self.sheet.slots, self.sheet.memory, 4)
         self.ends = Ends()
         # Hosts learn both from the owners of budgets and of accounts.
-        self.places = {}
+        self.last_targets = {}
         self.first_seen = first_seen.FirstSeen()
 
     def play(self, per_second, seconds):
@@ -174,9 +174,11 @@
         ):
             self.ends.refused += 1
             return False
-        place = self.places.get(call.program, "")
-        target = host.choose(call, self.targets, self.engine, set(), place)
-        self.places[call.program] = target.incarnation
+        last_target = self.last_targets.get(call.program, "")
+        target = host.choose(
+            call, self.targets, self.engine, set(), last_target
+        )
+        self.last_targets[call.program] = target.incarnation
         unread = host.load(target).unread(call)
         host.began(target, call)
         sent = self.timers.now()
--- a/tests/cover/gateway/test_budget_owners.py
+++ b/tests/cover/gateway/test_budget_owners.py
@@ -205,15 +205,15 @@
     fleet = Fleet()
 
     def main():
-        places = []
+        last_targets = []
         for number, name in enumerate(("h0", "h1", "h2", "h0")):
             host = fleet.hosts[name]
             reservation = host.begin("p", 1000, MOST, first=False)
             fleet.timers.wait(reservation.decided, 3.0)
-            places.append(reservation.place)
+            last_targets.append(reservation.last_target)
             host.end(reservation, 10, f"engine-{number}")
             fleet.timers.sleep(0.1)
-        return places
+        return last_targets
 
-    places = fleet.timers.run(main)
-    assert places == ["", "engine-0", "engine-1", "engine-2"]
+    last_targets = fleet.timers.run(main)
+    assert last_targets == ["", "engine-0", "engine-1", "engine-2"]
--- a/tests/cover/gateway/test_placement.py
+++ b/tests/cover/gateway/test_placement.py
@@ -226,9 +226,9 @@
     found = targets()
     call = turn("p", 3)
     usual = chooser.choose(call, found, ENGINE, set())
-    place = next(t for t in found if t != usual)
-    chosen = chooser.choose(call, found, ENGINE, set(), place.incarnation)
-    assert chosen == place
+    last_target = next(t for t in found if t != usual)
+    chosen = chooser.choose(call, found, ENGINE, set(), last_target.incarnation)
+    assert chosen == last_target
 
 
 def test_of_equal_targets_one_that_is_connected_is_chosen():
