Give stand-ins ports that no connection can take

The fixture asked the system for a free port, closed it and used it later; between the two the same process made connections, to which the system gives ports from the same range. Change: ports below that range, none given twice.

--- a/src/endivepier/standins/fleet.py
+++ b/src/endivepier/standins/fleet.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+import contextlib
 import dataclasses
 import secrets
 from typing import Any
@@ -32,13 +33,26 @@
 LOOPBACK = "127.0.0.1"
 SECRET_BYTES = 24
 DRAIN_SECONDS = 0.3
+# Below 32768, where Linux begins to take ports for outgoing connections.
+FIRST_PORT = 20_000
+LAST_PORT = 32_767
+_given: set[int] = set()
 
 
 def free_address() -> str:
-    """Returns a loopback address whose port was free just now."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return f"{LOOPBACK}:{sock.getsockname()[1]}"
+    """Returns a loopback address whose port is free until it is used.
+
+    The system gives ports above these to outgoing connections. One that was
+    free would be taken by any connection that is made before it is used.
+    """
+    while True:
+        port = FIRST_PORT + secrets.randbelow(LAST_PORT - FIRST_PORT + 1)
+        if port in _given:
+            continue
+        _given.add(port)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((LOOPBACK, port))
+            return f"{LOOPBACK}:{port}"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
