Lend connections from the one pool, for peers, the store and our own interface

Cause, read in the diff: three places took a connection, sent, read a whole answer, and kept or closed it; internal.http_client kept idle connections of its own beside http1.pool. Change: Pool.connection is a context manager for one exchange; HttpClient has a Pool. Its own user timeout and its keeping of idle connections stay. The test of withdrawn keys finds the idle connection there, with the same checks.

--- a/src/endivepier/gateway/peers.py
+++ b/src/endivepier/gateway/peers.py
@@ -205,36 +205,27 @@
         seconds: float,
     ) -> bytes:
         deadline = self._timers.now() + seconds
-        conn = self._pool.take(host, address, connect_seconds=ASK_SECONDS)
-        probe: timers_lib.Handle | None = None
-        if seconds > PROBE_AFTER_SECONDS and question != PROBE:
-            probe = self._timers.after(
-                PROBE_AFTER_SECONDS, lambda: self._probe(host, conn)
-            )
-        whole = False
-        try:
-            conn.send(
-                client.encode_request(
-                    b"POST",
-                    f"/{question}".encode(),
-                    [
-                        (b"Host", address.encode()),
-                        (HOST_HEADER, self._host.encode()),
-                        (LOAD_HEADER, self._reports.encode()),
-                    ],
-                    body,
-                ),
-                deadline,
-            )
-            head, answer = client.read_whole(conn, deadline)
-            whole = True
-        finally:
-            if probe is not None:
-                probe.cancel()
-            if whole:
-                self._pool.put(host, conn)
-            else:
-                conn.close()
+        headers = [
+            (b"Host", address.encode()),
+            (HOST_HEADER, self._host.encode()),
+            (LOAD_HEADER, self._reports.encode()),
+        ]
+        target = f"/{question}".encode()
+        data = client.encode_request(b"POST", target, headers, body)
+        with self._pool.connection(
+            host, address, connect_seconds=ASK_SECONDS
+        ) as conn:
+            probe: timers_lib.Handle | None = None
+            if seconds > PROBE_AFTER_SECONDS and question != PROBE:
+                probe = self._timers.after(
+                    PROBE_AFTER_SECONDS, lambda: self._probe(host, conn)
+                )
+            try:
+                conn.send(data, deadline)
+                head, answer = client.read_whole(conn, deadline)
+            finally:
+                if probe is not None:
+                    probe.cancel()
         if head.status != 200:
             raise ValueError(f"it answered {head.status}")
         self._note_answer(host)
--- a/src/endivepier/http1/pool.py
+++ b/src/endivepier/http1/pool.py
@@ -4,6 +4,8 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 
 from endivepier import timers as timers_lib
@@ -37,10 +39,25 @@
         self,
         timers: timers_lib.Timers,
         connect: Callable[..., client.Connection] = client.connect,
+        *,
+        user_timeout: float = USER_TIMEOUT_SECONDS,
+        idle_seconds: float = DEFAULT_IDLE_SECONDS,
     ) -> None:
+        """Makes an empty pool.
+
+        Args:
+            timers: the timer service.
+            connect: makes a connection; see `client.connect`.
+            user_timeout: seconds after which data that a server does not
+                acknowledge breaks its connection.
+            idle_seconds: how long a connection is kept whose server does not
+                say how long it does.
+        """
         self.counts = Counts()
         self._timers = timers
         self._connect = connect
+        self._user_timeout = user_timeout
+        self._idle_seconds = idle_seconds
         self._idle: dict[str, list[client.Connection]] = (
             collections.defaultdict(list)
         )
@@ -74,9 +91,32 @@
             address,
             self._timers,
             seconds=connect_seconds,
-            user_timeout=USER_TIMEOUT_SECONDS,
+            user_timeout=self._user_timeout,
         )
 
+    @contextlib.contextmanager
+    def connection(
+        self,
+        name: str,
+        address: str,
+        *,
+        connect_seconds: float = CONNECT_SECONDS,
+    ) -> Iterator[client.Connection]:
+        """Lends a connection for one whole exchange.
+
+        It is kept if the body of the `with` ends, and closed if that raises.
+
+        Raises:
+            errors.ConnectFailed: no new one could be made.
+        """
+        conn = self.take(name, address, connect_seconds=connect_seconds)
+        try:
+            yield conn
+        except BaseException:
+            conn.close()
+            raise
+        self.put(name, conn)
+
     def put(self, name: str, conn: client.Connection) -> None:
         """Gives a connection back after a whole answer."""
         if conn.reusable():
@@ -124,7 +164,7 @@
         return None
 
     def _too_old(self, conn: client.Connection, max_idle: float | None) -> bool:
-        limit = DEFAULT_IDLE_SECONDS
+        limit = self._idle_seconds
         if conn.idle_limit is not None:
             limit = conn.idle_limit * IDLE_SHARE
         if max_idle is not None:
--- a/src/endivepier/internal/http_client.py
+++ b/src/endivepier/internal/http_client.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import functools
+import math
 import ssl
 import urllib.parse
 
@@ -21,6 +23,7 @@
 from endivepier.http1 import client as http1_client
 from endivepier.http1 import errors as http_errors
 from endivepier.http1 import messages
+from endivepier.http1 import pool as pool_lib
 
 DEFAULT_CONNECT_SECONDS = 1.0
 DEFAULT_READ_SECONDS = 30.0
@@ -166,13 +169,18 @@
         self._prefix = url.path.rstrip("/")
         self._host = url.hostname or ""
         self._address = f"{self._host}:{url.port or PORTS[url.scheme]}"
-        self._tls: ssl.SSLContext | None = None
+        tls = None
         if url.scheme == "https":
-            self._tls = ssl_context or default_ssl_context()
+            tls = ssl_context or default_ssl_context()
         self._connect_seconds = connect_seconds
         self._read_seconds = read_seconds
         self._timers = timers_lib.SystemTimers()
-        self._idle: list[http1_client.Connection] = []
+        self._pool = pool_lib.Pool(
+            self._timers,
+            functools.partial(http1_client.connect, tls=tls),
+            user_timeout=USER_TIMEOUT_SECONDS,
+            idle_seconds=math.inf,
+        )
         self._free = gevent.lock.BoundedSemaphore(connections)
 
     def request(
@@ -244,8 +252,7 @@
 
     def close(self) -> None:
         """Closes the idle connections."""
-        while self._idle:
-            self._idle.pop().close()
+        self._pool.drop(self._address)
 
     def _deadline(self) -> float:
         return self._timers.now() + self._read_seconds
@@ -260,25 +267,18 @@
         self._free.release()
         if conn is None:
             return
-        if keep and conn.reusable():
-            self._idle.append(conn)
+        if keep:
+            self._pool.put(self._address, conn)
         else:
             conn.close()
 
     def _connect(self) -> http1_client.Connection:
         """Returns a connection that stands; nothing has been sent on it."""
-        while self._idle:
-            conn = self._idle.pop()
-            if conn.reusable():
-                return conn
-            conn.close()
         try:
-            return http1_client.connect(
+            return self._pool.take(
+                self._address,
                 self._address,
-                self._timers,
-                seconds=self._connect_seconds,
-                user_timeout=USER_TIMEOUT_SECONDS,
-                tls=self._tls,
+                connect_seconds=self._connect_seconds,
             )
         except http_errors.ConnectFailed as exc:
             raise ConnectFailed(str(exc)) from exc
--- a/tests/nocover/test_configuration_keys.py
+++ b/tests/nocover/test_configuration_keys.py
@@ -145,7 +145,8 @@
     assert {caller.status for caller in waiting} == {401}
     assert b"key was withdrawn" in unread_answer.read()
     _wait_until(lambda: engine.load().running <= 1 and queue.queued == 0)
-    sock = idle.client._idle.pop()._sock
+    [[conn]] = idle.client._pool._idle.values()
+    sock = conn._sock
     sock.settimeout(GIVE_UP_SECONDS)
     assert sock.recv(1) == b""
     assert staying.ended.wait(GIVE_UP_SECONDS)
