One decision after a target failed, for plain calls and streams

Cause, read in the diff: plain and streams each decided whether a call goes elsewhere and how long a target may be silent, in the same words, beside calls.after_rejection. Change: calls.after_failure, Passage.may_repeat and Passage.silent_until; a stream's loop has one place that ends it.

--- a/src/endivepier/gateway/calls.py
+++ b/src/endivepier/gateway/calls.py
@@ -67,6 +67,21 @@
         left = self.limit - now
         return len(self.tried) < self.route.most_targets and left > MIN_SECONDS
 
+    def may_repeat(self, now: float) -> bool:
+        """Returns whether it may be sent again although it may have run."""
+        return self.route.repeatable and self.may_try_again(now)
+
+    def silent_until(self, now: float, seconds: float) -> float:
+        """Returns until when a target may be silent.
+
+        Args:
+            now: the time.
+            seconds: after how long the call is better sent elsewhere.
+        """
+        if not self.may_repeat(now):
+            return self.limit
+        return min(self.limit, now + seconds)
+
 
 def next_target(
     passage: Passage,
@@ -166,6 +181,22 @@
         passage.tried.append(target.incarnation)
 
 
+def after_failure(
+    passage: Passage,
+    target: model.Target,
+    exc: errors.TargetFailed,
+    now: float,
+) -> None:
+    """Decides whether a call goes elsewhere after a target failed.
+
+    Raises:
+        errors.Refused: it does not; it may have run.
+    """
+    note_failure(passage, target, exc)
+    if exc.sent and not passage.may_repeat(now):
+        raise outcome_unknown(exc)
+
+
 def after_rejection(
     passage: Passage, exchange: exchange_lib.Exchange, now: float
 ) -> None:
--- a/src/endivepier/gateway/plain.py
+++ b/src/endivepier/gateway/plain.py
@@ -44,7 +44,7 @@
             try:
                 exchange, body = self._attempt(passage, target)
             except errors.TargetFailed as exc:
-                self._after_failure(passage, target, exc)
+                calls.after_failure(passage, target, exc, self._timers.now())
                 continue
             if exchange.not_run:
                 calls.after_rejection(passage, exchange, self._timers.now())
@@ -74,26 +74,10 @@
 
     def _patience(self, passage: calls.Passage) -> float:
         """Returns until when to wait for the answer of this attempt."""
-        route = passage.route
-        now = self._timers.now()
-        if not (route.repeatable and passage.may_try_again(now)):
-            return passage.limit
-        silent = max(SILENT_OBJECTIVES * route.objective, MIN_SILENT_SECONDS)
-        return min(passage.limit, now + silent)
-
-    def _after_failure(
-        self,
-        passage: calls.Passage,
-        target: model.Target,
-        exc: errors.TargetFailed,
-    ) -> None:
-        """Decides whether the call goes elsewhere after a failure."""
-        calls.note_failure(passage, target, exc)
-        if not exc.sent:
-            return
-        again = passage.may_try_again(self._timers.now())
-        if not (passage.route.repeatable and again):
-            raise calls.outcome_unknown(exc)
+        silent = max(
+            SILENT_OBJECTIVES * passage.route.objective, MIN_SILENT_SECONDS
+        )
+        return passage.silent_until(self._timers.now(), silent)
 
     def _answer(
         self, passage: calls.Passage, head: messages.Head, body: bytes
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -156,20 +156,30 @@
         reservation: budget_owners.Reservation | None,
         progress: Progress,
     ) -> None:
-        while True:
-            try:
-                target = calls.next_target(
-                    passage, self._catalog, self._links.placement, self._timers
-                )
-                if self._attempt(passage, target, body, reservation, progress):
-                    return
-            except errors.TargetFailed as exc:
-                self._after_failure(passage, target, exc, progress)
-            except errors.Refused as exc:
-                if not progress.started and not passage.tried:
-                    raise
-                self._break_off(passage, progress, exc)
-                return
+        try:
+            while not self._try_next(passage, body, reservation, progress):
+                pass
+        except errors.Refused as exc:
+            if not progress.started and not passage.tried:
+                raise
+            self._break_off(passage, progress, exc)
+
+    def _try_next(
+        self,
+        passage: calls.Passage,
+        body: bytes,
+        reservation: budget_owners.Reservation | None,
+        progress: Progress,
+    ) -> bool:
+        """Sends the call to the next target; returns whether it ended."""
+        target = calls.next_target(
+            passage, self._catalog, self._links.placement, self._timers
+        )
+        try:
+            return self._attempt(passage, target, body, reservation, progress)
+        except errors.TargetFailed as exc:
+            calls.after_failure(passage, target, exc, self._timers.now())
+            return False
 
     def _attempt(
         self,
@@ -312,30 +322,10 @@
 
     def _patience(self, passage: calls.Passage, *, first: bool) -> float:
         """Returns until when to wait for the next event."""
-        route = passage.route
-        now = self._timers.now()
-        if not (route.resumable and passage.may_try_again(now)):
-            return passage.limit
-        silent = max(SILENT_GAPS * route.gap, MIN_SILENT_SECONDS)
+        silent = max(SILENT_GAPS * passage.route.gap, MIN_SILENT_SECONDS)
         if first:
             silent = max(silent, FIRST_EVENT_SECONDS)
-        return min(passage.limit, now + silent)
-
-    def _after_failure(
-        self,
-        passage: calls.Passage,
-        target: model.Target,
-        exc: errors.TargetFailed,
-        progress: Progress,
-    ) -> None:
-        """Decides whether the stream goes on elsewhere after a failure."""
-        calls.note_failure(passage, target, exc)
-        if not exc.sent:
-            return
-        again = passage.may_try_again(self._timers.now())
-        if not (passage.route.resumable and again):
-            refused = calls.outcome_unknown(exc)
-            self._break_off(passage, progress, refused)
+        return passage.silent_until(self._timers.now(), silent)
 
     def _break_off(
         self,
