One map of recent entries; drop what nothing reads

Cause, read in the diff: the router's places, the budget owners' last targets, the programs that asked lately and the parts of prompts each kept an ordered map and cut its oldest entries in the same three lines. Share.others was written at each renewal and read nowhere since owners replaced demand. Change: internal.recent.Recent serves all four; an entry of FirstSeen is put once, as before, so that its order stays. No behaviour meant to change; the tests in tests/cover pass.

--- a/src/endivepier/gateway/budget_owners.py
+++ b/src/endivepier/gateway/budget_owners.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-import collections
 from collections.abc import Callable
 import dataclasses
 import itertools
@@ -27,6 +26,7 @@
 from endivepier.gateway import budgets
 from endivepier.gateway import peers as peers_lib
 from endivepier.internal import codec
+from endivepier.internal import recent
 from endivepier.internal import rendezvous
 
 BEGIN = "budget-begin"
@@ -132,8 +132,8 @@
         self._timers = timers
         self._numbers = itertools.count(1)
         self._lent: dict[int, tuple[budget_state.Reservation, float]] = {}
-        self._last_targets: collections.OrderedDict[str, str] = (
-            collections.OrderedDict()
+        self._last_targets: recent.Recent[str] = recent.Recent(
+            KNOWN_LAST_TARGETS
         )
         peers.register(BEGIN, self._answer_begin)
         peers.register(END, self._answer_end)
@@ -180,12 +180,8 @@
             reservation.settle(used, last_target)
 
     def _note_last_target(self, program: str, last_target: str) -> None:
-        if not last_target:
-            return
-        self._last_targets[program] = last_target
-        self._last_targets.move_to_end(program)
-        if len(self._last_targets) > KNOWN_LAST_TARGETS:
-            self._last_targets.popitem(last=False)
+        if last_target:
+            self._last_targets.put(program, last_target)
 
     def _end_here(
         self, local: budget_state.Reservation, used: int, last_target: str
@@ -202,7 +198,7 @@
             asked.program, asked.budget, asked.most, first=asked.first
         )
         reservation = Reservation(asked.most, likely=local.likely)
-        reservation.last_target = self._last_targets.get(asked.program, "")
+        reservation.last_target = self._last_targets.get(asked.program) or ""
         if local.decided.is_set():
             self._take_over(reservation, local)
         else:
@@ -299,7 +295,7 @@
         if local.state is budget_state.State.GRANTED:
             until = self._timers.now() + UNSETTLED_SECONDS
             self._lent[number] = (local, until)
-        last_target = self._last_targets.get(asked.program, "")
+        last_target = self._last_targets.get(asked.program) or ""
         return codec.encode(Begun(local.state, number, last_target))
 
     def _answer_end(self, body: bytes) -> bytes:
--- a/src/endivepier/gateway/calls.py
+++ b/src/endivepier/gateway/calls.py
@@ -147,7 +147,7 @@
     )
 
 
-def outcome_unknown(exc: errors.TargetFailed) -> errors.Refused:
+def _outcome_unknown(exc: errors.TargetFailed) -> errors.Refused:
     """Returns the answer to a call that may have run."""
     return errors.Refused(
         errors.Code.OUTCOME_UNKNOWN,
@@ -157,7 +157,7 @@
     )
 
 
-def note_failure(
+def _note_failure(
     passage: Passage, target: model.Target, exc: errors.TargetFailed
 ) -> None:
     """Notes that a target did not answer a call, so that it is not asked again.
@@ -192,9 +192,9 @@
     Raises:
         errors.Refused: it does not; it may have run.
     """
-    note_failure(passage, target, exc)
+    _note_failure(passage, target, exc)
     if exc.sent and not passage.may_repeat(now):
-        raise outcome_unknown(exc)
+        raise _outcome_unknown(exc)
 
 
 def after_rejection(
--- a/src/endivepier/gateway/first_seen.py
+++ b/src/endivepier/gateway/first_seen.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 
+from endivepier.internal import recent
+
 # A program that begins with a smaller share of its time than this ends late
 # if turns take a little longer than on idle engines: the users' programs have
 # 1.5 to 2.7 times that.
@@ -34,9 +35,7 @@
     """The programs that asked lately, by name."""
 
     def __init__(self) -> None:
-        self._programs: collections.OrderedDict[str, Seen] = (
-            collections.OrderedDict()
-        )
+        self._programs: recent.Recent[Seen] = recent.Recent(KNOWN_PROGRAMS)
 
     def note(self, program: str, left: float) -> None:
         """Notes what a program has left, or once had, in seconds."""
@@ -58,7 +57,6 @@
     def _of(self, program: str) -> Seen:
         seen = self._programs.get(program)
         if seen is None:
-            seen = self._programs[program] = Seen()
-            if len(self._programs) > KNOWN_PROGRAMS:
-                self._programs.popitem(last=False)
+            seen = Seen()
+            self._programs.put(program, seen)
         return seen
--- a/src/endivepier/gateway/placement.py
+++ b/src/endivepier/gateway/placement.py
@@ -16,6 +16,7 @@
 from endivepier import timers as timers_lib
 from endivepier.gateway import load_reports
 from endivepier.gateway import model
+from endivepier.internal import recent
 from endivepier.internal import rendezvous
 
 PREFILL_TOKENS_PER_SECOND = 60_000.0  # the slower of the sheets' engines
@@ -64,8 +65,8 @@
     wait: float = 0.0
     wait_at: float = 0.0
     silent: dict[str, float] = dataclasses.field(default_factory=dict)
-    parts: collections.OrderedDict[str, None] = dataclasses.field(
-        default_factory=collections.OrderedDict
+    parts: recent.Recent[None] = dataclasses.field(
+        default_factory=lambda: recent.Recent(KNOWN_PARTS)
     )
 
     def waiting(self, now: float) -> float:
@@ -79,10 +80,7 @@
     def remember(self, parts: tuple[model.Part, ...]) -> None:
         """Notes that the target has read the parts."""
         for part in parts:
-            self.parts[part.name] = None
-            self.parts.move_to_end(part.name)
-        while len(self.parts) > KNOWN_PARTS:
-            self.parts.popitem(last=False)
+            self.parts.put(part.name, None)
 
     def unread(self, call: model.Call) -> int:
         """Returns the tokens of the prompt that the target would read."""
--- a/src/endivepier/gateway/share_renewals.py
+++ b/src/endivepier/gateway/share_renewals.py
@@ -217,7 +217,6 @@
     ) -> share_rows.Row | None:
         """Returns the row with our new entry; None if nothing is to change."""
         others = self._living(account.name, before, now)
-        share.others = others
         free = 1.0 - sum(entry.fraction for entry in others.values())
         owners = self.owners(account)
         wanted = 1.0 / len(owners) if self.holder in owners else 0.0
--- a/src/endivepier/gateway/share_rows.py
+++ b/src/endivepier/gateway/share_rows.py
@@ -40,7 +40,6 @@
         fraction: what may be used now.
         until: when the lease ends, monotonic seconds.
         written: when the entry was last written.
-        others: what other hosts held when the row was last read.
         starts: how many programs may begin.
         empty_until: until when a peer is taken to have nothing to give.
     """
@@ -50,7 +49,6 @@
     fraction: float = 0.0
     until: float = 0.0
     written: float = 0.0
-    others: dict[str, Entry] = dataclasses.field(default_factory=dict)
     empty_until: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def touch(self, now: float) -> None:
--- a/src/endivepier/scheduling/router.py
+++ b/src/endivepier/scheduling/router.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import collections
 from collections.abc import Generator
 from collections.abc import Iterator
 from collections.abc import Sequence
@@ -20,6 +19,7 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.internal import peers as peers_lib
+from endivepier.internal import recent
 from endivepier.membership import members
 from endivepier.membership import view as view_lib
 from endivepier.membership import watched
@@ -99,9 +99,7 @@
         self._rng = rng or random.Random(0)
         self._loads = load_lib.Loads()
         self._budget = retries_lib.RetryBudget()
-        self._places: collections.OrderedDict[str, _Place] = (
-            collections.OrderedDict()
-        )
+        self._places: recent.Recent[_Place] = recent.Recent(PLACES)
 
     def generate(
         self, req: work_lib.Generate
@@ -161,7 +159,7 @@
                 )
         except (errors.Refused, errors.PeerUnreachable):
             return False
-        self._places.pop(session, None)
+        self._places.drop(session)
         return True
 
     def _may_retry(self, exc: errors.Refused, tried: set[str]) -> bool:
@@ -301,10 +299,7 @@
     ) -> None:
         session = req.request.session
         size = event.prompt_tokens + event.completion_tokens
-        self._places[session] = _Place(member.address, size)
-        self._places.move_to_end(session)
-        while len(self._places) > PLACES:
-            self._places.popitem(last=False)
+        self._places.put(session, _Place(member.address, size))
 
     def _remote(
         self, member: members.Member, req: work_lib.Generate
