Tests: one set of peers in one process, one count of how programs end

Cause, read in the diff: test_shares and test_budget_owners each had peers that call each other's answers; the loads of accounts and of engines repeated their figures; two tests lost an owner in the same three lines. Change: tests/common/gateway_peers.py; engine_load takes what it shares from program_load; Fleet.lose_an_owner.

--- a/tests/common/engine_load.py
+++ b/tests/common/engine_load.py
@@ -19,17 +19,14 @@
 from endivepier.standins import batches
 from endivepier.standins import clock
 from tests.common import gateway_parts
+from tests.common import program_load
 
 TOOLS_SECONDS = 0.07
-THINK_SECONDS = 0.06
 WAY_SECONDS = 0.036
 OUTPUT_TOKENS = 34
 SHARED_TOKENS = 2560
 TURN_TOKENS = 900  # of new input, and of what the turn before generated
 SILENCE_SECONDS = 2.0
-AIM_FACTOR = 1.6
-AIM_SECONDS = 0.25
-HOME_SHARE = 0.6
 REPORT_SECONDS = 0.1  # between two reports of a host to another
 RETRY_SECONDS = 0.2
 
@@ -48,13 +45,9 @@
 
 
 @dataclasses.dataclass
-class Ends:
+class Ends(program_load.Ends):
     """How programs ended, and how many turns the engines ran."""
 
-    begun: int = 0
-    in_time: int = 0
-    late: int = 0
-    failed: int = 0
     turns: int = 0
     refused: int = 0
 
@@ -119,15 +112,19 @@
         turns = 9 if self.rng.random() < 0.25 else 4
         turns = max(1, round(self.rng.gauss(turns, 1.5)))
         idle = self.sheet.step * OUTPUT_TOKENS + WAY_SECONDS
-        idle += TOOLS_SECONDS + THINK_SECONDS
-        due = self.timers.now() + AIM_FACTOR * idle * turns + AIM_SECONDS
+        idle += TOOLS_SECONDS + program_load.THINK_SECONDS
+        due = (
+            self.timers.now()
+            + program_load.AIM_FACTOR * idle * turns
+            + program_load.AIM_SECONDS
+        )
         parts = [model.Part(f"shared{self.rng.randrange(3)}", SHARED_TOKENS)]
         for number in range(turns):
             parts.append(model.Part(f"{name}-{number}", TURN_TOKENS))
             if not self._turn(home, name, number, tuple(parts), due):
                 self.ends.failed += 1
                 return
-            self.timers.sleep(TOOLS_SECONDS + THINK_SECONDS)
+            self.timers.sleep(TOOLS_SECONDS + program_load.THINK_SECONDS)
         if self.timers.now() <= due:
             self.ends.in_time += 1
         else:
@@ -139,7 +136,7 @@
                 self.timers.sleep(self.rng.uniform(0.1, 0.4))
             for _ in range(2):
                 host = home
-                if attempt or self.rng.random() > HOME_SHARE:
+                if attempt or self.rng.random() > program_load.HOME_SHARE:
                     host = self.rng.choice(self.hosts)
                 call = gateway_parts.call(
                     f"{name}-{number}-{self.rng.random()}",
--- a/tests/cover/gateway/test_budget_owners.py
+++ b/tests/cover/gateway/test_budget_owners.py
@@ -5,42 +5,16 @@
 import gevent
 import pytest
 
-from endivepier import errors
 from endivepier.gateway import budget_owners
 from endivepier.gateway import budget_state
 from endivepier.gateway import budgets
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
+from tests.common import gateway_peers
 
 MOST = 100
 
 
-class PeersOf:
-    """The peers of one host, in the same process."""
-
-    def __init__(self, name, fleet):
-        self.name = name
-        self.fleet = fleet
-        self.answers = {}
-        self.cut = False
-        self.blind = False
-
-    def register(self, question, answer):
-        self.answers[question] = answer
-
-    def askable(self):
-        if self.blind:
-            return []
-        return [name for name in self.fleet.peers if name != self.name]
-
-    def ask(self, host, question, body, seconds):
-        self.fleet.timers.sleep(0.002)
-        other = self.fleet.peers[host]
-        if self.cut or other.cut:
-            raise errors.PeerUnreachable(host, "cut", sent=True)
-        return other.answers[question](body)
-
-
 class Fleet:
     """Hosts that share a table."""
 
@@ -52,7 +26,7 @@
         self.handed = 0
         for number in range(count):
             name = f"h{number}"
-            self.peers[name] = PeersOf(name, self)
+            gateway_peers.PeersOf(name, self.peers, self.timers, 0.002)
         for name in self.peers:
             self.start(name)
 
--- a/tests/cover/gateway/test_shares.py
+++ b/tests/cover/gateway/test_shares.py
@@ -6,47 +6,19 @@
 import hypothesis
 from hypothesis import strategies
 
-from endivepier import errors
 from endivepier.gateway import share_messages
 from endivepier.gateway import share_renewals
 from endivepier.gateway import shares
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
 from tests.common import gateway_parts
+from tests.common import gateway_peers
 from tests.common import program_load
 
 WINDOW_SECONDS = 5.0
 TOLERANCE = 20.0
 
 
-class PeersOf:
-    """The peers of one host, in the same process."""
-
-    def __init__(self, name, hosts, timers):
-        self.name = name
-        self.hosts = hosts
-        self.timers = timers
-        self.answers = {}
-        self.cut = False
-        hosts[name] = self
-
-    def register(self, question, answer):
-        self.answers[question] = answer
-
-    def askable(self):
-        return [name for name in self.hosts if name != self.name]
-
-    def can_ask(self, host):
-        return host in self.hosts and host != self.name
-
-    def ask(self, host, question, body):
-        other = self.hosts[host]
-        self.timers.sleep(0.003)
-        if self.cut or other.cut:
-            raise errors.PeerUnreachable(host, "cut", sent=True)
-        return other.answers[question](body)
-
-
 class Fleet:
     """Hosts that share the accounts of one declaration."""
 
@@ -71,7 +43,7 @@
         """Starts a host, or starts it again."""
         if name in self.renewals:
             self.renewals[name].stop()
-        peers = PeersOf(name, self.peers, self.timers)
+        peers = gateway_peers.PeersOf(name, self.peers, self.timers, 0.003)
         renewals = share_renewals.Renewals(
             name, self, self.table, self.timers, self.rng, peers, TOLERANCE
         )
@@ -79,6 +51,13 @@
         self.hosts[name] = shares.Shares(renewals, self, peers, self.timers)
         renewals.start()
 
+    def lose_an_owner(self, account):
+        """Ends an owner of the account for good; returns its name."""
+        lost = self.renewals["h0"].owners(account)[0]
+        self.renewals[lost].stop()
+        del self.peers[lost]
+        return lost
+
     def request(self, host, account, program="", left=0.0, *, fresh=False):
         ask = share_messages.Ask(program, left, fresh)
         found = self.hosts[host].wait(self.accounts[account], ask)
@@ -375,10 +354,8 @@
 
     def main():
         fleet.timers.sleep(3.0)
-        owners = fleet.renewals["h0"].owners(account)
-        fleet.renewals[owners[0]].stop()
-        del fleet.peers[owners[0]]
-        others = [name for name in fleet.hosts if name != owners[0]]
+        lost = fleet.lose_an_owner(account)
+        others = [name for name in fleet.hosts if name != lost]
         for number in range(20):
             fleet.load(others[number % 6], "acme", 15.0, 1.0)
 
@@ -393,16 +370,14 @@
 
     def main():
         fleet.timers.sleep(3.0)
-        owners = fleet.renewals["h0"].owners(account)
-        fleet.renewals[owners[0]].stop()
-        del fleet.peers[owners[0]]
+        lost = fleet.lose_an_owner(account)
         fleet.timers.sleep(
             share_renewals.LEASE_SECONDS + 3 * share_renewals.RENEW_SECONDS
         )
         return sum(
             renewals.local.find("acme").fraction
             for name, renewals in fleet.renewals.items()
-            if name != owners[0]
+            if name != lost
         )
 
     assert fleet.timers.run(main) == 1.0
