gateway: log how a target's stream ended

Cause: streams that broke off at their target were relayed as complete. The logs could not tell a body that ends with its connection from one whose framing ended, nor show bytes of an incomplete event.

Change: one line `stream.ended` for each target's stream, before the response to the client is finished. No logic changed.

--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -254,6 +254,15 @@
                 if reservation is not None and not progress.events_sent:
                     self._tokens.wait(ctx, reservation, ctx.route.timeout)
                 self._forward(ctx, new_events, progress)
+        eliot.log_message(
+            "stream.ended",
+            request=ctx.call.id,
+            target=exchange.target.name,
+            ended_by="close" if head.until_close else "framing",
+            events=progress.events_sent,
+            last_event=progress.last_event_id,
+            partial_bytes=len(splitter.partial_event),
+        )
         self._finish(ctx, progress, splitter.partial_event, body)
 
     def _forward(
