--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import struct
 
 import gevent
 from gevent import socket
@@ -90,11 +91,66 @@
         responder.start(200, self.headers(request))
         responder.write(EVENTS[0] + EVENTS[1] + EVENTS[2][:5])
 
+    def stream_until_close(self, request, responder, events=EVENTS):
+        """Streams without a length or chunks; the close ends the body."""
+        after = int(messages.find(request.headers, b"last-event-id") or 0)
+        lines = [b"HTTP/1.1 200 OK"]
+        lines += [name + b": " + v for name, v in self.headers(request)]
+        lines += [b"", b"".join(events[after:])]
+        responder.connection.write(b"\r\n".join(lines))
+
+    def close_within_an_event(self, request, responder):
+        """Like `stream_until_close`, but closes within the third event."""
+        self.stream_until_close(
+            request, responder, [*EVENTS[:2], EVENTS[2][:5]]
+        )
+
+    def close_before_an_event(self, request, responder):
+        """Like `stream_until_close`, but closes after the head."""
+        self.stream_until_close(request, responder, [])
+
+    def reset_after_two_events(self, request, responder):
+        """Like `stream_until_close`, but resets the connection."""
+        self.stream_until_close(request, responder, EVENTS[:2])
+        gevent.sleep(0.05)  # so that the events arrive before the reset
+        responder.connection.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+
+    def finish_within_an_event(self, request, responder):
+        """Ends the chunked body properly, but within the third event."""
+        self.cut_off(request, responder)
+        responder.finish()
+
     def answer_other_call(self, request, responder):
         """Sends a response that carries the id of another call."""
         responder.send(200, [(b"Attempt-Id", b"other")], b"not yours")
 
 
+def set_handlers(fleet, first, others=None):
+    """Sets how targets handle requests, and returns the targets called.
+
+    The first request to any target is handled by the method `first` of
+    `FakeTarget`, all later ones by `others` or, if None, by default.
+    """
+    called = []
+
+    def choose_handler(target):
+        default = target.handler
+
+        def handle(request, responder):
+            called.append(target.name)
+            method = first if len(called) == 1 else others
+            handler = default if method is None else getattr(target, method)
+            handler(request, responder)
+
+        return handle
+
+    for target in fleet.targets:
+        target.handler = choose_handler(target)
+    return called
+
+
 class Decoder:
     """Returns a fixed declaration and fixed targets for all rows."""
 
--- a/tests/cover/gateway/test_path.py
+++ b/tests/cover/gateway/test_path.py
@@ -33,30 +33,6 @@
         fleet.stop()
 
 
-def set_handlers(fleet, first, others=None):
-    """Sets how targets handle requests, and returns the targets called.
-
-    The first request to any target is handled by the method `first` of
-    `FakeTarget`, all later ones by `others` or, if None, by default.
-    """
-    called = []
-
-    def choose_handler(target):
-        default = target.handler
-
-        def handle(request, responder):
-            called.append(target.name)
-            method = first if len(called) == 1 else others
-            handler = default if method is None else getattr(target, method)
-            handler(request, responder)
-
-        return handle
-
-    for target in fleet.targets:
-        target.handler = choose_handler(target)
-    return called
-
-
 def test_a_stream_is_relayed_unchanged(start):
     fleet = start([STREAM])
     response = fleet.request()
@@ -85,7 +61,7 @@
 
 def test_a_resumable_stream_continues_at_another_target(start):
     fleet = start([STREAM])
-    set_handlers(fleet, "cut_off")
+    gateway_fleet.set_handlers(fleet, "cut_off")
     response = fleet.request()
     assert (response.complete, response.body) == (True, STREAM_BODY)
     assert len(fleet.received()) == 2
@@ -93,7 +69,7 @@
 
 def test_a_cut_off_stream_that_is_not_resumable_stays_incomplete(start):
     fleet = start([gateway_parts.route(resumable=False)])
-    set_handlers(fleet, "cut_off")
+    gateway_fleet.set_handlers(fleet, "cut_off")
     response = fleet.request()
     assert not response.complete
     assert response.body == STREAM_BODY[: len(response.body)]
@@ -102,7 +78,7 @@
 
 def test_a_call_to_a_silent_target_is_resent_to_another(start):
     fleet = start([IDEMPOTENT])
-    called = set_handlers(fleet, "hang", "respond")
+    called = gateway_fleet.set_handlers(fleet, "hang", "respond")
     with gevent.Timeout(2):
         assert fleet.request().status == 200
     assert len(set(called)) == 2
@@ -110,7 +86,7 @@
 
 def test_a_request_that_may_not_be_repeated_is_sent_once(start):
     fleet = start([NON_IDEMPOTENT])
-    set_handlers(fleet, "cut_off", "respond")
+    gateway_fleet.set_handlers(fleet, "cut_off", "respond")
     response = fleet.request()
     assert response.status == 502
     assert len(fleet.received()) == 1
@@ -118,13 +94,13 @@
 
 def test_a_rejected_call_is_sent_to_another_target(start):
     fleet = start([NON_IDEMPOTENT])
-    set_handlers(fleet, "reject", "respond")
+    gateway_fleet.set_handlers(fleet, "reject", "respond")
     assert fleet.request().status == 200
 
 
 def test_a_call_that_targets_reject_gets_503_with_retry_after(start):
     fleet = start([NON_IDEMPOTENT])
-    set_handlers(fleet, "reject", "reject")
+    gateway_fleet.set_handlers(fleet, "reject", "reject")
     response = fleet.request()
     assert response.status == 503
     assert b"retry-after: 0." in response.head
@@ -132,7 +108,7 @@
 
 def test_a_response_to_another_call_is_never_relayed(start):
     fleet = start([IDEMPOTENT], targets=1)
-    set_handlers(fleet, "answer_other_call", "respond")
+    gateway_fleet.set_handlers(fleet, "answer_other_call", "respond")
     response = fleet.request(Deadline_Ms=500)
     assert response.status in (502, 504)
     assert b"not yours" not in response.body
@@ -140,14 +116,14 @@
 
 def test_a_call_is_sent_to_no_more_targets_than_the_route_allows(start):
     fleet = start([IDEMPOTENT], targets=4)
-    set_handlers(fleet, "reject", "reject")
+    gateway_fleet.set_handlers(fleet, "reject", "reject")
     assert fleet.request().status == 503
     assert len(fleet.received()) == IDEMPOTENT.most_targets
 
 
 def test_a_client_disconnect_cancels_the_call_at_the_target(start):
     fleet = start([STREAM])
-    set_handlers(fleet, "hang", "hang")
+    gateway_fleet.set_handlers(fleet, "hang", "hang")
     sock = fleet.connect()
     fleet.send(sock)
     with gevent.Timeout(5):
@@ -231,7 +207,7 @@
     # target, which then gets no calls for a while, and that makes the gateway
     # send a 502 on the closed connection.
     fleet = start([STREAM], targets=1)
-    set_handlers(fleet, "hang", "stream")
+    gateway_fleet.set_handlers(fleet, "hang", "stream")
     sock = fleet.connect()
     fleet.send(sock)
     with gevent.Timeout(5):
--- /dev/null
+++ b/tests/cover/gateway/test_truncated_streams.py
@@ -0,0 +1,72 @@
+"""Streams that break off at their target, by the framing of the response."""
+
+import pytest
+
+from tests.common import gateway_fleet
+from tests.common import gateway_parts
+
+STREAM_BODY = b"".join(gateway_fleet.EVENTS)
+WAYS_TO_BREAK_OFF = [
+    "close_within_an_event",
+    "close_before_an_event",
+    "finish_within_an_event",
+]
+
+
+@pytest.fixture
+def start():
+    fleets = []
+
+    def make(**changes):
+        fleets.append(gateway_fleet.Fleet([gateway_parts.route(**changes)]))
+        return fleets[-1]
+
+    yield make
+    for fleet in fleets:
+        fleet.stop()
+
+
+def test_a_stream_that_ends_with_its_connection_is_complete(start):
+    fleet = start()
+    gateway_fleet.set_handlers(fleet, "stream_until_close")
+    response = fleet.request()
+    assert (response.complete, response.body) == (True, STREAM_BODY)
+    assert len(fleet.received()) == 1
+
+
+def test_a_reset_is_not_taken_for_the_end_of_a_stream(start):
+    fleet = start()
+    gateway_fleet.set_handlers(fleet, "reset_after_two_events")
+    response = fleet.request()
+    assert (response.complete, response.body) == (True, STREAM_BODY)
+    assert len(fleet.received()) == 2
+
+
+# A target that crashed within an event closed its connection, and the bytes of
+# that event were relayed as the end of a complete stream.
+@pytest.mark.parametrize("way", WAYS_TO_BREAK_OFF)
+def test_a_truncated_stream_is_resumed_at_another_target(start, way):
+    fleet = start()
+    gateway_fleet.set_handlers(fleet, way)
+    response = fleet.request()
+    assert (response.complete, response.body) == (True, STREAM_BODY)
+    assert len(fleet.received()) == 2
+
+
+# As above, on a route whose streams can't be resumed.
+@pytest.mark.parametrize("way", WAYS_TO_BREAK_OFF)
+def test_a_truncated_stream_does_not_look_complete(start, way):
+    fleet = start(resumable=False)
+    gateway_fleet.set_handlers(fleet, way)
+    response = fleet.request()
+    assert response.status != 200 or not response.complete
+    assert len(fleet.received()) == 1
+
+
+# Later turns continued from the history of a turn that had been truncated.
+@pytest.mark.parametrize("way", WAYS_TO_BREAK_OFF)
+def test_a_turn_whose_stream_is_truncated_is_not_stored(start, way):
+    fleet = start(resumable=False, retained=True)
+    gateway_fleet.set_handlers(fleet, way)
+    fleet.request("turn-1")
+    assert fleet.request("turn-2", Previous_Turn="turn-1").status == 404
