--- a/src/endivepier/gateway/events.py
+++ b/src/endivepier/gateway/events.py
@@ -1,15 +1,17 @@
 """Splits a `text/event-stream` body into events without changing them.
 
-An event ends with an empty line; only line feeds end lines. The splitter
-returns complete events only, byte for byte as received, so that a stream that
-is cut off within an event can be resumed from another target.
+An event ends with an empty line. Lines end with a line feed, which a carriage
+return may precede. The splitter returns complete events only, byte for byte as
+received, so that a stream that is cut off within an event can be resumed from
+another target.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import re
 
-EVENT_END = b"\n\n"
+EVENT_END = re.compile(rb"\r?\n\r?\n")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,8 +37,14 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """Adds received bytes and returns the events that they complete."""
-        *complete, self._buffer = (self._buffer + data).split(EVENT_END)
-        return [_decode(raw + EVENT_END) for raw in complete]
+        self._buffer += data
+        complete = []
+        start = 0
+        for end in EVENT_END.finditer(self._buffer):
+            complete.append(_decode(self._buffer[start : end.end()]))
+            start = end.end()
+        self._buffer = self._buffer[start:]
+        return complete
 
     @property
     def partial_event(self) -> bytes:
@@ -48,7 +56,7 @@
     event_id: int | None = None
     data = []
     for line in raw.split(b"\n"):
-        field, _, value = line.partition(b":")
+        field, _, value = line.removesuffix(b"\r").partition(b":")
         value = value.removeprefix(b" ")
         if field == b"data":
             data.append(value)
--- a/tests/cover/gateway/test_events.py
+++ b/tests/cover/gateway/test_events.py
@@ -8,10 +8,16 @@
 )
 
 
-@hypothesis.given(strategies.lists(strategies.integers(1, 9), max_size=30))
-def test_only_complete_events_are_returned_however_the_bytes_are_split(sizes):
+@hypothesis.given(
+    sizes=strategies.lists(strategies.integers(1, 9), max_size=30),
+    line_end=strategies.sampled_from([b"\n", b"\r\n"]),
+)
+def test_only_complete_events_are_returned_however_the_bytes_are_split(
+    sizes, line_end
+):
+    stream = STREAM.replace(b"\n", line_end)
     splitter = events.Splitter()
-    parsed, remaining = [], STREAM
+    parsed, remaining = [], stream
     for size in [*sizes, len(remaining)]:
         parsed += splitter.feed(remaining[:size])
         remaining = remaining[size:]
@@ -19,5 +25,5 @@
     assert [event.data for event in parsed] == [b"one", b"two\nmore", b""]
     assert (
         b"".join(event.raw for event in parsed) + splitter.partial_event
-        == STREAM
+        == stream
     )
