gateway: treat a stream that ends within an event as broken off

Turns so truncated were stored, and later turns continued from them.

Cause: a response without a length and chunks ends with its connection, so the close by a target that crashes is a regular end for HTTP. The relay then sent the bytes of the incomplete event and ended the caller's response. The class: the end of a transport taken for the end of the message in it.

Evidence: tests/cover/gateway/test_truncated_streams.py. Closed within an event or before the first one, and chunks that end within an event, were relayed as complete (9 cases); a reset was noticed before.

Change: whatever the framing, a stream that ends within an event, or with its connection before any event, is a failure of its target. It takes the path of all failures: another target where the stream may be resumed, else the caller's response stays unfinished. This comes before the turn is stored.

Why this works: the events say where a stream is whole, and only the last one may be missing at a boundary.

Streams that end with their connection after an event stay complete.

--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -79,7 +79,7 @@
             if not verdict.call and not (
                 verdict.not_run or part.status == MISDIRECTED_REQUEST
             ):
-                raise self._failure("the response carries no call id")
+                raise self.failure("the response carries no call id")
             self.head = part
             self.verdict = verdict
             return
@@ -98,7 +98,7 @@
                 self._complete = True
                 return None
             case _:
-                raise self._failure(
+                raise self.failure(
                     "a second response began within the body of the first"
                 )
 
@@ -159,11 +159,12 @@
         try:
             return self._conn.read(deadline)
         except http_errors.HttpError as exc:
-            raise self._failure(str(exc), exc) from exc
+            raise self.failure(str(exc), exc) from exc
 
-    def _failure(
+    def failure(
         self, detail: str, cause: Exception | None = None
     ) -> errors.TargetFailed:
+        """Returns the error for a response that can't be used."""
         timeout = isinstance(cause, http_errors.ExchangeTimeout)
         return errors.TargetFailed(
             self.target.name, detail, sent=True, timeout=timeout
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -225,7 +225,14 @@
         progress: Progress,
         body: bytes,
     ) -> None:
-        """Relays one target's response, without events that the client has."""
+        """Relays one target's response, without events that the client has.
+
+        A close of the connection may be the regular end of a body, so only
+        the events tell whether the stream is complete.
+
+        Raises:
+            errors.TargetFailed: the stream was cut off.
+        """
         head = exchange.head
         if head.status != 200 or not exchange.verdict.sealed:
             self._relay_response(ctx, exchange, progress)
@@ -263,7 +270,12 @@
             last_event=progress.last_event_id,
             partial_bytes=len(splitter.partial_event),
         )
-        self._finish(ctx, progress, splitter.partial_event, body)
+        if splitter.partial_event:
+            raise exchange.failure("the stream ended within an event")
+        resumed = resume_after is not None
+        if head.until_close and not (resumed or progress.events_sent):
+            raise exchange.failure("the connection closed before an event")
+        self._finish(ctx, progress, body)
 
     def _forward(
         self,
@@ -292,14 +304,11 @@
         self,
         ctx: calls.CallContext,
         progress: Progress,
-        partial_event: bytes,
         body: bytes,
     ) -> None:
         """Ends a complete stream, after storing the turn if required."""
         if not progress.started:
             self._send_head(ctx, progress)
-        if partial_event:
-            ctx.responder.write(partial_event)
         if ctx.route.retained:
             turn = turns_lib.Turn(
                 ctx.call.id,
--- a/tests/cover/gateway/test_truncated_streams.py
+++ b/tests/cover/gateway/test_truncated_streams.py
@@ -34,6 +34,24 @@
     assert len(fleet.received()) == 1
 
 
+def test_events_without_ids_may_end_with_the_connection(start):
+    fleet = start()
+    for target in fleet.targets:
+        target.handler = lambda request, responder, t=target: (
+            t.stream_until_close(request, responder, [b"data: word\n\n"])
+        )
+    response = fleet.request()
+    assert (response.complete, response.body) == (True, b"data: word\n\n")
+
+
+def test_a_resumed_stream_without_more_events_is_complete(start):
+    fleet = start()
+    gateway_fleet.set_handlers(fleet, "close_before_an_event")
+    response = fleet.request(Last_Event_Id="5")
+    assert (response.complete, response.body) == (True, b"")
+    assert len(fleet.received()) == 1
+
+
 def test_a_reset_is_not_taken_for_the_end_of_a_stream(start):
     fleet = start()
     gateway_fleet.set_handlers(fleet, "reset_after_two_events")
