storage: a truncated response of the table service is no refusal

A response without a length that is truncated arrived as invalid JSON, which the codec reports as a bad request that has not run. So a commit that may have been made was reported as one that was not, and its caller told to correct its request.

Change: an invalid response to a commit is an unknown outcome, one to a read is an unavailable table.

Measured: tests/cover/test_unframed_responses.py fails before with `Refused: the body: Invalid JSON`, and passes now.

--- a/src/endivepier/storage/http_table.py
+++ b/src/endivepier/storage/http_table.py
@@ -28,16 +28,14 @@
 
     def get(self, key: str) -> ports.Row | None:
         """Returns a row; see `storage.ports.Table.get`."""
-        response = self._read(wire.GET_PATH, wire.Get(key))
-        rows = codec.decode(wire.Rows, response.body).rows
+        rows = self._read(wire.GET_PATH, wire.Get(key)).rows
         return rows[0].row() if rows else None
 
     def scan(
         self, prefix: str, *, after: str = "", limit: int = 1000
     ) -> Sequence[ports.Row]:
         """Returns rows in order; see `storage.ports.Table.scan`."""
-        response = self._read(wire.SCAN_PATH, wire.Scan(prefix, after, limit))
-        rows = codec.decode(wire.Rows, response.body).rows
+        rows = self._read(wire.SCAN_PATH, wire.Scan(prefix, after, limit)).rows
         return [row.row() for row in rows]
 
     def transact(self, txn: ports.Transaction) -> int:
@@ -59,14 +57,19 @@
             raise errors.OutcomeUnknown(
                 f"the table service returned status {response.status}"
             )
-        result = codec.decode(wire.Committed | wire.Conflict, response.body)
+        try:
+            result = codec.decode(wire.Committed | wire.Conflict, response.body)
+        except errors.Refused as exc:
+            raise errors.OutcomeUnknown(
+                f"invalid response from the table service: {exc.detail}"
+            ) from exc
         match result:
             case wire.Conflict(key=key):
                 raise errors.ConditionFailed(key)
             case _:
                 return int(result.version)
 
-    def _read(self, path: str, document: Any) -> http_client.Response:
+    def _read(self, path: str, document: Any) -> wire.Rows:
         try:
             response = self._post(path, document)
         except OSError as exc:
@@ -77,7 +80,13 @@
             raise errors.Unavailable(
                 f"the table service returned status {response.status}"
             )
-        return response
+        try:
+            rows: wire.Rows = codec.decode(wire.Rows, response.body)
+        except errors.Refused as exc:
+            raise errors.Unavailable(
+                f"invalid response from the table service: {exc.detail}"
+            ) from exc
+        return rows
 
     def _post(self, path: str, document: Any) -> http_client.Response:
         with self._tracer.span("table" + path):
--- /dev/null
+++ b/tests/cover/test_unframed_responses.py
@@ -0,0 +1,74 @@
+"""Responses without a length or chunks, to processes of our own interface.
+
+Such a response ends with its connection, so only its content can show that it
+is truncated.
+"""
+
+import gevent.server
+import gevent.socket
+import httptools
+import pytest
+
+from endivepier import errors
+from endivepier.storage import http_table
+from endivepier.storage import ports as storage_ports
+from endivepier.telemetry import spans
+
+HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
+TRACER = spans.Tracer("test")
+
+
+class Server:
+    """Sends the same bytes for each request, and closes the connection."""
+
+    def __init__(self, data):
+        self._data = data
+        self._server = gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.url = f"http://127.0.0.1:{self._server.server_port}"
+
+    def stop(self):
+        self._server.stop()
+
+    def _serve(self, sock, address):
+        del address
+        complete = []
+
+        class Protocol:
+            def on_message_complete(self):
+                complete.append(True)
+
+        parser = httptools.HttpRequestParser(Protocol())
+        while not complete:
+            parser.feed_data(sock.recv(65536))
+        sock.sendall(self._data)
+        sock.shutdown(gevent.socket.SHUT_WR)
+
+
+@pytest.fixture
+def serve():
+    servers = []
+
+    def start(body):
+        servers.append(Server(HEAD + body))
+        return servers[-1].url
+
+    yield start
+    for server in servers:
+        server.stop()
+
+
+# A commit whose response was truncated counted as a request of the caller that
+# was wrong and had not run.
+def test_a_commit_with_a_truncated_response_has_an_unknown_outcome(serve):
+    table = http_table.HttpTable(serve(b'{"version":'), TRACER)
+    with pytest.raises(errors.OutcomeUnknown):
+        table.transact(storage_ports.Transaction((), ()))
+
+
+def test_a_truncated_response_to_a_read_counts_as_unavailable(serve):
+    table = http_table.HttpTable(serve(b'{"rows":[{"key":"a"'), TRACER)
+    with pytest.raises(errors.Unavailable):
+        table.get("a")
+    with pytest.raises(errors.Unavailable):
+        table.scan("a")
