storage: return no object that may be truncated

The body of an object that comes without a length ends with its connection, so a truncated one looked complete. A retry of an effect would replay half of its answer.

Change: such an object counts as unavailable; reading it again costs a retry. Objects have no format of their own that could show their end.

Measured: the test fails before (the half is returned), and passes now.

--- a/src/endivepier/internal/http_client.py
+++ b/src/endivepier/internal/http_client.py
@@ -62,11 +62,14 @@
         status: the status code.
         content_type: the media type of the body.
         body: the body.
+        until_close: whether the body ended with the connection, so that only
+            its content can show that it is truncated.
     """
 
     status: int
     content_type: str
     body: bytes
+    until_close: bool = False
 
 
 class StreamedResponse:
@@ -84,6 +87,7 @@
         release_connection: Callable[[http1_client.Connection, bool], None],
     ) -> None:
         self.status = head.status
+        self.until_close = head.until_close
         self._head = head
         self._conn: http1_client.Connection | None = conn
         self._read_part = read_part
@@ -218,7 +222,10 @@
         response = self.open(method, path, body, headers)
         content = response.read()
         return Response(
-            response.status, response.header("content-type"), content
+            response.status,
+            response.header("content-type"),
+            content,
+            response.until_close,
         )
 
     def open(
--- a/src/endivepier/storage/http_objects.py
+++ b/src/endivepier/storage/http_objects.py
@@ -39,6 +39,10 @@
             raise errors.Unavailable(
                 f"the object store returned status {response.status}"
             )
+        if response.until_close:
+            raise errors.Unavailable(
+                f"object {name!r} came without a length, so it may be truncated"
+            )
         return response.body
 
     def _request(
--- a/tests/cover/test_unframed_responses.py
+++ b/tests/cover/test_unframed_responses.py
@@ -10,6 +10,7 @@
 import pytest
 
 from endivepier import errors
+from endivepier.storage import http_objects
 from endivepier.storage import http_table
 from endivepier.storage import ports as storage_ports
 from endivepier.telemetry import spans
@@ -72,3 +73,10 @@
         table.get("a")
     with pytest.raises(errors.Unavailable):
         table.scan("a")
+
+
+# A truncated object looked complete, and a retry of an effect replayed it.
+def test_an_object_whose_end_can_not_be_checked_is_not_returned(serve):
+    objects = http_objects.HttpObjects(serve(b"half of the ans"))
+    with pytest.raises(errors.Unavailable):
+        objects.get("answer/1")
