http1: a body over TLS ends with close_notify, not with the connection

A response without a length over TLS was complete when its connection ended, with or without the peer's close_notify; by default Python's TLS sockets hide the difference. So whoever can cut a connection can truncate a response unnoticed.

Change: such an end is an error of the connection.

Measured: of the two cases of the test the one without close_notify fails before (the half body is returned); both pass now.

--- a/src/endivepier/http1/client.py
+++ b/src/endivepier/http1/client.py
@@ -205,7 +205,12 @@
         sock.settimeout(seconds)
         sock.connect((host, int(port)))
         if tls is not None:
-            sock = tls.wrap_socket(sock, server_hostname=host)
+            # By default, a connection that ends without the peer's
+            # close_notify, as if truncated by a third party, looks like one
+            # that was closed.
+            sock = tls.wrap_socket(
+                sock, server_hostname=host, suppress_ragged_eofs=False
+            )
     except OSError as exc:
         sock.close()
         raise errors.ConnectFailed(f"{address}: {exc or 'timed out'}") from exc
--- a/tests/cover/test_unframed_responses.py
+++ b/tests/cover/test_unframed_responses.py
@@ -4,12 +4,17 @@
 is truncated.
 """
 
+import ssl
+
+from gevent import ssl as gevent_ssl
 import gevent.server
 import gevent.socket
 import httptools
 import pytest
+import trustme
 
 from endivepier import errors
+from endivepier.internal import http_client
 from endivepier.storage import http_objects
 from endivepier.storage import http_table
 from endivepier.storage import ports as storage_ports
@@ -80,3 +85,36 @@
     objects = http_objects.HttpObjects(serve(b"half of the ans"))
     with pytest.raises(errors.Unavailable):
         objects.get("answer/1")
+
+
+# Without the server's close_notify, anyone on the path may have closed the
+# connection, and the rest of the body may be missing.
+@pytest.mark.parametrize("closes_properly", [True, False])
+def test_a_body_over_tls_ends_with_close_notify_only(closes_properly):
+    authority = trustme.CA()
+    server_context = gevent_ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    authority.issue_cert("127.0.0.1").configure_cert(server_context)
+
+    def respond(sock, address):
+        del address
+        tls = server_context.wrap_socket(sock, server_side=True)
+        tls.recv(65536)
+        tls.sendall(HEAD + b"body")
+        if closes_properly:
+            tls.unwrap()
+        else:
+            tls.shutdown(gevent.socket.SHUT_WR)
+
+    server = gevent.server.StreamServer(("127.0.0.1", 0), respond)
+    server.start()
+    context = http_client.default_ssl_context()
+    authority.configure_trust(context)
+    client = http_client.HttpClient(
+        f"https://127.0.0.1:{server.server_port}", ssl_context=context
+    )
+    if closes_properly:
+        assert client.request("GET", "/").body == b"body"
+    else:
+        with pytest.raises(http_client.ExchangeFailed):
+            client.request("GET", "/")
+    server.stop()
