Tests: truncated engine streams and plain responses

Our own interface: the final event of an engine's stream carries the number of tokens, and a stream between our own processes ends with a line that says so. The test truncates a stream without length and chunks at every seventh byte. The platform's path: a plain response may end with its connection, and one that is reset is not relayed; one that is closed early can't be told from a whole one.

Measured: 24 cases of the engine's stream and two of plain responses pass without a change of the code.

--- a/tests/cover/gateway/test_truncated_streams.py
+++ b/tests/cover/gateway/test_truncated_streams.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from endivepier.gateway import model
 from tests.common import gateway_fleet
 from tests.common import gateway_parts
 
@@ -88,3 +89,16 @@
     gateway_fleet.set_handlers(fleet, way)
     fleet.request("turn-1")
     assert fleet.request("turn-2", Previous_Turn="turn-1").status == 404
+
+
+def test_a_plain_response_may_end_with_its_connection(start):
+    fleet = start(kind=model.RouteKind.NON_IDEMPOTENT)
+    gateway_fleet.set_handlers(fleet, "stream_until_close")
+    response = fleet.request()
+    assert (response.status, response.body) == (200, STREAM_BODY)
+
+
+def test_a_plain_response_that_is_reset_is_not_relayed(start):
+    fleet = start(kind=model.RouteKind.NON_IDEMPOTENT)
+    gateway_fleet.set_handlers(fleet, "reset_after_two_events")
+    assert fleet.request().status == 502
--- a/tests/cover/test_unframed_responses.py
+++ b/tests/cover/test_unframed_responses.py
@@ -4,6 +4,7 @@
 is truncated.
 """
 
+import contextlib
 import ssl
 
 from gevent import ssl as gevent_ssl
@@ -18,6 +19,8 @@
 from endivepier.storage import http_objects
 from endivepier.storage import http_table
 from endivepier.storage import ports as storage_ports
+from endivepier.targets import http_engine
+from endivepier.targets import ports as target_ports
 from endivepier.telemetry import spans
 
 HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
@@ -87,6 +90,24 @@
         objects.get("answer/1")
 
 
+EVENTS = [
+    b'{"request_id":"r","index":0,"text":"a","kind":"token"}\n',
+    b'{"request_id":"r","prompt_tokens":1,"cached_tokens":0,'
+    b'"completion_tokens":1,"reason":"stop","kind":"finished"}\n',
+]
+STREAM = b"".join(EVENTS)
+
+
+# The dispatcher takes only an answer with its final event for complete.
+@pytest.mark.parametrize("length", range(0, len(STREAM) - 1, 7))
+def test_a_truncated_engine_stream_never_has_its_final_event(serve, length):
+    engine = http_engine.HttpEngine("e", serve(STREAM[:length]), TRACER)
+    received = []
+    with contextlib.suppress(errors.TargetFailed):
+        received.extend(engine.generate(target_ports.Generate(*"rsm", (), 1)))
+    assert not any(isinstance(e, target_ports.Finished) for e in received)
+
+
 # Without the server's close_notify, anyone on the path may have closed the
 # connection, and the rest of the body may be missing.
 @pytest.mark.parametrize("closes_properly", [True, False])
