gateway: log the software version of targets and the call that began a stream

The logs could not tell a continuation within one response from one by the caller, nor a wrong choice from a target that had restarted with another version.

Change: a target's software version and the id of the call that a caller says it resumes are decoded; `call.sent` and `target.in` log them. No logic changed.

Measured: tests/cover/platform and test_path.py pass.

--- a/src/endivepier/gateway/catalog.py
+++ b/src/endivepier/gateway/catalog.py
@@ -212,6 +212,7 @@
                     target=target.name,
                     service=target.service,
                     address=target.address,
+                    version=target.software_version,
                     row_version=row.version,
                 )
             self._targets[row.key] = TargetEntry(target)
--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -233,6 +233,7 @@
             "call.sent",
             request=call.id,
             target=target.name,
+            version=target.software_version,
             unread=uncached_tokens,
             running=load.running,
             elsewhere=self.placement.reports.calls_from_others(
@@ -243,6 +244,7 @@
             connection="kept" if conn.request_count else "new",
             seconds_left=round(dispatch.seconds_left, 3),
             last_event=dispatch.last_event,
+            resumes=call.resumes,
         )
         exchange = Exchange(self, call, target, conn, uncached_tokens)
         data = self.dialect.encode_request(call, dispatch)
--- a/src/endivepier/gateway/model.py
+++ b/src/endivepier/gateway/model.py
@@ -152,6 +152,7 @@
         slots: requests that it runs concurrently.
         draining: whether it accepts no new requests.
         started: start time in Unix milliseconds; 0 if not reported.
+        software_version: version of its software; empty if not reported.
     """
 
     name: str
@@ -161,6 +162,7 @@
     slots: int
     draining: bool
     started: int
+    software_version: str = ""
 
     @property
     def incarnation(self) -> str:
@@ -204,6 +206,8 @@
         parts: parts of the prompt, in order.
         previous: id of the turn that this one continues, or empty.
         last_event: id of the last event that the client received, or None.
+        resumes: id of the call that brought the client the first event of
+            the stream that this call resumes, or empty.
         affinity: key of the object that it concerns, or empty.
     """
 
@@ -225,6 +229,7 @@
     parts: tuple[Part, ...] = ()
     previous: str = ""
     last_event: int | None = None
+    resumes: str = ""
     affinity: str = ""
 
     @property
--- a/tests/cover/platform/test_dialect.py
+++ b/tests/cover/platform/test_dialect.py
@@ -18,6 +18,8 @@
     (b"Program-Deadline-Ms", b"5200"),
     (b"Token-Budget", b"1088"),
     (b"Previous-Turn", b"abcd"),
+    (b"Last-Event-Id", b"3"),
+    (b"Resumes", b"81fa"),
     (b"X_Odd", b"1"),
     (b"X-Odd", b"2"),
 ]
@@ -64,6 +66,7 @@
     assert (call.prompt_tokens, call.max_tokens) == (1460, 80)
     assert call.parts[1] == model.Part("91bd", 410)
     assert (call.budget, call.previous) == (1088, "abcd")
+    assert (call.last_event, call.resumes) == (3, "81fa")
 
 
 def test_a_target_receives_the_account_and_not_the_api_key():
--- a/tests/cover/platform/test_documents.py
+++ b/tests/cover/platform/test_documents.py
@@ -123,6 +123,7 @@
     assert (target.address, target.data_centre) == ("10.128.0.9:8080", "a")
     assert not target.draining
     assert target.incarnation == "i-7f@1775275030180"
+    assert target.software_version == "v1"
 
 
 @pytest.mark.parametrize(
