--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -42,8 +42,9 @@
     responder are handlers as well.
     """
 
-    def __init__(self, name):
+    def __init__(self, name, version="v1"):
         self.name = name
+        self.version = version
         self.received = []
         self.handler = self.stream
         self.server = server_lib.Server(
@@ -86,6 +87,13 @@
     def hang(self, request, responder):
         gevent.sleep(30)
 
+    def cut_off_new_stream(self, request, responder):
+        """Cuts off a stream from its beginning, and resumes any other."""
+        if messages.find(request.headers, b"last-event-id") is None:
+            self.cut_off(request, responder)
+        else:
+            self.stream(request, responder)
+
     def cut_off(self, request, responder):
         """Sends two events and a part of a third, then closes."""
         responder.start(200, self.headers(request))
@@ -151,6 +159,12 @@
     return called
 
 
+def free_port():
+    """Returns a port on loopback that nothing listens on."""
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()[1]
+
+
 class Decoder:
     """Returns a fixed declaration and fixed targets for all rows."""
 
@@ -169,28 +183,76 @@
 
 
 class Fleet:
-    """One gateway and its targets."""
-
-    def __init__(self, routes, accounts=(), targets=2, service="s"):
-        timers = timers_lib.SystemTimers()
-        self.table = table_lib.MemoryTable(timers, random.Random(0))
-        self.targets = [FakeTarget(f"t{n}") for n in range(targets)]
-        rows = {
-            target.name: gateway_parts.target(
-                target.name, target.server.address, service=service
+    """Entry hosts and targets.
+
+    Attributes:
+        gateways: the processes of the entry hosts.
+        gateway: the first of them.
+        targets: the targets; the software version of each is its `version`.
+    """
+
+    def __init__(
+        self, routes, accounts=(), targets=2, service="s", versions=(), hosts=1
+    ):
+        """Starts the fleet.
+
+        Args:
+            routes: the declared routes.
+            accounts: the declared accounts.
+            targets: number of targets.
+            service: service of all targets.
+            versions: software version of each target, in place of `targets`.
+            hosts: number of entry hosts.
+        """
+        self.timers = timers_lib.SystemTimers()
+        self.table = table_lib.MemoryTable(self.timers, random.Random(0))
+        versions = versions or ["v1"] * targets
+        self.targets = [
+            FakeTarget(f"t{n}", version) for n, version in enumerate(versions)
+        ]
+        self.service = service
+        self._rows = {}
+        self._decoder = Decoder(
+            gateway_parts.declaration(1, routes, accounts), self._rows
+        )
+        self._put("declared//config")
+        self.list_targets(self.targets)
+        self.gateways = [
+            self._start_gateway(f"h{n}", multiple=hosts > 1)
+            for n in range(hosts)
+        ]
+        self.gateway = self.gateways[0]
+        with gevent.Timeout(5):
+            while not all(
+                gateway.is_ready()
+                and len(gateway.peers.available_hosts()) == hosts - 1
+                for gateway in self.gateways
+            ):
+                gevent.sleep(0.01)
+
+    def list_targets(self, targets):
+        """Registers targets."""
+        for target in targets:
+            self._rows[target.name] = gateway_parts.target(
+                target.name,
+                target.server.address,
+                service=self.service,
+                software_version=target.version,
             )
-            for target in self.targets
-        }
-        decoder = Decoder(gateway_parts.declaration(1, routes, accounts), rows)
-        puts = [ports.Put("declared//config", b"")]
-        puts += [ports.Put(f"targets//{name}", b"") for name in rows]
-        self.table.transact(ports.Transaction((), tuple(puts)))
-        self.gateway = process.Gateway(
+            self._put(f"targets//{target.name}")
+
+    def _put(self, key):
+        self.table.transact(ports.Transaction((), (ports.Put(key, b""),)))
+
+    def _start_gateway(self, name, *, multiple):
+        # Other hosts need the port before the server has chosen one.
+        peer_port = free_port() if multiple else 0
+        gateway = process.Gateway(
             process.Settings(
-                host="h",
+                host=name,
                 data_centre="a",
                 listen="127.0.0.1:0",
-                peer_listen="127.0.0.1:0",
+                peer_listen=f"127.0.0.1:{peer_port}",
                 ready_listen="127.0.0.1:0",
                 ready_path="/ready",
                 metrics_listen="127.0.0.1:0",
@@ -198,24 +260,30 @@
                 rate_tolerance=0.0,
             ),
             process.Adapters(
-                self.table, self.table, decoder, dialect.PlatformDialect()
+                self.table, self.table, self._decoder, dialect.PlatformDialect()
             ),
-            timers,
-            random.Random(0),
+            self.timers,
+            random.Random(name),
         )
-        self.gateway.start()
-        with gevent.Timeout(5):
-            while not self.gateway.is_ready():
-                gevent.sleep(0.01)
+        gateway.start()
+        return gateway
+
+    def kill_host(self, number):
+        """Ends the process of an entry host, without notice to the others."""
+        gateway = self.gateways[number]
+        gateway.server.kill()
+        gateway.kernel.stop()
 
     def stop(self):
-        self.gateway.server.stop()
-        self.gateway.kernel.stop()
+        for gateway in self.gateways:
+            gateway.server.stop()
+            gateway.kernel.stop()
         for target in self.targets:
             target.server.stop()
 
-    def connect(self):
-        host, _, port = self.gateway.server.address.rpartition(":")
+    def connect(self, host=0):
+        address = self.gateways[host].server.address
+        host, _, port = address.rpartition(":")
         return socket.create_connection((host, int(port)), timeout=10)
 
     def send(self, sock, id_="c1", body=b"in", path="/a/1", **headers):
@@ -231,9 +299,9 @@
         ]
         sock.sendall("\r\n".join([*lines, "", ""]).encode() + body)
 
-    def request(self, id_="c1", **headers):
+    def request(self, id_="c1", host=0, **headers):
         """Sends a request on a new connection and returns the response."""
-        sock = self.connect()
+        sock = self.connect(host)
         self.send(sock, id_, Connection="close", **headers)
         data = b""
         while True:
--- /dev/null
+++ b/tests/cover/gateway/test_mixed_versions.py
@@ -0,0 +1,99 @@
+"""Streams while targets of two software versions serve side by side.
+
+What two versions send doesn't fit together, so a stream continues only at the
+version that began it, whether the entry host or the client resumes it.
+"""
+
+import pytest
+
+from tests.common import gateway_fleet
+from tests.common import gateway_parts
+
+STREAM_BODY = b"".join(gateway_fleet.EVENTS)
+VERSIONS = ["v1", "v2", "v1", "v2"]
+# With a target chosen at random, all of them fit with a chance of 1 in 6,561.
+STREAMS = 8
+
+
+@pytest.fixture
+def start():
+    fleets = []
+
+    def make(versions=VERSIONS, hosts=1, **changes):
+        route = gateway_parts.route(**changes)
+        fleet = gateway_fleet.Fleet([route], versions=versions, hosts=hosts)
+        fleets.append(fleet)
+        for target in fleet.targets:
+            target.handler = target.cut_off_new_stream
+        return fleet
+
+    yield make
+    for fleet in fleets:
+        fleet.stop()
+
+
+def versions_that_ran(fleet, *calls):
+    return {
+        target.version
+        for target in fleet.targets
+        for request in target.received
+        if request.call in calls
+    }
+
+
+def begin_stream(fleet, call, host=0):
+    """Has a client receive the first two events of a stream."""
+    response = fleet.request(call, host=host)
+    assert not response.complete
+    assert response.body == STREAM_BODY[: len(response.body)]
+
+
+def resume_stream(fleet, began, call, host):
+    """Has the client of a cut off stream resume it after two events."""
+    return fleet.request(call, host=host, Resumes=began, Last_Event_Id="2")
+
+
+# After a failure, the next target was chosen from all versions.
+def test_an_entry_host_resumes_a_stream_at_its_version(start):
+    fleet = start()
+    for n in range(STREAMS):
+        response = fleet.request(f"c{n}")
+        assert (response.complete, response.body) == (True, STREAM_BODY)
+        assert len(versions_that_ran(fleet, f"c{n}")) == 1
+
+
+def test_a_stream_stays_incomplete_without_another_target_of_its_version(
+    start,
+):
+    fleet = start(["v1", "v2"])
+    begin_stream(fleet, "c1")
+    assert len(fleet.received()) == 1
+
+
+# Another entry host did not know which version had begun the stream.
+def test_a_client_resumes_a_stream_at_its_version_through_another_host(start):
+    fleet = start(hosts=2, most_targets=1)
+    for n in range(STREAMS):
+        begin_stream(fleet, f"c{n}", host=0)
+        response = resume_stream(fleet, f"c{n}", f"d{n}", host=1)
+        assert (response.status, response.complete) == (200, True)
+        assert len(versions_that_ran(fleet, f"c{n}", f"d{n}")) == 1
+
+
+def test_a_client_resumes_a_stream_at_its_version_after_its_host_is_lost(
+    start,
+):
+    fleet = start(hosts=4, most_targets=1)
+    for n in range(STREAMS):
+        begin_stream(fleet, f"c{n}", host=0)
+    fleet.kill_host(0)
+    for n in range(STREAMS):
+        response = resume_stream(fleet, f"c{n}", f"d{n}", host=1 + n % 3)
+        assert (response.status, response.complete) == (200, True)
+        assert len(versions_that_ran(fleet, f"c{n}", f"d{n}")) == 1
+
+
+def test_a_stream_of_an_unknown_version_is_not_resumed(start):
+    fleet = start()
+    assert resume_stream(fleet, "unknown", "c1", host=0).status == 503
+    assert fleet.received() == []
