gateway: do not avoid a peer that responds with an error

A response with a status other than 200 counted like silence, so a host that lacks a new operation, as in a rolling update, was avoided for 1 to 8 s for all operations, among them tokens of accounts and budgets.

Change: such a response is contact; only the operation fails.

Measured: the test fails before (the peer is avoided) and passes now.

--- a/src/endivepier/gateway/peers.py
+++ b/src/endivepier/gateway/peers.py
@@ -232,10 +232,12 @@
             finally:
                 if probe is not None:
                     probe.cancel()
-        if head.status != 200:
-            raise ValueError(f"the response has status {head.status}")
         self._note_contact(host)
         self._receive_report(host, head.header(LOAD_HEADER))
+        if head.status != 200:
+            raise errors.PeerUnreachable(
+                host, f"the response has status {head.status}", sent=True
+            )
         return response
 
     def _probe(self, host: str, conn: client.Connection) -> None:
--- a/tests/cover/gateway/test_peers.py
+++ b/tests/cover/gateway/test_peers.py
@@ -116,3 +116,11 @@
         while hosts["h0"].peers.available_hosts():
             gevent.sleep(0.01)
     assert hosts["h0"].peers.request("h1", "echo", b"x") == b"x"
+
+
+# During a rolling update a host of the former release lacks new operations. It
+# was avoided for every operation then, although it had responded.
+def test_a_peer_that_does_not_know_an_operation_is_not_avoided(hosts):
+    with pytest.raises(errors.PeerUnreachable):
+        hosts["h0"].peers.request("h1", "of-a-later-release", b"{}")
+    assert hosts["h0"].peers.is_available("h1")
