gateway: resume a stream only at the software version that began it

Cause: after a failure the next target was chosen by cost from all targets of the service, and a caller's request to resume was placed like a new one. The class: work that goes on elsewhere without the identity of what began it.

Evidence: tests/cover/gateway/test_mixed_versions.py fails before for both paths, and for streams whose begin no host knows.

Change: a call is bound to the version of the target that sends its first event, or that began the stream which it resumes. Each host remembers the streams that it began; while a service has several versions, two peers get them as well, chosen by hashing of the call's id, and a host that is asked to resume a stream asks these. With one version throughout the last two timeouts of the route, that one is the origin, and nothing is sent. A stream whose origin is unknown, gone, or of a service that no longer serves the route gets 503 at once (not run), so that its caller begins anew. A silent target is awaited if no other one fits.

Why this works: the bond does not depend on finding the origin, since a stream without one is not resumed. What peers hold only decides how many go on.

--- a/src/endivepier/errors.py
+++ b/src/endivepier/errors.py
@@ -41,6 +41,7 @@
     PROGRAM_ENDED = "program_ended"
     RATE_LIMITED = "rate_limited"
     STORE_UNAVAILABLE = "store_unavailable"
+    STREAM_NOT_RESUMABLE = "stream_not_resumable"
     TARGET_FAILED = "target_failed"
     UNAUTHENTICATED = "unauthenticated"
     WRONG_OWNER = "wrong_owner"
--- a/src/endivepier/gateway/calls.py
+++ b/src/endivepier/gateway/calls.py
@@ -47,6 +47,8 @@
             decided when it got its rate limit token (see `shares`).
         delayed: whether the program begins so late that it is likely to miss
             its deadline.
+        software_version: version that a target must have to run the call, as
+            it began the call's stream; None for any version.
         tried: incarnations of the targets that the call was sent to.
         unreachable: incarnations of the targets that accepted no connection.
         may_have_run: whether any target may have run the call.
@@ -62,6 +64,7 @@
     last_target: str = ""
     is_first_turn: bool = False
     delayed: bool = False
+    software_version: str | None = None
     tried: list[str] = dataclasses.field(default_factory=list)
     unreachable: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
@@ -111,16 +114,29 @@
             503,
             "the call's deadline has passed or is too close",
         )
-    targets = catalog.targets(ctx.service)
+    targets = catalog.targets(ctx.service, ctx.software_version)
     excluded = ctx.unreachable | set(ctx.tried)
     target = placement.choose(
         ctx.call, targets, ctx.engine, excluded, ctx.last_target
     )
     if target is None:
-        raise overloaded(ctx, f"{len(targets)} targets, none accepts the call")
+        version = ctx.software_version
+        suffix = "" if version is None else f" of version {version!r}"
+        raise overloaded(
+            ctx, f"{len(targets)} targets{suffix}, none accepts the call"
+        )
     return target
 
 
+def has_other_target(ctx: CallContext, catalog: catalog_lib.Catalog) -> bool:
+    """Returns whether there is a target that the call was not sent to."""
+    excluded = ctx.unreachable | set(ctx.tried)
+    return any(
+        target.incarnation not in excluded
+        for target in catalog.targets(ctx.service, ctx.software_version)
+    )
+
+
 def overloaded(ctx: CallContext, detail: str) -> errors.Refused:
     """Returns the error for a call that no target accepts."""
     return errors.Refused(
--- a/src/endivepier/gateway/catalog.py
+++ b/src/endivepier/gateway/catalog.py
@@ -26,6 +26,8 @@
 # A shorter silence of the store can't make a target's row lapse. Without an
 # outage, the feed responds every second.
 MIN_OUTAGE_SECONDS = 1.5
+# After a longer silence, targets of a new version may have been added.
+MAX_VERSION_SILENCE_SECONDS = 2.0
 
 
 class Decoder(Protocol):
@@ -72,11 +74,14 @@
         self._accounts_by_key: dict[str, model.Account] = {}
         self._targets: dict[str, TargetEntry] = {}
         self._by_service: dict[str, list[model.Target]] | None = None
+        self._by_version: dict[tuple[str, str], list[model.Target]] = {}
+        # When the last target of a service and version was removed.
+        self._removed_versions: dict[tuple[str, str], float] = {}
+        self._targets_read_at: float | None = None
         self._decoder = decoder
         self._timers = timers
         self._declaration_listeners: list[Callable[[], None]] = []
         self._removal_listeners: list[Callable[[model.Target], None]] = []
-        self._targets_read = False
         self._declaration_follower = follower_lib.Follower(
             feed,
             timers,
@@ -114,7 +119,9 @@
 
     def is_complete(self) -> bool:
         """Returns whether a declaration and the targets have been read."""
-        return self.declaration is not None and self._targets_read
+        return (
+            self.declaration is not None and self._targets_read_at is not None
+        )
 
     def limits(self) -> messages.ClientLimits:
         """Returns the limits on client requests that are in force."""
@@ -134,20 +141,72 @@
         """Returns the client account that an API key belongs to, or None."""
         return self._accounts_by_key.get(key)
 
-    def targets(self, service: str) -> list[model.Target]:
-        """Returns the targets of a service that accept new calls."""
+    def engine(self, service: str) -> model.Engine | None:
+        """Returns the properties of a service's engines, if it has any."""
+        if self.declaration is None:
+            return None
+        declared = self.declaration.services.get(service)
+        return None if declared is None else declared.engine
+
+    def targets(
+        self, service: str, version: str | None = None
+    ) -> list[model.Target]:
+        """Returns the targets of a service that accept new calls.
+
+        Args:
+            service: the service.
+            version: software version of the targets; None for all versions.
+        """
         if self._by_service is None:
-            self._by_service = self._targets_by_service()
-        return self._by_service.get(service, [])
+            self._by_service = self._group_targets()
+        if version is None:
+            return self._by_service.get(service, [])
+        return self._by_version.get((service, version), [])
 
-    def _targets_by_service(self) -> dict[str, list[model.Target]]:
+    def _group_targets(self) -> dict[str, list[model.Target]]:
         groups: dict[str, list[model.Target]] = {}
+        self._by_version = {}
         for entry in self._targets.values():
-            if not entry.target.draining:
-                service = entry.target.service
-                groups.setdefault(service, []).append(entry.target)
+            target = entry.target
+            version = (target.service, target.software_version)
+            same_version = self._by_version.setdefault(version, [])
+            if not target.draining:
+                groups.setdefault(target.service, []).append(target)
+                same_version.append(target)
         return groups
 
+    def versions(self, service: str) -> set[str]:
+        """Returns the software versions of a service's listed targets."""
+        self.targets(service)  # updates the groups
+        return {v for name, v in self._by_version if name == service}
+
+    def only_version(self, service: str, seconds: float) -> str | None:
+        """Returns the only software version that a service has had lately.
+
+        Args:
+            service: the service.
+            seconds: the period, up to now, in which no target of the service
+                had another version.
+
+        Returns:
+            The version; None if there were several or none, or if this process
+            has not followed the targets throughout the period.
+        """
+        now = self._timers.now()
+        followed_since = self._targets_read_at
+        contact = self._target_follower.last_contact
+        if followed_since is None or contact is None:
+            return None
+        if now - followed_since < seconds:
+            return None
+        if now - contact > MAX_VERSION_SILENCE_SECONDS:
+            return None
+        versions = self.versions(service)
+        for (name, version), removed_at in self._removed_versions.items():
+            if name == service and now - removed_at < seconds:
+                versions.add(version)
+        return versions.pop() if len(versions) == 1 else None
+
     def _read_declarations(self, changes: ports.Changes) -> None:
         for row in changes.rows:
             declaration = self._decoder.decode_declaration(row)
@@ -187,7 +246,8 @@
             if key not in current_keys:
                 self._remove_or_expire(key)
         self._update_targets(changes.rows)
-        self._targets_read = True
+        if self._targets_read_at is None:
+            self._targets_read_at = self._timers.now()
 
     def _apply_target_changes(self, changes: ports.Changes) -> None:
         for key in changes.removed:
@@ -204,6 +264,7 @@
             if entry is not None and (
                 entry.target.incarnation != target.incarnation
                 or entry.target.address != target.address
+                or entry.target.software_version != target.software_version
             ):
                 self._notify_removed(entry.target)
             if entry is None or entry.target.draining != target.draining:
@@ -251,5 +312,7 @@
         self._notify_removed(entry.target)
 
     def _notify_removed(self, target: model.Target) -> None:
+        version = (target.service, target.software_version)
+        self._removed_versions[version] = self._timers.now()
         for callback in self._removal_listeners:
             callback(target)
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -26,6 +26,8 @@
 from endivepier.gateway import share_renewals
 from endivepier.gateway import shares as shares_lib
 from endivepier.gateway import store_access
+from endivepier.gateway import stream_origins
+from endivepier.gateway import stream_versions
 from endivepier.gateway import streams
 from endivepier.gateway import turn_tokens
 from endivepier.gateway import turns as turns_lib
@@ -143,6 +145,9 @@
         self.turns = self.kernel.register(
             "turns", turns_lib.TurnStore(store, timers)
         )
+        origins = stream_origins.StreamOrigins(
+            cfg.host, self.catalog, self.peers, timers
+        )
         self.pool = pool_lib.Pool(timers)
         self.placement = placement_lib.Placement(
             cfg.data_centre, timers, rng, reports, self.pool.has_idle
@@ -159,6 +164,7 @@
                 self.catalog,
                 self.dispatcher,
                 turn_tokens.TurnTokens(self.budgets, store, timers),
+                stream_versions.StreamVersions(self.catalog, origins),
                 self.turns,
                 store,
                 timers,
--- /dev/null
+++ b/src/endivepier/gateway/stream_origins.py
@@ -0,0 +1,226 @@
+"""Which software version of a service began a stream.
+
+The events of two software versions don't fit together, so a stream continues
+only at the version that began it. Its client may resume it at any entry host,
+and names the call that brought its first event.
+
+Each host remembers the streams that it began. While a service has targets of
+several versions, a host also sends each origin to some of its peers, chosen by
+rendezvous hashing of the call's id, so that other hosts find it if this one is
+lost. While a service has only one version, that one began all of its streams,
+and nothing is sent. These records only help to find an origin: a stream whose
+origin is not found is not resumed.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+import eliot
+import gevent
+
+from endivepier import errors
+from endivepier import timers as timers_lib
+from endivepier.gateway import catalog as catalog_lib
+from endivepier.gateway import peers as peers_lib
+from endivepier.internal import bounded_map
+from endivepier.internal import codec
+from endivepier.internal import rendezvous
+
+MAX_ORIGINS = 20_000  # an entry takes some 300 bytes
+REPLICAS = 2  # peers that get an origin: hosts are often lost in pairs
+# The host that began the stream may be among the first in the ranking, and a
+# host may have left it since.
+PEERS_ASKED = REPLICAS + 2
+RECORD = "origins-record"
+FIND = "origins-find"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """Where a stream began.
+
+    Attributes:
+        service: the service.
+        version: the software version of the target.
+    """
+
+    service: str
+    version: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """Sends the origins of streams to a peer, by the ids of their calls."""
+
+    origins: dict[str, Origin]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Recorded:
+    """The reply to `Record`."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Find:
+    """Asks a peer for the origin of a stream.
+
+    Attributes:
+        call: id of the call that began the stream, or empty if unknown.
+        service: the service that the request to resume is routed to.
+        seconds: how long ago the stream may have begun at most.
+    """
+
+    call: str
+    service: str
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """The reply to `Find`.
+
+    Attributes:
+        origin: the recorded origin of the stream, or None.
+        only_version: the only software version that the service has had in the
+            period, as far as the peer knows, or None.
+    """
+
+    origin: Origin | None
+    only_version: str | None
+
+
+class StreamOrigins:
+    """Records where streams began, and finds it for those to be resumed."""
+
+    def __init__(
+        self,
+        host: str,
+        catalog: catalog_lib.Catalog,
+        peers: peers_lib.Peers,
+        timers: timers_lib.Timers,
+    ) -> None:
+        self._host = host
+        self._catalog = catalog
+        self._peers = peers
+        self._timers = timers
+        self._origins: bounded_map.BoundedMap[Origin] = bounded_map.BoundedMap(
+            MAX_ORIGINS
+        )
+        # Origins that only this host has, with the time of their recording.
+        self._unpublished: collections.deque[tuple[float, str, Origin]] = (
+            collections.deque(maxlen=MAX_ORIGINS)
+        )
+        # Origins to be sent, by peer. A peer in it has a task that sends them.
+        self._unsent: dict[str, dict[str, Origin]] = {}
+        peers.register(RECORD, self._handle_record)
+        peers.register(FIND, self._handle_find)
+
+    def record(self, call: str, origin: Origin, seconds: float) -> None:
+        """Records that a stream began; peers may get it a little later.
+
+        Args:
+            call: id of the call that brings the stream's first event.
+            origin: the origin of the stream.
+            seconds: how long its client may resume the stream at most.
+        """
+        now = self._timers.now()
+        self._origins.put(call, origin)
+        self._unpublished.append((now, call, origin))
+        while self._unpublished[0][0] < now - seconds:
+            self._unpublished.popleft()
+        if self._catalog.only_version(origin.service, seconds) is None:
+            while self._unpublished:
+                _, call, origin = self._unpublished.popleft()
+                self._publish(call, origin)
+
+    def find(self, call: str, service: str, seconds: float) -> Origin | None:
+        """Returns the origin of a stream, or None if it can't be found.
+
+        Args:
+            call: id of the call that began the stream, or empty if unknown.
+            service: the service that the request to resume is routed to.
+            seconds: how long ago the stream may have begun at most.
+        """
+        origin = self._origins.get(call)
+        if origin is not None:
+            return origin
+        version = self._catalog.only_version(service, seconds)
+        if version is not None:
+            return Origin(service, version)
+        replies = self._ask_peers(Find(call, service, seconds))
+        for reply in replies:
+            if reply.origin is not None:
+                return reply.origin
+        # A host that has just started does not know former versions, but peers
+        # may. They may know less than this host of a version just added.
+        versions = {reply.only_version for reply in replies} - {None}
+        versions |= self._catalog.versions(service)
+        if any(reply.only_version for reply in replies) and len(versions) == 1:
+            return Origin(service, versions.pop() or "")
+        return None
+
+    def _publish(self, call: str, origin: Origin) -> None:
+        """Sends an origin to the peers that are asked for it."""
+        hosts = [*self._peers.available_hosts(), self._host]
+        ranking = rendezvous.rank(call, hosts, REPLICAS + 1)
+        for peer in [host for host in ranking if host != self._host][:REPLICAS]:
+            if peer not in self._unsent:
+                self._unsent[peer] = {}
+                gevent.spawn(self._send_to, peer)
+            self._unsent[peer][call] = origin
+
+    def _send_to(self, peer: str) -> None:
+        """Sends origins to a peer until none is left."""
+        try:
+            while origins := self._unsent[peer]:
+                self._unsent[peer] = {}
+                body = codec.encode(Record(origins))
+                self._peers.request(peer, RECORD, body)
+        except errors.PeerUnreachable as exc:
+            eliot.log_message(
+                "origins.not_sent",
+                peer=peer,
+                streams=len(origins) + len(self._unsent[peer]),
+                reason=str(exc),
+            )
+        finally:
+            del self._unsent[peer]
+
+    def _ask_peers(self, request: Find) -> list[Found]:
+        """Asks the peers that may have an origin, and returns their replies."""
+        ranking = rendezvous.rank(
+            request.call, self._peers.available_hosts(), PEERS_ASKED
+        )
+        body = codec.encode(request)
+        tasks = [gevent.spawn(self._ask, peer, body) for peer in ranking]
+        try:
+            gevent.joinall(tasks)
+        finally:
+            gevent.killall(tasks, block=False)
+        return [task.value for task in tasks if task.value is not None]
+
+    def _ask(self, peer: str, body: bytes) -> Found | None:
+        try:
+            reply = self._peers.request(peer, FIND, body)
+        except errors.PeerUnreachable as exc:
+            eliot.log_message("origins.not_asked", peer=peer, reason=str(exc))
+            return None
+        found: Found = codec.decode(Found, reply)
+        return found
+
+    def _handle_record(self, body: bytes) -> bytes:
+        record: Record = codec.decode(Record, body)
+        for call, origin in record.origins.items():
+            self._origins.put(call, origin)
+        return codec.encode(Recorded())
+
+    def _handle_find(self, body: bytes) -> bytes:
+        request: Find = codec.decode(Find, body)
+        only_version = self._catalog.only_version(
+            request.service, request.seconds
+        )
+        return codec.encode(
+            Found(self._origins.get(request.call), only_version)
+        )
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -5,8 +5,8 @@
 * A turn's tokens are reserved in its program's budget. If the reservation is
   likely to succeed, the call is sent to the target at once, and the first
   event is held back until the reservation is confirmed.
-* After a failure, a resumable stream continues at another target, from the
-  last event that was sent to the client.
+* After a failure, a resumable stream continues at another target of the same
+  software version, from the last event that was sent to the client.
 * On a route with `retained`, a turn is stored durably before its stream ends.
 """
 
@@ -25,6 +25,7 @@
 from endivepier.gateway import exchange as exchange_lib
 from endivepier.gateway import model
 from endivepier.gateway import store_access
+from endivepier.gateway import stream_versions
 from endivepier.gateway import turn_admission
 from endivepier.gateway import turn_tokens
 from endivepier.gateway import turns as turns_lib
@@ -74,6 +75,7 @@
         catalog: catalog_lib.Catalog,
         dispatcher: exchange_lib.Dispatcher,
         tokens: turn_tokens.TurnTokens,
+        versions: stream_versions.StreamVersions,
         turns: turns_lib.TurnStore,
         store: store_access.Store,
         timers: timers_lib.Timers,
@@ -81,6 +83,7 @@
         self._catalog = catalog
         self._dispatcher = dispatcher
         self._tokens = tokens
+        self._versions = versions
         self._turns = turns
         self._store = store
         self._timers = timers
@@ -93,6 +96,7 @@
                 sends this error response.
             StreamAborted: the stream failed after its head was sent.
         """
+        self._versions.set_resumed(ctx)
         self._check_load(ctx)
         body = self._request_body(ctx)
         reservation = self._tokens.reserve(ctx)
@@ -260,6 +264,8 @@
             if new_events:
                 if reservation is not None and not progress.events_sent:
                     self._tokens.wait(ctx, reservation, ctx.route.timeout)
+                if not progress.events_sent:
+                    self._versions.set_begun(ctx, exchange.target)
                 self._forward(ctx, new_events, progress)
         eliot.log_message(
             "stream.ended",
@@ -348,7 +354,12 @@
         ctx.responder.send(exchange.head.status, headers, body)
 
     def _event_deadline(self, ctx: calls.CallContext, *, first: bool) -> float:
-        """Returns until when to wait for the next data from a target."""
+        """Returns until when to wait for the next data from a target.
+
+        A silent target is waited for if no other one can continue the stream.
+        """
+        if not calls.has_other_target(ctx, self._catalog):
+            return ctx.deadline
         silence_seconds = max(SILENCE_GAPS * ctx.route.gap, MIN_SILENCE_SECONDS)
         if first:
             silence_seconds = max(silence_seconds, MIN_FIRST_EVENT_SECONDS)
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -241,6 +241,17 @@
             )
             self._put(f"targets//{target.name}")
 
+    def unlist_targets(self, targets):
+        """Deletes the registrations of targets."""
+        deletes = [ports.Delete(f"targets//{t.name}") for t in targets]
+        self.table.transact(ports.Transaction((), tuple(deletes)))
+
+    def add_target(self, version):
+        """Starts and registers another target."""
+        target = FakeTarget(f"t{len(self.targets)}", version)
+        self.targets.append(target)
+        self.list_targets([target])
+
     def _put(self, key):
         self.table.transact(ports.Transaction((), (ports.Put(key, b""),)))
 
--- a/tests/cover/gateway/test_catalog.py
+++ b/tests/cover/gateway/test_catalog.py
@@ -12,7 +12,8 @@
 class Decoder:
     """Decodes declarations written as "REVISION PREFIX", and targets.
 
-    A target is named by its key; its value may be "draining" or "garbage".
+    A target is named by its key. Its value may be "ready", "draining" or
+    "garbage", else it is the target's software version.
     """
 
     declaration_table = "declared"
@@ -28,7 +29,11 @@
         if row.value == b"garbage":
             return None
         return gateway_parts.target(
-            row.key.rpartition("/")[2], draining=row.value == b"draining"
+            row.key.rpartition("/")[2],
+            draining=row.value == b"draining",
+            software_version=row.value.decode()
+            if row.value.startswith(b"v")
+            else "v1",
         )
 
 
@@ -162,3 +167,58 @@
     restarted = gateway_parts.target("t1", started=2)
     assert first.incarnation != restarted.incarnation
     assert isinstance(first, model.Target)
+
+
+def test_targets_are_listed_by_software_version(timers, table, catalog):
+    for name, version in [("t1", b"v1"), ("t2", b"v2"), ("t3", b"v2")]:
+        put(timers, table, f"targets//{name}", version)
+    timers.advance(0.1)
+    assert [t.name for t in catalog.targets("s", "v1")] == ["t1"]
+    assert [t.name for t in catalog.targets("s", "v2")] == ["t2", "t3"]
+    assert catalog.targets("s", "v3") == []
+    assert catalog.versions("s") == {"v1", "v2"}
+
+
+def test_the_only_version_is_known_after_the_period(timers, table, catalog):
+    put(timers, table, "targets//t1", b"v1")
+    timers.advance(4.0)
+    assert catalog.only_version("s", 5.0) is None
+    timers.advance(2.0)
+    assert catalog.only_version("s", 5.0) == "v1"
+
+
+def test_a_version_counts_until_the_period_after_its_last_target(
+    timers, table, catalog
+):
+    put(timers, table, "targets//t1", b"v1")
+    timers.advance(6.0)
+    put(timers, table, "targets//t2", b"v2")
+    timers.advance(0.1)
+    assert catalog.only_version("s", 5.0) is None
+    delete = ports.Transaction((), (ports.Delete("targets//t1"),))
+    timers.run(table.transact, delete)
+    timers.advance(4.0)
+    assert catalog.only_version("s", 5.0) is None
+    timers.advance(2.0)
+    assert catalog.only_version("s", 5.0) == "v2"
+
+
+def test_a_target_that_restarts_with_another_version_had_both(
+    timers, table, catalog
+):
+    put(timers, table, "targets//t1", b"v1")
+    timers.advance(6.0)
+    put(timers, table, "targets//t1", b"v2")
+    timers.advance(0.1)
+    assert catalog.versions("s") == {"v2"}
+    assert catalog.only_version("s", 5.0) is None
+
+
+def test_the_only_version_is_unknown_while_the_store_is_silent(
+    timers, table, catalog
+):
+    put(timers, table, "targets//t1", b"v1")
+    timers.advance(6.0)
+    table.faults.outage = True
+    timers.advance(4.0)
+    assert catalog.only_version("s", 5.0) is None
--- a/tests/cover/gateway/test_mixed_versions.py
+++ b/tests/cover/gateway/test_mixed_versions.py
@@ -4,6 +4,7 @@
 version that began it, whether the entry host or the client resumes it.
 """
 
+import gevent
 import pytest
 
 from tests.common import gateway_fleet
@@ -97,3 +98,42 @@
     fleet = start()
     assert resume_stream(fleet, "unknown", "c1", host=0).status == 503
     assert fleet.received() == []
+
+
+def test_a_stream_of_an_unnamed_call_resumes_while_there_is_one_version(start):
+    fleet = start(["v1", "v1"], timeout=0.4)
+    gevent.sleep(0.9)  # two timeouts, in which there was one version
+    response = fleet.request("c1", Last_Event_Id="2")
+    assert (response.status, response.complete) == (200, True)
+
+
+def test_a_stream_is_not_resumed_once_its_version_is_gone(start):
+    fleet = start(["v1", "v2"], hosts=2, most_targets=1)
+    begin_stream(fleet, "c1")
+    (ran,) = versions_that_ran(fleet, "c1")
+    fleet.unlist_targets([t for t in fleet.targets if t.version == ran])
+    gevent.sleep(0.1)
+    assert resume_stream(fleet, "c1", "c2", host=1).status == 503
+    assert len(fleet.received()) == 1
+
+
+def test_a_stream_resumes_at_its_version_after_a_second_one_appears(start):
+    fleet = start(["v1", "v1"], hosts=2, most_targets=1)
+    for n in range(STREAMS):
+        begin_stream(fleet, f"c{n}", host=0)
+    fleet.add_target("v2")
+    gevent.sleep(0.1)
+    for n in range(STREAMS):
+        response = resume_stream(fleet, f"c{n}", f"d{n}", host=1)
+        assert response.status in (200, 503)
+        assert versions_that_ran(fleet, f"c{n}", f"d{n}") == {"v1"}
+
+
+def test_a_silent_target_is_awaited_if_no_other_fits_its_stream(start):
+    fleet = start(["v1", "v2"])
+    for target in fleet.targets:
+        target.handler = lambda request, responder, t=target: t.stream(
+            request, responder, pause=0.7
+        )
+    response = fleet.request("c1")
+    assert (response.complete, response.body) == (True, STREAM_BODY)
--- a/tests/cover/gateway/test_truncated_streams.py
+++ b/tests/cover/gateway/test_truncated_streams.py
@@ -47,10 +47,11 @@
 
 def test_a_resumed_stream_without_more_events_is_complete(start):
     fleet = start()
+    fleet.request("c1")
     gateway_fleet.set_handlers(fleet, "close_before_an_event")
-    response = fleet.request(Last_Event_Id="5")
+    response = fleet.request("c2", Resumes="c1", Last_Event_Id="5")
     assert (response.complete, response.body) == (True, b"")
-    assert len(fleet.received()) == 1
+    assert len(fleet.received()) == 2
 
 
 def test_a_reset_is_not_taken_for_the_end_of_a_stream(start):
