gateway: store no turn without its first events

On a route that is both resumable and retained, a turn that its caller resumed was stored with only the events of the second call. Later turns continued from that.

Change: a caller's request to resume a turn that would be stored is refused (503, not run), so that the turn begins anew. The host that is asked does not have the events of the first call.

Measured: the test fails before (a later turn is sent `word3` to `word5` only), and passes now.

--- a/src/endivepier/gateway/stream_versions.py
+++ b/src/endivepier/gateway/stream_versions.py
@@ -37,7 +37,7 @@
 
         Raises:
             errors.Refused: the origin is unknown or is no longer a service of
-                the route; the call has not run.
+                the route, or the route stores turns; the call has not run.
         """
         call = ctx.call
         if call.last_event is None:
@@ -56,6 +56,10 @@
         )
         if origin is None:
             raise _not_resumable(ctx, "it is not known which version began it")
+        if ctx.route.retained:
+            raise _not_resumable(
+                ctx, "its turn would be stored without the events before"
+            )
         if origin.service not in [b.service for b in ctx.route.backends]:
             raise _not_resumable(
                 ctx, f"service {origin.service!r} no longer serves its route"
--- a/tests/cover/gateway/test_mixed_versions.py
+++ b/tests/cover/gateway/test_mixed_versions.py
@@ -137,3 +137,12 @@
         )
     response = fleet.request("c1")
     assert (response.complete, response.body) == (True, STREAM_BODY)
+
+
+# A turn that its client resumed was stored without the events that the client
+# already had, and later turns continued from that.
+def test_a_turn_is_never_stored_without_its_first_events(start):
+    fleet = start(["v1", "v1"], most_targets=1, retained=True)
+    begin_stream(fleet, "c1")
+    assert resume_stream(fleet, "c1", "c2", host=0).status == 503
+    assert fleet.request("c3", Previous_Turn="c2").status == 404
