gateway: send no more calls to a target that says that it is leaving

From such a response on, of any status, that run of the target gets no new call, whatever its row says; a later run of the same target does. Streams under way go on.

--- a/src/endivepier/gateway/catalog.py
+++ b/src/endivepier/gateway/catalog.py
@@ -16,6 +16,7 @@
 import eliot
 
 from endivepier import timers as timers_lib
+from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import follower as follower_lib
 from endivepier.gateway import model
 from endivepier.http1 import messages
@@ -67,7 +68,11 @@
     """
 
     def __init__(
-        self, feed: ports.Feed, decoder: Decoder, timers: timers_lib.Timers
+        self,
+        feed: ports.Feed,
+        decoder: Decoder,
+        timers: timers_lib.Timers,
+        departures: departures_lib.Departures,
     ) -> None:
         self.declaration: model.Declaration | None = None
         self.routes: dict[str, list[model.Route]] = {}
@@ -79,6 +84,8 @@
         self._removed_versions: dict[tuple[str, str], float] = {}
         self._targets_read_at: float | None = None
         self._decoder = decoder
+        self._departures = departures
+        departures.subscribe(self._forget_groups)
         self._timers = timers
         self._declaration_listeners: list[Callable[[], None]] = []
         self._removal_listeners: list[Callable[[model.Target], None]] = []
@@ -163,6 +170,9 @@
             return self._by_service.get(service, [])
         return self._by_version.get((service, version), [])
 
+    def _forget_groups(self) -> None:
+        self._by_service = None
+
     def _group_targets(self) -> dict[str, list[model.Target]]:
         groups: dict[str, list[model.Target]] = {}
         self._by_version = {}
@@ -170,7 +180,8 @@
             target = entry.target
             version = (target.service, target.software_version)
             same_version = self._by_version.setdefault(version, [])
-            if not target.draining:
+            leaving = target.incarnation in self._departures
+            if not (target.draining or leaving):
                 groups.setdefault(target.service, []).append(target)
                 same_version.append(target)
         return groups
--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -12,6 +12,7 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
+from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import dialect as dialect_lib
 from endivepier.gateway import model
 from endivepier.gateway import placement as placement_lib
@@ -73,6 +74,10 @@
             if not isinstance(part, messages.Head):
                 continue
             verdict = self._dispatcher.dialect.decode_head(part)
+            if verdict.leaving:
+                self._dispatcher.departures.add(
+                    self.target.incarnation, source="response"
+                )
             if verdict.call and verdict.call != self._call.id:
                 self._skipped_response = True
                 continue
@@ -178,6 +183,7 @@
         dialect: encodes requests and decodes response heads.
         pool: the idle connections to all targets.
         placement: chooses targets and tracks their load and failures.
+        departures: records the targets that say that they are leaving.
     """
 
     def __init__(
@@ -185,11 +191,13 @@
         dialect: dialect_lib.Dialect,
         pool: pool_lib.Pool,
         placement: placement_lib.Placement,
+        departures: departures_lib.Departures,
         timers: timers_lib.Timers,
     ) -> None:
         self.dialect = dialect
         self.pool = pool
         self.placement = placement
+        self.departures = departures
         self._timers = timers
 
     def now(self) -> float:
--- a/src/endivepier/gateway/model.py
+++ b/src/endivepier/gateway/model.py
@@ -277,8 +277,10 @@
         call: id of the call that it responds to; empty if it names none.
         sealed: whether it carries the target's signature, as event streams do.
         not_run: whether the target guarantees that the call has not run.
+        leaving: whether the target says that it is about to stop.
     """
 
     call: str
     sealed: bool
     not_run: bool
+    leaving: bool = False
--- a/src/endivepier/gateway/peers.py
+++ b/src/endivepier/gateway/peers.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 
 import eliot
@@ -18,6 +19,7 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
+from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import follower as follower_lib
 from endivepier.gateway import load_reports
 from endivepier.gateway import rows
@@ -39,9 +41,11 @@
 MAX_ANNOUNCE_BACKOFF_SECONDS = 2.0
 
 # Headers with the name of the host that sends a request, and with the load
-# report of the host that sends a request or a response.
+# report and the known departures of the host that sends a request or a
+# response.
 HOST_HEADER = b"entry-host"
 LOAD_HEADER = b"load"
+DEPARTURES_HEADER = b"leaving"
 
 Handler = Callable[[bytes], bytes]
 
@@ -83,9 +87,11 @@
         feed: ports.Feed,
         timers: timers_lib.Timers,
         reports: load_reports.LoadReports,
+        departures: departures_lib.Departures,
     ) -> None:
         self._host = host
         self._reports = reports
+        self._departures = departures
         self._own_entry = own_entry
         self._table = table
         self._timers = timers
@@ -214,7 +220,7 @@
         headers = [
             (b"Host", address.encode()),
             (HOST_HEADER, self._host.encode()),
-            (LOAD_HEADER, self._reports.encode()),
+            *self._news(),
         ]
         path = f"/{operation}".encode()
         data = client.encode_request(b"POST", path, headers, body)
@@ -233,7 +239,7 @@
                 if probe is not None:
                     probe.cancel()
         self._note_contact(host)
-        self._receive_report(host, head.header(LOAD_HEADER))
+        self._receive_news(host, head.headers)
         if head.status != 200:
             raise errors.PeerUnreachable(
                 host, f"the response has status {head.status}", sent=True
@@ -247,7 +253,21 @@
         except errors.PeerUnreachable:
             conn.close()
 
-    def _receive_report(self, host: str, report: bytes | None) -> None:
+    def _news(self) -> list[messages.Header]:
+        """Returns the headers by which hosts inform each other."""
+        headers = [(LOAD_HEADER, self._reports.encode())]
+        departures = self._departures.encode()
+        if departures:
+            headers.append((DEPARTURES_HEADER, departures))
+        return headers
+
+    def _receive_news(
+        self, host: str, headers: Iterable[messages.Header]
+    ) -> None:
+        departures = messages.find(headers, DEPARTURES_HEADER)
+        if departures:
+            self._departures.receive(host, departures)
+        report = messages.find(headers, LOAD_HEADER)
         if not report:
             return
         try:
@@ -264,7 +284,7 @@
             return
         host = (req.header(HOST_HEADER) or b"").decode("latin-1")
         self._note_contact(host)
-        self._receive_report(host, req.header(LOAD_HEADER))
+        self._receive_news(host, req.headers)
         try:
             body = handler(req.body)
         except errors.Refused as exc:
@@ -272,7 +292,7 @@
             return
         headers = [
             (b"Content-Type", b"application/json"),
-            (LOAD_HEADER, self._reports.encode()),
+            *self._news(),
         ]
         responder.send(200, headers, body)
 
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -16,6 +16,7 @@
 from endivepier.gateway import budget_owners
 from endivepier.gateway import budgets
 from endivepier.gateway import catalog as catalog_lib
+from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import dialect as dialect_lib
 from endivepier.gateway import exchange
 from endivepier.gateway import handler as handler_lib
@@ -103,9 +104,11 @@
         self.kernel = kernel_lib.Kernel()
         self.incarnation = ids_lib.Ids(rng).unique()[:12]
         reports = load_reports.LoadReports(timers)
+        departures = departures_lib.Departures(timers, self.metrics)
         store = store_access.Store(adapters.table, adapters.feed, timers, rng)
         self.catalog = self.kernel.register(
-            "catalog", catalog_lib.Catalog(store, adapters.decoder, timers)
+            "catalog",
+            catalog_lib.Catalog(store, adapters.decoder, timers, departures),
         )
         self.peers = self.kernel.register(
             "peers",
@@ -116,6 +119,7 @@
                 adapters.feed,
                 timers,
                 reports,
+                departures,
             ),
         )
         store.use_peers(self.peers)
@@ -153,7 +157,7 @@
             cfg.data_centre, timers, rng, reports, self.pool.has_idle
         )
         self.dispatcher = exchange.Dispatcher(
-            adapters.dialect, self.pool, self.placement, timers
+            adapters.dialect, self.pool, self.placement, departures, timers
         )
         self.catalog.subscribe_removed(self.dispatcher.drop_target)
         self.handler = handler_lib.Handler(
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -230,14 +230,15 @@
             ):
                 gevent.sleep(0.01)
 
-    def list_targets(self, targets):
-        """Registers targets."""
+    def list_targets(self, targets, started=1):
+        """Registers targets, which started at the given time."""
         for target in targets:
             self._rows[target.name] = gateway_parts.target(
                 target.name,
                 target.server.address,
                 service=self.service,
                 software_version=target.version,
+                started=started,
             )
             self._put(f"targets//{target.name}")
 
--- a/tests/cover/gateway/test_catalog.py
+++ b/tests/cover/gateway/test_catalog.py
@@ -1,11 +1,13 @@
 import pytest
 
 from endivepier.gateway import catalog as catalog_lib
+from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import follower
 from endivepier.gateway import model
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
 from endivepier.storage import ports
+from endivepier.telemetry import metrics as metrics_lib
 from tests.common import gateway_parts
 
 
@@ -49,7 +51,8 @@
 
 @pytest.fixture
 def catalog(timers, table):
-    catalog = catalog_lib.Catalog(table, Decoder(), timers)
+    departures = departures_lib.Departures(timers, metrics_lib.Metrics())
+    catalog = catalog_lib.Catalog(table, Decoder(), timers, departures)
     catalog.start()
     return catalog
 
--- a/tests/cover/gateway/test_peers.py
+++ b/tests/cover/gateway/test_peers.py
@@ -7,12 +7,14 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
+from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import load_reports
 from endivepier.gateway import peers as peers_lib
 from endivepier.gateway import rows
 from endivepier.internal import codec
 from endivepier.standins import table as table_lib
 from endivepier.storage import ports
+from endivepier.telemetry import metrics as metrics_lib
 
 
 class Host:
@@ -20,6 +22,9 @@
 
     def __init__(self, name, table):
         self.timers = timers_lib.SystemTimers()
+        self.departures = departures_lib.Departures(
+            self.timers, metrics_lib.Metrics()
+        )
         self.reports = load_reports.LoadReports(self.timers)
         self.running = {}
         self.reports.set_source(lambda: self.running)
@@ -30,6 +35,7 @@
             table,
             self.timers,
             self.reports,
+            self.departures,
         )
         self.peers.register("echo", lambda body: body)
         self.peers.register("slow", self.slow)
@@ -73,6 +79,16 @@
     assert hosts["h0"].reports.calls_from_others("t@1") == 5
 
 
+def test_a_request_carries_departures_in_both_directions(hosts):
+    hosts["h0"].departures.add("t@1", source="response")
+    hosts["h1"].departures.add("u@1", source="response")
+    hosts["h0"].peers.request("h1", "echo", b"{}")
+    for host in hosts.values():
+        assert "t@1" in host.departures
+        assert "u@1" in host.departures
+        assert "v@1" not in host.departures
+
+
 def test_a_slow_response_of_a_live_peer_is_awaited(hosts):
     assert hosts["h0"].peers.request("h1", "slow", b"x", 2.0) == b"x"
 
