--- a/src/endivepier/cli/effect.py
+++ b/src/endivepier/cli/effect.py
@@ -44,7 +44,12 @@
     resolve.set_defaults(run=run_resolve)
     for action in (show, resolve):
         action.add_argument("account")
-        action.add_argument("key", help="the caller's Idempotency-Key")
+        # `key` holds the operator's API key.
+        action.add_argument(
+            "idempotency_key",
+            metavar="key",
+            help="the caller's Idempotency-Key",
+        )
     for action in (listing, show, resolve):
         client.add_flags(action)
 
@@ -69,7 +74,9 @@
 
 def run_show(args: argparse.Namespace) -> int:
     """Shows one claim."""
-    query = urllib.parse.urlencode({"account": args.account, "key": args.key})
+    query = urllib.parse.urlencode(
+        {"account": args.account, "key": args.idempotency_key}
+    )
     return client.print_response(
         client.request(args, "GET", f"{effects.CLAIM_PATH}?{query}")
     )
@@ -79,7 +86,7 @@
     """Records the outcome of a claim."""
     body = {
         "account": args.account,
-        "key": args.key,
+        "key": args.idempotency_key,
         "version": args.version,
         "ran": args.ran,
         "note": args.note,
--- a/src/endivepier/cli/main.py
+++ b/src/endivepier/cli/main.py
@@ -16,11 +16,13 @@
 
 import argparse
 from collections.abc import Sequence
+import contextlib
 import importlib.metadata
 import sys
 
 from endivepier import errors
 from endivepier.cli import demo
+from endivepier.cli import effect
 from endivepier.cli import entry
 from endivepier.cli import key
 from endivepier.cli import program
@@ -49,6 +51,7 @@
         release,
         key,
         program,
+        effect,
         status,
         demo,
         standin,
@@ -59,11 +62,15 @@
 
 
 def _add_version(parser: argparse.ArgumentParser) -> None:
-    """Adds `--version` to a parser and to all of its subcommands."""
+    """Adds `--version` to a parser and to all of its subcommands.
+
+    A subcommand that has an option of that name keeps its own.
+    """
     version = importlib.metadata.version("endivepier")
-    parser.add_argument(
-        "--version", action="version", version=f"endivepier {version}"
-    )
+    with contextlib.suppress(argparse.ArgumentError):
+        parser.add_argument(
+            "--version", action="version", version=f"endivepier {version}"
+        )
     for action in parser._actions:
         if isinstance(action, argparse._SubParsersAction):
             for subparser in action.choices.values():
