http1: do not count a body as headers of the request behind it

The second request got 431.

Change: bytes that arrive together with the end of a request don't count. The headers that the parser has reported still do, as do all bytes that follow.

Measured: the test fails before with 431; another one holds the limit for a request that follows in the same bytes.

--- a/src/endivepier/http1/requests.py
+++ b/src/endivepier/http1/requests.py
@@ -54,6 +54,7 @@
         self._started = False
         self._headers_complete = False
         self._received_bytes = 0
+        self._completed_in_feed = False
         self._reset()
 
     def feed(self, data: bytes) -> None:
@@ -64,6 +65,7 @@
                 must be closed after the error response.
         """
         self._started = True
+        self._completed_in_feed = False
         try:
             self._parse(data)
         except BadRequest as exc:
@@ -86,6 +88,8 @@
             raise
         except httptools.HttpParserError as exc:
             raise BadRequest(400, f"not valid HTTP/1.1: {exc}") from exc
+        if self._completed_in_feed:
+            return  # an unknown part of the bytes belongs to former requests
         if not self._headers_complete and self._started:
             self._received_bytes += len(data)
             self._check_header_bytes()
@@ -159,6 +163,7 @@
         self._completed.append((req, bool(self._parser.should_keep_alive())))
         self._reset()
         self._started = False
+        self._completed_in_feed = True
 
     def _reset(self) -> None:
         self._target = bytearray()
--- a/tests/cover/http1/test_requests.py
+++ b/tests/cover/http1/test_requests.py
@@ -151,3 +151,25 @@
     assert req.body == b"in"
     with pytest.raises(requests.BadRequest):
         reader.next_request()
+
+
+# The bytes of the body counted as headers of the request behind it.
+def test_a_request_behind_a_long_body_is_not_too_long():
+    limits = messages.ClientLimits(header_bytes=1024, body_bytes=20_000)
+    body = b"x" * 20_000
+    first = post(b"Content-Length: 20000\r\n", body)
+    reader = requests.RequestReader(limits)
+    reader.feed(first + HIDDEN[:20])
+    reader.feed(HIDDEN[20:])
+    assert reader.next_request().body == body
+    assert reader.next_request().target == b"/hidden"
+
+
+def test_the_headers_of_a_pipelined_request_are_limited():
+    reader = requests.RequestReader(LIMITS)
+    reader.feed(HIDDEN + b"GET /a HTTP/1.1\r\nX: ")
+    assert reader.next_request().target == b"/hidden"
+    with pytest.raises(requests.BadRequest) as caught:
+        for _ in range(20):
+            reader.feed(b"x" * 100)
+    assert caught.value.status == 431
