--- a/src/endivepier/configuration/snapshots.py
+++ b/src/endivepier/configuration/snapshots.py
@@ -103,23 +103,27 @@
 
     def _newest_row(self, upto: int) -> Snapshot | None:
         """Returns the row of the newest snapshot up to revision `upto`."""
-        best: Snapshot | None = None
         # The last few intervals most likely have a snapshot; if they don't,
         # the second pass reads the rows of all snapshots.
         recent = snapshot_key(max(0, upto - 4 * REVISIONS_PER_SNAPSHOT))
         for after in (recent, ""):
-            while True:
-                rows = self._table.scan(
-                    SNAPSHOT_PREFIX, after=after, limit=PAGE_ROWS
-                )
-                for row in rows:
-                    snapshot = codec.decode(Snapshot, row.value)
-                    if snapshot.revision > upto:
-                        return best
-                    best = snapshot
-                if len(rows) < PAGE_ROWS:
-                    break
-                after = rows[-1].key
-            if best is not None:
-                return best
-        return best
+            newest = self._newest_row_after(after, upto)
+            if newest is not None:
+                return newest
+        return None
+
+    def _newest_row_after(self, after: str, upto: int) -> Snapshot | None:
+        """Returns the last row behind the key `after` and up to a revision."""
+        newest: Snapshot | None = None
+        while True:
+            rows = self._table.scan(
+                SNAPSHOT_PREFIX, after=after, limit=PAGE_ROWS
+            )
+            for row in rows:
+                snapshot = codec.decode(Snapshot, row.value)
+                if snapshot.revision > upto:
+                    return newest
+                newest = snapshot
+            if len(rows) < PAGE_ROWS:
+                return newest
+            after = rows[-1].key
