--- a/src/endivepier/gateway/load_reports.py
+++ b/src/endivepier/gateway/load_reports.py
@@ -84,7 +84,11 @@
         document = json.loads(encoded)
         if not isinstance(document, dict):
             raise ValueError(f"load report of host {host!r} is no JSON object")
-        running = {key: int(count) for key, count in document.items()}
+        if not all(isinstance(count, int) for count in document.values()):
+            raise ValueError(
+                f"load report of host {host!r} has a count that is no integer"
+            )
+        running = dict(document)
         self._reports[host] = Report(encoded, now, running)
         self._summed_at = float("-inf")
 
