scheduling: do not divide a time by zero tokens

An engine that answers a probe without a token ended the task of the probes.

Change: the divisor is at least 1.

Measured: the test of the probe fails before (ZeroDivisionError). The prefix has no test: a conversation has at least one message.

--- a/src/endivepier/scheduling/dispatch.py
+++ b/src/endivepier/scheduling/dispatch.py
@@ -179,7 +179,8 @@
         for event in self._run(req, can_expel=False):
             if isinstance(event, target_ports.Finished):
                 elapsed = self._timers.now() - started
-                self.timing.record_probe(elapsed / event.completion_tokens)
+                token_count = max(event.completion_tokens, 1)
+                self.timing.record_probe(elapsed / token_count)
             yield event
         self._engine.release(PROBE_SESSION)
 
@@ -281,7 +282,7 @@
         except (errors.PeerUnreachable, errors.Refused, errors.TargetFailed):
             self._metrics.count("prefixes_not_moved")
             return
-        prompt_tokens = tokens.count_messages(req.request.messages)
+        prompt_tokens = max(tokens.count_messages(req.request.messages), 1)
         self.timing.move.add((self._timers.now() - started) / prompt_tokens)
         self._metrics.count("prefixes_moved")
 
--- a/tests/cover/test_dispatch.py
+++ b/tests/cover/test_dispatch.py
@@ -211,3 +211,16 @@
         assert refusal.value.ran is errors.Ran.NO
 
     timers.run(script)
+
+
+# The time of a probe was divided by its number of tokens.
+def test_an_engine_may_answer_a_probe_without_a_token():
+    timers = clock.VirtualTimers()
+    host = network_lib.Network(timers).add("one:1")
+    name = f"{dispatch.PROBE_SESSION}-1"
+    engine = ScriptedEngine([ports.Finished(name, 5, 0, 0, "stop")])
+    engine.models = lambda: ["m"]
+    engine.release = lambda session: None
+    dispatcher = make_dispatcher(engine, host)
+    (finished,) = timers.run(lambda: list(dispatcher.probe()))
+    assert finished.completion_tokens == 0
