gateway: the first event of a resumed stream ends its wait, too

The one that went on with a stream counted as one without a first event, and its expected wait grew until the stream ended.

Change: the first event of each target is reported.

Measured: the test fails before (the call is still awaiting its first event).

--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -245,6 +245,7 @@
             progress.head = head
         splitter = events.Splitter()
         resume_after = progress.last_event_id
+        has_event = False  # from this target
         while True:
             deadline = self._event_deadline(
                 ctx, first=progress.events_sent == 0
@@ -259,7 +260,8 @@
                 or event.id is None
                 or event.id > resume_after
             ]
-            if new_events and not progress.events_sent:
+            if new_events and not has_event:
+                has_event = True
                 exchange.report_first_event()
             if new_events:
                 if reservation is not None and not progress.events_sent:
--- a/tests/cover/gateway/test_truncated_streams.py
+++ b/tests/cover/gateway/test_truncated_streams.py
@@ -1,8 +1,10 @@
 """Streams that break off at their target, by the framing of the response."""
 
+import gevent
 import pytest
 
 from endivepier.gateway import model
+from endivepier.http1 import messages
 from tests.common import gateway_fleet
 from tests.common import gateway_parts
 
@@ -103,3 +105,23 @@
     fleet = start(kind=model.RouteKind.NON_IDEMPOTENT)
     gateway_fleet.set_handlers(fleet, "reset_after_two_events")
     assert fleet.request().status == 502
+
+
+# The target that went on with a stream counted as one without a first event,
+# so its expected wait grew until the stream ended.
+def test_a_resumed_stream_does_not_count_as_waiting_for_its_first_event(start):
+    fleet = start()
+    for target in fleet.targets:
+        target.handler = lambda request, responder, t=target: (
+            t.stream(request, responder, pause=0.2)
+            if messages.find(request.headers, b"last-event-id")
+            else t.cut_off(request, responder)
+        )
+    task = gevent.spawn(fleet.request, Prompt_Prefix="5c:800")
+    gevent.sleep(0.3)
+    placement = fleet.gateway.placement
+    targets = fleet.gateway.catalog.targets("s")
+    running = [t for t in targets if placement.load(t).running]
+    assert len(running) == 1
+    assert placement.load(running[0]).awaiting_first_event == {}
+    assert task.get().complete
