--- a/src/endivepier/gateway/catalog.py
+++ b/src/endivepier/gateway/catalog.py
@@ -80,7 +80,7 @@
         self._targets: dict[str, TargetEntry] = {}
         self._by_service: dict[str, list[model.Target]] | None = None
         self._by_version: dict[tuple[str, str], list[model.Target]] = {}
-        # When the last target of a service and version was removed.
+        # When a target of a service and version was removed last.
         self._removed_versions: dict[tuple[str, str], float] = {}
         self._targets_read_at: float | None = None
         self._decoder = decoder
