gateway: each target of a stream must send an event before a bare close

A target that closes its connection after the head, without a length, chunks or an event, counted as broken off only for new streams. If it was to continue a stream, what the first target had sent ended as complete.

Change: the check goes by the events of this target, whether the stream is new or resumed. The test that a resumed stream may have no more events now uses a response with proper framing; the former one, which closed after the head, held that the truncated case is complete, and its opposite is tested.

--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -280,8 +280,7 @@
         )
         if splitter.partial_event:
             raise exchange.failure("the stream ended within an event")
-        resumed = resume_after is not None
-        if head.until_close and not (resumed or progress.events_sent):
+        if head.until_close and not has_event:
             raise exchange.failure("the connection closed before an event")
         self._finish(ctx, progress, body)
 
--- a/tests/cover/gateway/test_truncated_streams.py
+++ b/tests/cover/gateway/test_truncated_streams.py
@@ -50,12 +50,21 @@
 def test_a_resumed_stream_without_more_events_is_complete(start):
     fleet = start()
     fleet.request("c1")
-    gateway_fleet.set_handlers(fleet, "close_before_an_event")
     response = fleet.request("c2", Resumes="c1", Last_Event_Id="5")
     assert (response.complete, response.body) == (True, b"")
     assert len(fleet.received()) == 2
 
 
+# A second target that closed after its head ended the stream of the first.
+def test_a_resumed_stream_that_closes_before_an_event_is_not_complete(start):
+    fleet = start()
+    gateway_fleet.set_handlers(fleet, "cut_off", "close_before_an_event")
+    response = fleet.request()
+    assert not response.complete
+    assert response.body == STREAM_BODY[: len(response.body)]
+    assert len(fleet.received()) == 2
+
+
 def test_a_reset_is_not_taken_for_the_end_of_a_stream(start):
     fleet = start()
     gateway_fleet.set_handlers(fleet, "reset_after_two_events")
