http1, gateway: bound what a peer may send, and its share of the loop

Change: one reader for both directions. `receiving` reads 16 KiB and yields after as much work. `framing` bounds all that is no body, relative to the body received. `buffers` lets bodies of all calls share memory: 4 MiB for small ones, 8 MiB for large ones, which reserve all they may need at once, so that none waits while it holds space that others wait for. A response over a limit fails its call at once, is logged and counted, and its target is avoided for 4 s. Events (256 KiB), stored turns (1 MiB) and responses to other calls (1 MiB) have limits. Comments and parts of events no longer restart the wait for an event. Clients' bodies need 4 KiB/s after `idle_seconds`. Splitting a long event no longer searches all of it again at each read.

Not bounded here: the number of connections, other than by the host's descriptors.

--- a/src/endivepier/gateway/calls.py
+++ b/src/endivepier/gateway/calls.py
@@ -12,7 +12,7 @@
 from endivepier.gateway import exchange as exchange_lib
 from endivepier.gateway import model
 from endivepier.gateway import placement as placement_lib
-from endivepier.http1 import server as server_lib
+from endivepier.http1 import responding
 
 # `Retry-After` when all targets are full or unreachable. A turn at an engine
 # takes some 200 ms, so slots become free all the time.
@@ -59,7 +59,7 @@
     account: str
     service: str
     engine: model.Engine | None
-    responder: server_lib.Responder
+    responder: responding.Responder
     deadline: float
     last_target: str = ""
     is_first_turn: bool = False
--- a/src/endivepier/gateway/events.py
+++ b/src/endivepier/gateway/events.py
@@ -12,6 +12,7 @@
 import re
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+EVENT_END_LENGTH = 4  # bytes of the longest match
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,28 +29,41 @@
     id: int | None
     data: bytes
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it carries nothing, as what keeps a connection open."""
+        return self.id is None and not self.data
+
 
 class Splitter:
     """Splits the bytes of a stream into events."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
 
     def feed(self, data: bytes) -> list[Event]:
         """Adds received bytes and returns the events that they complete."""
+        # What was searched before can only hold the beginning of a match.
+        search_from = max(len(self._buffer) - EVENT_END_LENGTH + 1, 0)
         self._buffer += data
         complete = []
         start = 0
-        for end in EVENT_END.finditer(self._buffer):
-            complete.append(_decode(self._buffer[start : end.end()]))
-            start = end.end()
-        self._buffer = self._buffer[start:]
+        for match in EVENT_END.finditer(bytes(self._buffer[search_from:])):
+            end = search_from + match.end()
+            complete.append(_decode(bytes(self._buffer[start:end])))
+            start = end
+        del self._buffer[:start]
         return complete
 
     @property
     def partial_event(self) -> bytes:
         """The bytes received after the last complete event."""
-        return self._buffer
+        return bytes(self._buffer)
+
+    @property
+    def partial_length(self) -> int:
+        """The number of bytes received after the last complete event."""
+        return len(self._buffer)
 
 
 def _decode(raw: bytes) -> Event:
--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -16,17 +16,22 @@
 from endivepier.gateway import dialect as dialect_lib
 from endivepier.gateway import model
 from endivepier.gateway import placement as placement_lib
+from endivepier.http1 import buffers as buffers_lib
 from endivepier.http1 import client
 from endivepier.http1 import errors as http_errors
 from endivepier.http1 import messages
 from endivepier.http1 import pool as pool_lib
 from endivepier.http1 import responses
+from endivepier.telemetry import metrics as metrics_lib
 
 # A call that must not be repeated is sent on a new connection or on one that
 # was idle for no longer than this. If the target has closed an idle connection
 # in the meantime, the outcome of the call would be unknown.
 MAX_IDLE_SECONDS = 4.0
 MISDIRECTED_REQUEST = 421  # HTTP status: the wrong server, call not run
+# Received for one call before its response begins. Late responses to earlier
+# calls on the connection are small.
+MAX_OTHER_RESPONSE_BYTES = 1024 * 1024
 
 
 class Exchange:
@@ -57,6 +62,8 @@
         self._complete = False
         self._skipped_response = False
         self._closed = False
+        self._exceeded_limit = False
+        self._body = dispatcher.buffers.open(target.incarnation)
 
     @property
     def not_run(self) -> bool:
@@ -71,6 +78,10 @@
         """
         while True:
             part = self._read(deadline)
+            if self._conn.received_bytes > MAX_OTHER_RESPONSE_BYTES:
+                raise self.limit_exceeded(
+                    "other responses", MAX_OTHER_RESPONSE_BYTES
+                )
             if not isinstance(part, messages.Head):
                 continue
             verdict = self._dispatcher.dialect.decode_head(part)
@@ -108,17 +119,28 @@
                 )
 
     def read_all(self, deadline: float) -> bytes:
-        """Returns the whole body.
+        """Returns the whole body; `release_body` releases its memory.
 
         Raises:
-            errors.TargetFailed: the body was cut off, late or invalid.
+            errors.TargetFailed: the body was cut off, late, invalid or too
+                large.
         """
-        chunks: list[bytes] = []
-        while True:
-            chunk = self.read(deadline)
-            if chunk is None:
-                return b"".join(chunks)
-            chunks.append(chunk)
+        try:
+            body = client.read_body(
+                self._conn,
+                self.head,
+                deadline,
+                self._dispatcher.buffers,
+                self._body,
+            )
+        except http_errors.HttpError as exc:
+            raise self.failure(str(exc), exc) from exc
+        self._complete = True
+        return body
+
+    def release_body(self) -> None:
+        """Releases the memory reserved for the body."""
+        self._body.release()
 
     def report_first_event(self) -> None:
         """Reports the time to the first event to the placement."""
@@ -149,6 +171,8 @@
         if self._closed:
             return
         self._closed = True
+        if failed:
+            self._body.release()
         if self._complete and not self._skipped_response:
             self._dispatcher.pool.release(self.target.incarnation, self._conn)
         else:
@@ -159,6 +183,8 @@
             self._dispatcher.placement.note_ended(
                 self.target, self._call, failed=failed
             )
+        if self._exceeded_limit:
+            self._dispatcher.placement.avoid(self.target)
 
     def _read(self, deadline: float) -> responses.Part:
         try:
@@ -170,11 +196,31 @@
         self, detail: str, cause: Exception | None = None
     ) -> errors.TargetFailed:
         """Returns the error for a response that can't be used."""
+        if isinstance(cause, http_errors.LimitExceeded):
+            self._note_limit_exceeded(cause.limit, cause.received)
         timeout = isinstance(cause, http_errors.ExchangeTimeout)
         return errors.TargetFailed(
             self.target.name, detail, sent=True, timeout=timeout
         )
 
+    def limit_exceeded(self, limit: str, allowed: int) -> errors.TargetFailed:
+        """Returns the error for a response that exceeds a limit, in bytes."""
+        exc = http_errors.LimitExceeded(
+            limit, self._conn.received_bytes, allowed
+        )
+        return self.failure(str(exc), exc)
+
+    def _note_limit_exceeded(self, limit: str, received: int) -> None:
+        self._exceeded_limit = True
+        self._dispatcher.metrics.count("limits_exceeded", limit=limit)
+        eliot.log_message(
+            "target.limit_exceeded",
+            request=self._call.id,
+            target=self.target.name,
+            limit=limit,
+            received=received,
+        )
+
 
 class Dispatcher:
     """Sends calls to targets over pooled connections.
@@ -184,6 +230,8 @@
         pool: the idle connections to all targets.
         placement: chooses targets and tracks their load and failures.
         departures: records the targets that say that they are leaving.
+        metrics: counts responses that exceed a limit.
+        buffers: the memory for responses that are read as a whole.
     """
 
     def __init__(
@@ -193,7 +241,10 @@
         placement: placement_lib.Placement,
         departures: departures_lib.Departures,
         timers: timers_lib.Timers,
+        metrics: metrics_lib.Metrics,
     ) -> None:
+        self.metrics = metrics
+        self.buffers = buffers_lib.Buffers()
         self.dialect = dialect
         self.pool = pool
         self.placement = placement
--- a/src/endivepier/gateway/handler.py
+++ b/src/endivepier/gateway/handler.py
@@ -17,7 +17,7 @@
 from endivepier.gateway import unary_calls as unary_calls_lib
 from endivepier.http1 import errors as http_errors
 from endivepier.http1 import messages
-from endivepier.http1 import server as server_lib
+from endivepier.http1 import responding
 from endivepier.telemetry import metrics as metrics_lib
 
 
@@ -46,7 +46,7 @@
         self._metrics = metrics
 
     def __call__(
-        self, req: messages.Request, responder: server_lib.Responder
+        self, req: messages.Request, responder: responding.Responder
     ) -> None:
         """Handles one request.
 
@@ -108,7 +108,7 @@
         )
 
     def _admit(
-        self, call: model.Call, responder: server_lib.Responder
+        self, call: model.Call, responder: responding.Responder
     ) -> calls.CallContext:
         """Authenticates a call, finds its route and takes a rate limit token.
 
--- a/src/endivepier/gateway/peers.py
+++ b/src/endivepier/gateway/peers.py
@@ -23,10 +23,12 @@
 from endivepier.gateway import follower as follower_lib
 from endivepier.gateway import load_reports
 from endivepier.gateway import rows
+from endivepier.http1 import buffers as buffers_lib
 from endivepier.http1 import client
 from endivepier.http1 import errors as http_errors
 from endivepier.http1 import messages
 from endivepier.http1 import pool as pool_lib
+from endivepier.http1 import responding
 from endivepier.http1 import server as server_lib
 from endivepier.internal import codec
 from endivepier.storage import ports
@@ -102,6 +104,7 @@
         self.last_contact_at = float("-inf")
         self._backoffs: dict[str, Backoff] = {}
         self._pool = pool_lib.Pool(timers)
+        self._buffers = buffers_lib.Buffers()
         self._handlers: dict[str, Handler] = {PROBE: lambda _: b"{}"}
         self._tasks: list[gevent.Greenlet] = []
         self._follower = follower_lib.Follower(
@@ -234,7 +237,9 @@
                 )
             try:
                 conn.send(data, deadline)
-                head, response = client.read_whole(conn, deadline)
+                head, response = client.read_whole(
+                    conn, deadline, self._buffers, host
+                )
             finally:
                 if probe is not None:
                     probe.cancel()
@@ -276,7 +281,7 @@
             eliot.log_message("peer.bad_report", peer=host, reason=str(exc))
 
     def _serve(
-        self, req: messages.Request, responder: server_lib.Responder
+        self, req: messages.Request, responder: responding.Responder
     ) -> None:
         handler = self._handlers.get(req.target.decode("latin-1").strip("/"))
         if handler is None:
--- a/src/endivepier/gateway/placement.py
+++ b/src/endivepier/gateway/placement.py
@@ -269,6 +269,14 @@
         load.running = max(load.running - 1, 0)
         self._avoid(load, FULL_AVOID_SECONDS)
 
+    def avoid(self, target: model.Target) -> None:
+        """Avoids a target that exceeded a limit for the longest time.
+
+        A failure that costs this much memory and time must not be repeated by
+        each of the next calls.
+        """
+        self._avoid(self.load(target), MAX_AVOID_SECONDS)
+
     def _avoid(self, load: Load, seconds: float) -> None:
         load.avoid_until = max(load.avoid_until, self._timers.now() + seconds)
 
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -35,6 +35,7 @@
 from endivepier.gateway import unary_calls
 from endivepier.http1 import messages
 from endivepier.http1 import pool as pool_lib
+from endivepier.http1 import responding
 from endivepier.http1 import server as server_lib
 from endivepier.internal import ids as ids_lib
 from endivepier.storage import ports
@@ -157,7 +158,12 @@
             cfg.data_centre, timers, rng, reports, self.pool.has_idle
         )
         self.dispatcher = exchange.Dispatcher(
-            adapters.dialect, self.pool, self.placement, departures, timers
+            adapters.dialect,
+            self.pool,
+            self.placement,
+            departures,
+            timers,
+            self.metrics,
         )
         self.catalog.subscribe_removed(self.dispatcher.drop_target)
         self.handler = handler_lib.Handler(
@@ -269,7 +275,7 @@
         self.metrics.set("requests_running", self.server.active_requests)
 
     def _serve_ready(
-        self, req: messages.Request, responder: server_lib.Responder
+        self, req: messages.Request, responder: responding.Responder
     ) -> None:
         path_matches = (
             req.target.partition(b"?")[0] == self.cfg.ready_path.encode()
@@ -278,7 +284,7 @@
         responder.send(status, [], b"")
 
     def _serve_metrics(
-        self, req: messages.Request, responder: server_lib.Responder
+        self, req: messages.Request, responder: responding.Responder
     ) -> None:
         del req
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
--- /dev/null
+++ b/src/endivepier/gateway/stream_progress.py
@@ -0,0 +1,30 @@
+"""How far an event stream to a client has got."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from endivepier.http1 import messages
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """The state of a stream to a client, across all targets that serve it.
+
+    Attributes:
+        started: whether the response head has been sent to the client.
+        events_sent: how many events have been sent to the client.
+        last_event_id: id of the last event that the client has, be it from
+            this call or from an earlier one that this call resumes.
+        output: data of the sent events, each followed by a line feed; only
+            collected if the turn is to be stored.
+        output_bytes: length of `output` in bytes.
+        head: the head of the first target's response; the client gets it.
+    """
+
+    started: bool = False
+    events_sent: int = 0
+    last_event_id: int | None = None
+    output: list[bytes] = dataclasses.field(default_factory=list)
+    output_bytes: int = 0
+    head: messages.Head | None = None
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -12,8 +12,6 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 import eliot
 
 from endivepier import errors
@@ -25,6 +23,7 @@
 from endivepier.gateway import exchange as exchange_lib
 from endivepier.gateway import model
 from endivepier.gateway import store_access
+from endivepier.gateway import stream_progress
 from endivepier.gateway import stream_versions
 from endivepier.gateway import turn_admission
 from endivepier.gateway import turn_tokens
@@ -42,31 +41,12 @@
 # `Retry-After` when the engines are overloaded: a queue of a few tenths of a
 # second is empty then.
 BUSY_RETRY_SECONDS = 0.2
+MAX_EVENT_BYTES = 256 * 1024  # some hundred streams share a host's memory
+MAX_STORED_OUTPUT_BYTES = 1024 * 1024  # of one turn
 # Clients give up a stream that is silent for two seconds.
 MAX_COMMIT_SECONDS = 2.0
 
 
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """The state of a stream to a client, across all targets that serve it.
-
-    Attributes:
-        started: whether the response head has been sent to the client.
-        events_sent: how many events have been sent to the client.
-        last_event_id: id of the last event that the client has, be it from
-            this call or from an earlier one that this call resumes.
-        output: data of the sent events, each followed by a line feed; only
-            collected if the turn is to be stored.
-        head: the head of the first target's response; the client gets it.
-    """
-
-    started: bool = False
-    events_sent: int = 0
-    last_event_id: int | None = None
-    output: list[bytes] = dataclasses.field(default_factory=list)
-    head: messages.Head | None = None
-
-
 class StreamCalls:
     """Sends calls to targets and relays their event streams."""
 
@@ -102,7 +82,7 @@
         reservation = self._tokens.reserve(ctx)
         if reservation is not None:
             ctx.last_target = reservation.last_target
-        progress = Progress(last_event_id=ctx.call.last_event)
+        progress = stream_progress.Progress(last_event_id=ctx.call.last_event)
         try:
             self._run(ctx, body, reservation, progress)
         finally:
@@ -166,7 +146,7 @@
         ctx: calls.CallContext,
         body: bytes,
         reservation: budget_owners.Reservation | None,
-        progress: Progress,
+        progress: stream_progress.Progress,
     ) -> None:
         try:
             while not self._try_next(ctx, body, reservation, progress):
@@ -181,7 +161,7 @@
         ctx: calls.CallContext,
         body: bytes,
         reservation: budget_owners.Reservation | None,
-        progress: Progress,
+        progress: stream_progress.Progress,
     ) -> bool:
         """Sends the call to the next target; returns whether it was served."""
         target = calls.next_target(
@@ -199,7 +179,7 @@
         target: model.Target,
         body: bytes,
         reservation: budget_owners.Reservation | None,
-        progress: Progress,
+        progress: stream_progress.Progress,
     ) -> bool:
         """Sends the call to a target; returns whether the target served it."""
         dispatch = model.Dispatch(
@@ -226,7 +206,7 @@
         ctx: calls.CallContext,
         exchange: exchange_lib.Exchange,
         reservation: budget_owners.Reservation | None,
-        progress: Progress,
+        progress: stream_progress.Progress,
         body: bytes,
     ) -> None:
         """Relays one target's response, without events that the client has.
@@ -246,16 +226,17 @@
         splitter = events.Splitter()
         resume_after = progress.last_event_id
         has_event = False  # from this target
+        deadline = self._event_deadline(ctx, first=progress.events_sent == 0)
         while True:
-            deadline = self._event_deadline(
-                ctx, first=progress.events_sent == 0
-            )
             data = exchange.read(deadline)
             if data is None:
                 break
+            received = splitter.feed(data)
+            if splitter.partial_length > MAX_EVENT_BYTES:
+                raise exchange.limit_exceeded("event", MAX_EVENT_BYTES)
             new_events = [
                 event
-                for event in splitter.feed(data)
+                for event in received
                 if resume_after is None
                 or event.id is None
                 or event.id > resume_after
@@ -269,6 +250,13 @@
                 if not progress.events_sent:
                     self._versions.set_begun(ctx, exchange.target)
                 self._forward(ctx, new_events, progress)
+            # Neither comments nor parts of an event are progress.
+            if not all(event.is_comment for event in received):
+                deadline = self._event_deadline(
+                    ctx, first=progress.events_sent == 0
+                )
+            if progress.output_bytes > MAX_STORED_OUTPUT_BYTES:
+                raise exchange.limit_exceeded("output", MAX_STORED_OUTPUT_BYTES)
         eliot.log_message(
             "stream.ended",
             request=ctx.call.id,
@@ -276,9 +264,9 @@
             ended_by="close" if head.until_close else "framing",
             events=progress.events_sent,
             last_event=progress.last_event_id,
-            partial_bytes=len(splitter.partial_event),
+            partial_bytes=splitter.partial_length,
         )
-        if splitter.partial_event:
+        if splitter.partial_length:
             raise exchange.failure("the stream ended within an event")
         if head.until_close and not has_event:
             raise exchange.failure("the connection closed before an event")
@@ -288,7 +276,7 @@
         self,
         ctx: calls.CallContext,
         new_events: list[events.Event],
-        progress: Progress,
+        progress: stream_progress.Progress,
     ) -> None:
         """Sends complete events to the client in one write."""
         if not progress.started:
@@ -299,9 +287,12 @@
                 progress.last_event_id = event.id
             if ctx.route.retained:
                 progress.output.append(event.data + b"\n")
+                progress.output_bytes += len(event.data) + 1
         ctx.responder.write(b"".join(event.raw for event in new_events))
 
-    def _send_head(self, ctx: calls.CallContext, progress: Progress) -> None:
+    def _send_head(
+        self, ctx: calls.CallContext, progress: stream_progress.Progress
+    ) -> None:
         assert progress.head is not None
         headers = messages.end_to_end(progress.head.headers)
         progress.started = True
@@ -310,7 +301,7 @@
     def _finish(
         self,
         ctx: calls.CallContext,
-        progress: Progress,
+        progress: stream_progress.Progress,
         body: bytes,
     ) -> None:
         """Ends a complete stream, after storing the turn if required."""
@@ -339,7 +330,7 @@
         self,
         ctx: calls.CallContext,
         exchange: exchange_lib.Exchange,
-        progress: Progress,
+        progress: stream_progress.Progress,
     ) -> None:
         """Relays a response that is not an event stream, such as an error."""
         deadline = ctx.deadline
@@ -352,7 +343,10 @@
                 sent=True,
             )
         headers = messages.end_to_end(exchange.head.headers)
-        ctx.responder.send(exchange.head.status, headers, body)
+        try:
+            ctx.responder.send(exchange.head.status, headers, body)
+        finally:
+            exchange.release_body()
 
     def _event_deadline(self, ctx: calls.CallContext, *, first: bool) -> float:
         """Returns until when to wait for the next data from a target.
@@ -369,7 +363,7 @@
     def _abort(
         self,
         ctx: calls.CallContext,
-        progress: Progress,
+        progress: stream_progress.Progress,
         exc: errors.Refused,
     ) -> None:
         """Aborts a call so that the client doesn't take it for complete."""
--- a/src/endivepier/gateway/unary_calls.py
+++ b/src/endivepier/gateway/unary_calls.py
@@ -49,11 +49,14 @@
             except errors.TargetFailed as exc:
                 calls.handle_failure(ctx, target, exc, self._timers.now())
                 continue
-            if exchange.not_run:
-                calls.handle_rejection(ctx, exchange, self._timers.now())
-                continue
-            self._respond(ctx, exchange.head, body)
-            return
+            try:
+                if exchange.not_run:
+                    calls.handle_rejection(ctx, exchange, self._timers.now())
+                    continue
+                self._respond(ctx, exchange.head, body)
+                return
+            finally:
+                exchange.release_body()
 
     def _attempt(
         self, ctx: calls.CallContext, target: model.Target
--- a/src/endivepier/http1/client.py
+++ b/src/endivepier/http1/client.py
@@ -9,12 +9,12 @@
 from gevent import ssl as gevent_ssl
 
 from endivepier import timers as timers_lib
+from endivepier.http1 import buffers as buffers_lib
 from endivepier.http1 import errors
 from endivepier.http1 import messages
+from endivepier.http1 import receiving
 from endivepier.http1 import responses
 
-READ_BYTES = 65536
-
 
 class Connection:
     """A connection to a server.
@@ -34,6 +34,7 @@
         self.idle_since = timers.now()
         self.idle_limit: float | None = None
         self._sock = sock
+        self._receiver = receiving.Receiver(sock)
         self._timers = timers
         self._reader = responses.ResponseReader()
         self._reusable = True
@@ -64,6 +65,7 @@
             errors.ExchangeTimeout: no part arrived before `deadline`.
             errors.ExchangeBroken: the connection broke, or the server sent
                 invalid HTTP.
+            errors.LimitExceeded: the framing of the response is too long.
         """
         while True:
             part = self._reader.next_part()
@@ -72,6 +74,15 @@
                 return part
             self._receive(deadline)
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes received since the last request was sent."""
+        return self._reader.received
+
+    def now(self) -> float:
+        """Returns the current time, in monotonic seconds."""
+        return self._timers.now()
+
     def reusable(self) -> bool:
         """Returns whether another request may be sent now.
 
@@ -118,8 +129,7 @@
                 f"timeout while waiting for data from {self.address}"
             )
         try:
-            self._sock.settimeout(seconds_left)
-            data = self._sock.recv(READ_BYTES)
+            data = self._receiver.receive(seconds_left)
         except TimeoutError as exc:
             raise errors.ExchangeTimeout(
                 f"timeout while waiting for data from {self.address}"
@@ -143,33 +153,79 @@
     return None
 
 
-def read_whole(
-    conn: Connection, deadline: float
-) -> tuple[messages.Head, bytes]:
-    """Reads a complete response and returns its head and body.
+def read_body(
+    conn: Connection,
+    head: messages.Head,
+    deadline: float,
+    buffers: buffers_lib.Buffers,
+    body: buffers_lib.Body,
+) -> bytes:
+    """Reads the body of a response whose head has been read.
+
+    Args:
+        conn: the connection.
+        head: the head of the response.
+        deadline: when to give up, in monotonic seconds.
+        buffers: limits the size of the body.
+        body: reserves the space for it.
 
     Raises:
-        errors.ExchangeTimeout: it was incomplete at `deadline`.
+        errors.ExchangeTimeout: it was incomplete at `deadline`, or the space
+            for it did not become free.
+        errors.LimitExceeded: it is too large.
         errors.ExchangeBroken: the connection ended within the response, or a
             second response began.
     """
-    head = conn.read(deadline)
-    if not isinstance(head, messages.Head):
-        raise errors.ExchangeBroken("the response has no head")
+    length = head.body_length()
     pieces: list[bytes] = []
+    received = 0
     while True:
+        if max(received, length or 0) > buffers.body_bytes:
+            raise errors.LimitExceeded(
+                "body", conn.received_bytes, buffers.body_bytes
+            )
+        seconds = max(deadline - conn.now(), 0.0)
+        if not body.reserve(received, length, seconds):
+            raise errors.ExchangeTimeout(
+                f"no memory became free for a response of {conn.address}"
+            )
         part = conn.read(deadline)
         match part:
             case responses.Data(content=content):
+                received += len(content)
                 pieces.append(content)
             case responses.End():
-                return head, b"".join(pieces)
+                return b"".join(pieces)
             case _:
                 raise errors.ExchangeBroken(
                     "a second response began within the body of the first"
                 )
 
 
+def read_whole(
+    conn: Connection, deadline: float, buffers: buffers_lib.Buffers, peer: str
+) -> tuple[messages.Head, bytes]:
+    """Reads a complete response and returns its head and body.
+
+    Args:
+        conn: the connection.
+        deadline: when to give up, in monotonic seconds.
+        buffers: limits the memory for the body.
+        peer: the server's name.
+
+    Raises:
+        errors.ExchangeTimeout: it was incomplete at `deadline`.
+        errors.LimitExceeded: it is too large.
+        errors.ExchangeBroken: the connection ended within the response, or a
+            second response began.
+    """
+    head = conn.read(deadline)
+    if not isinstance(head, messages.Head):
+        raise errors.ExchangeBroken("the response has no head")
+    with buffers.open(peer) as body:
+        return head, read_body(conn, head, deadline, buffers, body)
+
+
 def connect(
     address: str,
     timers: timers_lib.Timers,
--- a/src/endivepier/http1/errors.py
+++ b/src/endivepier/http1/errors.py
@@ -30,6 +30,26 @@
     """
 
 
+class LimitExceeded(ExchangeBroken):
+    """Raised when a server sent more bytes than a limit allows.
+
+    The request may have taken effect.
+
+    Attributes:
+        limit: name of the limit: "framing", "body", "event", "output" or
+            "other responses".
+        received: bytes received when the limit was found to be exceeded.
+    """
+
+    def __init__(self, limit: str, received: int, allowed: int) -> None:
+        super().__init__(
+            f"the {limit} of the response exceeds {allowed} bytes;"
+            f" {received} bytes were received"
+        )
+        self.limit = limit
+        self.received = received
+
+
 class ClientGone(errors.EndivepierError):
     """Raised in a handler whose client has closed the connection.
 
--- a/src/endivepier/http1/messages.py
+++ b/src/endivepier/http1/messages.py
@@ -109,6 +109,11 @@
         """Returns the first value of a header, by its lowercase name."""
         return find(self.headers, name)
 
+    def body_length(self) -> int | None:
+        """Returns the declared length of the body, or None."""
+        value = self.header(b"content-length")
+        return None if value is None else int(value)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClientLimits:
@@ -121,9 +126,12 @@
             its headers.
         idle_seconds: timeout for a connection without a request, and for each
             read of a body.
+        body_bytes_per_second: the lowest average rate of a body, apart from
+            its first `idle_seconds`.
     """
 
     header_bytes: int = 16384
     body_bytes: int = 4 * 1024 * 1024
     header_seconds: float = 3.0
     idle_seconds: float = 15.0
+    body_bytes_per_second: float = 4096.0
--- a/src/endivepier/http1/requests.py
+++ b/src/endivepier/http1/requests.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from endivepier.http1 import framing
 from endivepier.http1 import messages
 
 # Headers that must not be repeated, since this server and a target might
@@ -55,6 +56,7 @@
         self._headers_complete = False
         self._received_bytes = 0
         self._completed_in_feed = False
+        self._framing = framing.FramingCounter()
         self._reset()
 
     def feed(self, data: bytes) -> None:
@@ -66,6 +68,7 @@
         """
         self._started = True
         self._completed_in_feed = False
+        self._framing.add_received(len(data))
         try:
             self._parse(data)
         except BadRequest as exc:
@@ -93,6 +96,12 @@
         if not self._headers_complete and self._started:
             self._received_bytes += len(data)
             self._check_header_bytes()
+        if self._framing.exceeded:
+            raise BadRequest(
+                431,
+                "the headers, chunk sizes, chunk extensions and trailers exceed"
+                f" {framing.MAX_FRAMING_BYTES} bytes",
+            )
 
     def next_request(self) -> messages.Request | None:
         """Returns the next complete request, or None if bytes are missing.
@@ -117,6 +126,17 @@
         """Whether the headers of the current request are complete."""
         return self._headers_complete
 
+    @property
+    def body_received(self) -> int:
+        """Bytes of the current request's body received so far."""
+        return len(self._body)
+
+    @property
+    def body_length(self) -> int | None:
+        """Declared length of the current request's body, or None."""
+        length = messages.find(self._headers, b"content-length")
+        return None if length is None else int(length)
+
     def on_message_begin(self) -> None:
         """Called by the parser."""
         self._reset()
@@ -146,6 +166,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser for each piece of the body."""
+        self._framing.subtract_body(len(data))
         self._body += data
         if len(self._body) > self.limits.body_bytes:
             raise BadRequest(
@@ -162,6 +183,7 @@
         )
         self._completed.append((req, bool(self._parser.should_keep_alive())))
         self._reset()
+        self._framing.reset()
         self._started = False
         self._completed_in_feed = True
 
@@ -195,8 +217,8 @@
             raise BadRequest(400, "header 'host' is missing")
         if not self._target.startswith(b"/"):
             raise BadRequest(400, "the request target must begin with a slash")
-        length = messages.find(self._headers, b"content-length")
-        if length is not None and int(length) > self.limits.body_bytes:
+        length = self.body_length
+        if length is not None and length > self.limits.body_bytes:
             raise BadRequest(
                 413, f"the body exceeds {self.limits.body_bytes} bytes"
             )
--- a/src/endivepier/http1/responses.py
+++ b/src/endivepier/http1/responses.py
@@ -13,6 +13,7 @@
 import httptools
 
 from endivepier.http1 import errors
+from endivepier.http1 import framing
 from endivepier.http1 import messages
 
 NO_BODY_STATUSES = frozenset((204, 304))
@@ -39,33 +40,44 @@
     Attributes:
         parts: parsed parts that `next_part` has not returned yet, in order.
         trailing: whether data followed the response to the last request.
+        received: bytes received since the last request was sent.
         error: why no more parts can be parsed, or an empty string.
     """
 
     def __init__(self) -> None:
         self.parts: collections.deque[Part] = collections.deque()
         self.trailing = False
+        self.received = 0
         self.error = ""
+        self._framing = framing.FramingCounter()
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[messages.Header] = []
+        self._body_pieces: list[bytes] = []
         self._head: messages.Head | None = None
         self._complete_count = 0
 
     def expect_response(self) -> None:
         """Records that a request was sent, so that a response is expected."""
         self.trailing = False
+        self.received = 0
         self._complete_count = 0
+        self._framing.reset()
 
     def feed(self, data: bytes) -> None:
         """Parses received bytes; sets `error` if they are invalid."""
         if self.error:
             return
+        self.received += len(data)
+        self._framing.add_received(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             if self._head is None and self._complete_count:
                 self.trailing = True
             self.error = f"not valid HTTP/1.1: {exc}"
+        self._flush_body()
+        if self._framing.exceeded and not self.error:
+            self.error = "its framing is too long"
 
     def feed_eof(self) -> None:
         """Handles the end of the connection, which may complete a response."""
@@ -111,25 +123,39 @@
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser."""
-        self.parts.append(Data(data))
+        self._framing.subtract_body(len(data))
+        self._body_pieces.append(data)
 
     def on_message_complete(self) -> None:
         """Called by the parser."""
         if self._head is None:
             return
+        self._flush_body()
         self._head = None
         self._complete_count += 1
+        self._framing.reset()
         self.parts.append(End())
 
+    def _flush_body(self) -> None:
+        """Adds what was received of a body as one part, however it is split."""
+        if self._body_pieces:
+            self.parts.append(Data(b"".join(self._body_pieces)))
+            self._body_pieces = []
+
     def next_part(self) -> Part | None:
         """Returns the next part, or None if more bytes are needed.
 
         Raises:
             errors.ExchangeBroken: the bytes are invalid, or the connection
                 ended within a response.
+            errors.LimitExceeded: the framing of the response is too long.
         """
         if self.parts:
             return self.parts.popleft()
+        if self._framing.exceeded:
+            raise errors.LimitExceeded(
+                "framing", self.received, framing.MAX_FRAMING_BYTES
+            )
         if self.error:
             raise errors.ExchangeBroken(self.error)
         return None
--- a/src/endivepier/http1/server.py
+++ b/src/endivepier/http1/server.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
-from collections.abc import Sequence
 import contextlib
 import itertools
 import json
@@ -18,116 +17,22 @@
 import gevent.server
 
 from endivepier import timers as timers_lib
+from endivepier.http1 import buffers as buffers_lib
 from endivepier.http1 import errors
 from endivepier.http1 import messages
+from endivepier.http1 import receiving
 from endivepier.http1 import requests
+from endivepier.http1 import responding
 
-READ_BYTES = 65536
 BACKLOG = 512  # a SYN packet that meets a full queue is resent after seconds
 SEND_TIMEOUT_SECONDS = 5.0  # after that, a client counts as disconnected
 LINGER_SECONDS = 0.3  # to discard what a client sends after an error response
+BUSY_RETRY_SECONDS = 1  # `Retry-After` while request bodies fill the memory
+# Work for a request besides reading it, as the number of received bytes that
+# take as long. A client may send many requests without waiting for responses.
+REQUEST_WORK_BYTES = 4096
 
-REASON_PHRASES = {
-    100: b"Continue", 200: b"OK", 201: b"Created", 202: b"Accepted",
-    204: b"No Content", 400: b"Bad Request", 401: b"Unauthorized",
-    402: b"Payment Required", 403: b"Forbidden", 404: b"Not Found",
-    408: b"Request Timeout", 413: b"Content Too Large",
-    421: b"Misdirected Request", 429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
-    502: b"Bad Gateway", 503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}  # fmt: skip
-
-Handler = Callable[[messages.Request, "Responder"], None]
-
-
-class Responder:
-    """Sends the response to one request.
-
-    Attributes:
-        started: whether a part of the response may have been sent.
-        finished: whether the response is complete.
-    """
-
-    def __init__(
-        self, conn: ClientConnection, *, keep_alive: bool, chunked: bool
-    ) -> None:
-        self.started = False
-        self.finished = False
-        self._conn = conn
-        self._keep_alive = keep_alive
-        self._chunked = chunked
-
-    @property
-    def connection(self) -> ClientConnection:
-        """The connection that the request arrived on."""
-        return self._conn
-
-    def close_after_response(self) -> None:
-        """Makes the server close the connection after this response."""
-        self._keep_alive = False
-
-    @property
-    def keep_alive(self) -> bool:
-        """Whether the connection stays open after this response."""
-        return self._keep_alive and not self._conn.server.closing
-
-    def send(
-        self, status: int, headers: Sequence[messages.Header], body: bytes
-    ) -> None:
-        """Sends a complete response.
-
-        Raises:
-            errors.ClientGone: the client closed the connection, or sending
-                timed out. `start`, `write` and `finish` raise it, too.
-        """
-        framing = [(b"Content-Length", b"%d" % len(body))]
-        self.started = True
-        self._write(self._head(status, headers, framing) + body)
-        self.finished = True
-
-    def start(self, status: int, headers: Sequence[messages.Header]) -> None:
-        """Sends the head of a response whose body follows in chunks."""
-        framing = []
-        if self._chunked:
-            framing.append((b"Transfer-Encoding", b"chunked"))
-        else:
-            self._keep_alive = False
-        self.started = True
-        self._write(self._head(status, headers, framing))
-
-    def write(self, data: bytes) -> None:
-        """Sends a chunk of the body immediately."""
-        if self._chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._write(data)
-
-    def finish(self) -> None:
-        """Ends the body, which completes the response."""
-        if self._chunked:
-            self._write(b"0\r\n\r\n")
-        self.finished = True
-
-    def _head(
-        self,
-        status: int,
-        headers: Sequence[messages.Header],
-        framing: Sequence[messages.Header],
-    ) -> bytes:
-        keep_alive = self.keep_alive
-        self._keep_alive = keep_alive
-        lines = [
-            b"HTTP/1.1 %d %b" % (status, REASON_PHRASES.get(status, b"Unknown"))
-        ]
-        lines.extend(name + b": " + value for name, value in headers)
-        lines.extend(name + b": " + value for name, value in framing)
-        if not keep_alive:
-            lines.append(b"Connection: close")
-        lines.append(b"\r\n")
-        return b"\r\n".join(lines)
-
-    def _write(self, data: bytes) -> None:
-        self._conn.write(data)
+Handler = Callable[[messages.Request, responding.Responder], None]
 
 
 class ClientConnection:
@@ -144,6 +49,7 @@
         self._sock = sock
         self._limits = server.limits()
         self._reader = requests.RequestReader(self._limits)
+        self._receiver = receiving.Receiver(sock)
         self._task = gevent.getcurrent()
 
     @property
@@ -155,9 +61,10 @@
         """Serves requests until the connection is closed."""
         try:
             while True:
-                req = self._read_request()
-                if req is None or not self._serve(req):
-                    return
+                with self.server.buffers.open(str(self.number)) as body:
+                    req = self._read_request(body)
+                    if req is None or not self._serve(req):
+                        return
         except requests.BadRequest as exc:
             self._send_error(exc.status, str(exc))
         except (OSError, errors.ClientGone):
@@ -178,11 +85,16 @@
                 f"sending the response failed: {exc}"
             ) from exc
 
-    def _read_request(self) -> messages.Request | None:
-        """Returns the next request; None if the connection is to be closed."""
+    def _read_request(self, body: buffers_lib.Body) -> messages.Request | None:
+        """Returns the next request; None if the connection is to be closed.
+
+        Args:
+            body: reserves the memory for the request's body.
+        """
         req = self._reader.next_request()
         sent_continue = False
         started_at: float | None = None
+        body_started_at: float | None = None
         self._limits = self._reader.limits = self.server.limits()
         while req is None:
             if self._reader.wants_continue and not sent_continue:
@@ -190,6 +102,10 @@
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             if started_at is None and self._reader.started:
                 started_at = self.server.timers.now()
+            if body_started_at is None and self._reader.headers_complete:
+                body_started_at = self.server.timers.now()
+            if body_started_at is not None:
+                self._check_body(body, body_started_at)
             data = self._receive(started_at)
             if not data:
                 return None
@@ -199,6 +115,29 @@
         req.connection_number = self.number
         return req
 
+    def _check_body(self, body: buffers_lib.Body, started_at: float) -> None:
+        """Checks the rate of a body, and reserves memory for more of it.
+
+        Raises:
+            requests.BadRequest: it arrives too slowly, or there is no memory
+                for it.
+        """
+        received = self._reader.body_received
+        limits = self._limits
+        elapsed = self.server.timers.now() - started_at
+        rate = limits.body_bytes_per_second
+        if elapsed > limits.idle_seconds + received / rate:
+            raise requests.BadRequest(
+                408,
+                f"{received} bytes of the body arrived in {elapsed:.1f} s;"
+                f" send at least {rate:.0f} bytes per second",
+            )
+        length = self._reader.body_length
+        if not body.reserve(received, length, limits.header_seconds):
+            raise requests.BadRequest(
+                503, "no memory became free for the body; retry later"
+            )
+
     def _receive(self, started_at: float | None) -> bytes:
         """Returns received bytes; empty at the end of the connection.
 
@@ -211,15 +150,15 @@
         """
         limits = self._limits
         if started_at is None or self._reader.headers_complete:
-            self._sock.settimeout(limits.idle_seconds)
+            seconds = limits.idle_seconds
         else:
             elapsed = self.server.timers.now() - started_at
-            self._sock.settimeout(max(limits.header_seconds - elapsed, 0.001))
+            seconds = max(limits.header_seconds - elapsed, 0.001)
         idle = started_at is None
         if idle:
             self.server.idle_connections.add(self)
         try:
-            return bytes(self._sock.recv(READ_BYTES))
+            return self._receiver.receive(seconds)
         except TimeoutError:
             if not idle:
                 self._send_error(408, "timeout while receiving the request")
@@ -229,7 +168,7 @@
 
     def _serve(self, req: messages.Request) -> bool:
         """Handles one request; returns whether to read another one."""
-        responder = Responder(
+        responder = responding.Responder(
             self, keep_alive=self._reader.keep_alive, chunked=True
         )
         self.server.active_requests += 1
@@ -243,6 +182,7 @@
             return False
         finally:
             self.server.active_requests -= 1
+        self._receiver.add_work(REQUEST_WORK_BYTES)
         return responder.finished and responder.keep_alive
 
     @contextlib.contextmanager
@@ -285,16 +225,19 @@
     def _send_error(self, status: int, detail: str) -> None:
         """Sends an error as the last response and stops sending."""
         body = json.dumps({"error": detail}).encode()
-        responder = Responder(self, keep_alive=False, chunked=False)
+        responder = responding.Responder(self, keep_alive=False, chunked=False)
         headers = [(b"Content-Type", b"application/json")]
+        if status == 503:
+            headers.append((b"Retry-After", b"%d" % BUSY_RETRY_SECONDS))
         with contextlib.suppress(errors.ClientGone, OSError):
             responder.send(status, headers, body)
             self._sock.shutdown(socket_lib.SHUT_WR)
             # Closing a socket with unread bytes resets the connection, and the
             # client could lose the response.
-            self._sock.settimeout(LINGER_SECONDS)
-            while self._sock.recv(READ_BYTES):
-                pass
+            deadline = self.server.timers.now() + LINGER_SECONDS
+            while (seconds := deadline - self.server.timers.now()) > 0:
+                if not self._receiver.receive(seconds):
+                    break
         eliot.log_message(
             "client.refused",
             connection=self.number,
@@ -320,6 +263,7 @@
         closing: whether each connection is closed after its next response.
         active_requests: number of requests that are being handled.
         idle_connections: connections that wait for a request.
+        buffers: the memory for request bodies.
         connections: all open connections.
     """
 
@@ -330,6 +274,7 @@
         timers: timers_lib.Timers,
         limits: Callable[[], messages.ClientLimits],
         *,
+        buffers: buffers_lib.Buffers | None = None,
         cancel_on_disconnect: bool = True,
         **options: Any,
     ) -> None:
@@ -341,6 +286,7 @@
                 finished, the connection is closed.
             timers: the timer service.
             limits: returns the current limits for requests.
+            buffers: the memory for request bodies; None for the default.
             cancel_on_disconnect: whether `ClientGone` is raised in the handler
                 of a client that disconnects.
             options: options of `gevent.server.StreamServer`, for TLS.
@@ -351,6 +297,7 @@
         self.limits = limits
         self.closing = False
         self.active_requests = 0
+        self.buffers = buffers or buffers_lib.Buffers()
         self.idle_connections: set[ClientConnection] = set()
         self.connections: set[ClientConnection] = set()
         self._numbers = itertools.count(1)
--- a/src/endivepier/internal/web.py
+++ b/src/endivepier/internal/web.py
@@ -24,6 +24,7 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
+from endivepier.http1 import buffers as buffers_lib
 from endivepier.http1 import messages
 from endivepier.http1 import server as server_lib
 from endivepier.internal import codec
@@ -271,7 +272,7 @@
             private_key: path of a PEM file, or empty for plain HTTP.
         """
         self._app = app
-        options = {}
+        options: dict[str, Any] = {}
         if certificate:
             options = {"certfile": certificate, "keyfile": private_key}
         self._limits = messages.ClientLimits(
@@ -284,6 +285,9 @@
             wsgi.WsgiHandler(app, SOCKET_KEY, tls=bool(certificate)),
             timers_lib.SystemTimers(),
             lambda: self._limits,
+            buffers=buffers_lib.Buffers(
+                body_bytes=app.body_limit, large_bytes=2 * app.body_limit
+            ),
             # `entry.guard` and `http_peers` cancel requests instead.
             cancel_on_disconnect=False,
             **options,
--- a/src/endivepier/internal/wsgi.py
+++ b/src/endivepier/internal/wsgi.py
@@ -16,6 +16,7 @@
 import urllib.parse
 
 from endivepier.http1 import messages
+from endivepier.http1 import responding
 from endivepier.http1 import server as server_lib
 
 Application = Callable[[dict[str, Any], Any], Iterable[bytes]]
@@ -79,7 +80,7 @@
         self._tls = tls
 
     def __call__(
-        self, req: messages.Request, responder: server_lib.Responder
+        self, req: messages.Request, responder: responding.Responder
     ) -> None:
         """Handles one request."""
         conn = responder.connection
@@ -103,7 +104,7 @@
 
     def _send(
         self,
-        responder: server_lib.Responder,
+        responder: responding.Responder,
         head: list[Any],
         body: Iterable[bytes],
         no_body: bool,
--- /dev/null
+++ b/tests/cover/gateway/test_flooding_targets.py
@@ -0,0 +1,201 @@
+"""Targets that send bytes without end, or trickle them."""
+
+import gevent
+import pytest
+
+from endivepier.gateway import events
+from endivepier.gateway import model
+from endivepier.gateway import placement as placement_lib
+from endivepier.http1 import buffers as buffers_lib
+from tests.common import flooding
+from tests.common import gateway_fleet
+from tests.common import gateway_parts
+
+STREAM_BODY = b"".join(gateway_fleet.EVENTS)
+# The deadline of a route is later; a flood must not last until then.
+PROMPT_SECONDS = 2.0
+TIMEOUT_SECONDS = 30.0
+
+
+@pytest.fixture
+def start():
+    fleets = []
+
+    def make(**changes):
+        changes = {"timeout": TIMEOUT_SECONDS, **changes}
+        fleets.append(gateway_fleet.Fleet([gateway_parts.route(**changes)]))
+        return fleets[-1]
+
+    yield make
+    for fleet in fleets:
+        fleet.stop()
+
+
+def flood_first(fleet, first, repeated):
+    """Makes the first target that is called flood; returns those called."""
+    called = []
+
+    def choose(target):
+        default = target.handler
+        flood = flooding.handler(target, first, repeated)
+
+        def handle(request, responder):
+            called.append(target.name)
+            (flood if called[0] == target.name else default)(request, responder)
+
+        return handle
+
+    for target in fleet.targets:
+        target.handler = choose(target)
+    return called
+
+
+def respond_plainly(fleet):
+    for target in fleet.targets:
+        target.handler = target.respond
+
+
+def assert_nothing_held(fleet):
+    gevent.sleep(0.05)  # until the end of the handler
+    buffers = fleet.gateway.dispatcher.buffers
+    assert buffers.available == buffers_lib.Buffers().available
+
+
+@pytest.mark.parametrize("name", flooding.FLOODS)
+def test_a_repeatable_call_is_served_by_another_target(start, name):
+    fleet = start(kind=model.RouteKind.IDEMPOTENT, objective=20.0)
+    respond_plainly(fleet)
+    called = flood_first(fleet, *flooding.FLOODS[name])
+    with gevent.Timeout(TIMEOUT_SECONDS / 2):
+        response = fleet.request()
+    assert (response.status, response.body[:7]) == (200, b"done by")
+    assert len(set(called)) == 2
+    assert_nothing_held(fleet)
+
+
+@pytest.mark.parametrize("name", flooding.FLOODS)
+def test_a_call_that_may_have_run_is_answered_at_once(start, name):
+    fleet = start(kind=model.RouteKind.NON_IDEMPOTENT)
+    respond_plainly(fleet)
+    called = flood_first(fleet, *flooding.FLOODS[name])
+    with gevent.Timeout(TIMEOUT_SECONDS / 2):
+        assert fleet.request().status == 502
+    assert len(called) == 1
+    assert_nothing_held(fleet)
+
+
+@pytest.mark.parametrize("name", flooding.EVENT_FLOODS)
+def test_an_event_without_end_is_not_collected(start, name):
+    fleet = start()
+    called = flood_first(fleet, *flooding.EVENT_FLOODS[name])
+    with gevent.Timeout(TIMEOUT_SECONDS / 2):
+        response = fleet.request()
+    assert (response.complete, response.body) == (True, STREAM_BODY)
+    assert len(set(called)) == 2
+
+
+def test_a_stream_of_comments_only_goes_on_at_another_target(start):
+    fleet = start()
+    called = flood_first(fleet, flooding.CHUNKED, flooding.chunk(b": wait\n\n"))
+    with gevent.Timeout(TIMEOUT_SECONDS / 2):
+        response = fleet.request()
+    assert response.complete
+    assert response.body.endswith(STREAM_BODY)
+    assert len(set(called)) == 2
+
+
+def test_a_stored_turn_without_end_is_not_collected(start):
+    fleet = start(retained=True, resumable=False)
+    event = b"id: 1\ndata: " + b"x" * 1024 + b"\n\n"
+    flood_first(fleet, flooding.CHUNKED, flooding.chunk(event))
+    with gevent.Timeout(TIMEOUT_SECONDS / 2):
+        response = fleet.request("turn-1")
+    assert not response.complete
+    assert fleet.request("turn-2", Previous_Turn="turn-1").status == 404
+
+
+# The next calls, on all hosts, would each have received a part of the flood.
+def test_a_flooding_target_is_avoided_for_the_longest_time(start):
+    fleet = start(kind=model.RouteKind.IDEMPOTENT, objective=20.0)
+    respond_plainly(fleet)
+    called = flood_first(fleet, *flooding.FLOODS["headers"])
+    fleet.request()
+    gateway = fleet.gateway
+    [target] = [t for t in gateway.catalog.targets("s") if t.name == called[0]]
+    avoided = gateway.placement.load(target).avoid_until - fleet.timers.now()
+    assert avoided > placement_lib.MAX_AVOID_SECONDS / 2
+    metrics = gateway.metrics
+    assert metrics.value("limits_exceeded", limit="framing") == 1
+
+
+def test_responses_to_other_calls_without_end_are_not_skipped_forever(start):
+    fleet = start(kind=model.RouteKind.IDEMPOTENT, objective=20.0)
+    respond_plainly(fleet)
+    other = (
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 1000\r\n\r\n"
+        + b"x" * 1000
+    )
+    called = flood_first(fleet, b"", other * 64)
+    with gevent.Timeout(TIMEOUT_SECONDS / 2):
+        response = fleet.request()
+    assert (response.status, response.body[:7]) == (200, b"done by")
+    assert len(set(called)) == 2
+
+
+# Each piece of a stream restarted the wait for an event.
+def test_an_event_that_trickles_is_not_waited_for(start):
+    fleet = start()
+
+    def trickle(request, responder):
+        responder.start(200, fleet.targets[0].headers(request))
+        responder.write(b"data: ")
+        for _ in range(1000):
+            responder.write(b"x")
+            gevent.sleep(0.05)
+
+    called = []
+
+    def choose(target):
+        default = target.handler
+
+        def handle(request, responder):
+            called.append(target.name)
+            (trickle if len(called) == 1 else default)(request, responder)
+
+        return handle
+
+    for target in fleet.targets:
+        target.handler = choose(target)
+    with gevent.Timeout(TIMEOUT_SECONDS / 2):
+        response = fleet.request()
+    assert (response.complete, response.body) == (True, STREAM_BODY)
+
+
+def test_a_client_that_does_not_read_stops_the_reading_from_the_target(start):
+    fleet = start()
+    event = b"id: %d\ndata: " + b"x" * 8192 + b"\n\n"
+    sent = []
+
+    def stream(request, responder):
+        responder.start(200, fleet.targets[0].headers(request))
+        for number in range(1, 100_000):
+            responder.write(event % number)
+            sent.append(number)
+
+    for target in fleet.targets:
+        target.handler = stream
+    sock = fleet.connect()
+    fleet.send(sock)
+    gevent.sleep(0.5)
+    before = len(sent)
+    gevent.sleep(0.2)
+    assert len(sent) == before > 0
+    sock.close()
+
+
+def test_an_event_that_arrives_byte_by_byte_is_complete():
+    splitter = events.Splitter()
+    raw = b"id: 7\r\ndata: one\r\ndata: two\r\n\r\n"
+    parsed = [e for byte in raw for e in splitter.feed(bytes([byte]))]
+    assert [(e.raw, e.id, e.data) for e in parsed] == [(raw, 7, b"one\ntwo")]
+    assert splitter.partial_length == 0
