internal: bound bodies and lines of the HTTP client, and their time

Besides, each part of a body had the whole read timeout, so that a body that trickles was read without end.

Change: bodies of all clients share memory, 256 MiB each at most (as other processes of the fleet may send); a line has 16 MiB at most. A body must keep an average of 4 KiB/s, a line must be complete within the read timeout.

--- a/src/endivepier/internal/http_client.py
+++ b/src/endivepier/internal/http_client.py
@@ -20,6 +20,7 @@
 import gevent.lock
 
 from endivepier import timers as timers_lib
+from endivepier.http1 import buffers as buffers_lib
 from endivepier.http1 import client as http1_client
 from endivepier.http1 import errors as http_errors
 from endivepier.http1 import messages
@@ -32,6 +33,12 @@
 # The TCP user timeout: how long sent data may stay unacknowledged before the
 # connection is closed.
 USER_TIMEOUT_SECONDS = 10.0
+# The largest bodies are prefixes that move between engines; see also
+# `daemons.common.MAX_INTERNAL_BODY_BYTES`.
+MAX_BODY_BYTES = 256 * 1024 * 1024
+MAX_LINE_BYTES = 16 * 1024 * 1024
+# The lowest average rate of a body, apart from its first read timeout.
+MIN_BYTES_PER_SECOND = 4096.0
 DEFAULT_PORTS = {"http": 80, "https": 443}
 
 
@@ -83,14 +90,16 @@
         self,
         conn: http1_client.Connection,
         head: messages.Head,
-        read_part: Callable[[], responses.Part],
+        read_seconds: float,
+        body: buffers_lib.Body,
         release_connection: Callable[[http1_client.Connection, bool], None],
     ) -> None:
         self.status = head.status
         self.until_close = head.until_close
         self._head = head
         self._conn: http1_client.Connection | None = conn
-        self._read_part = read_part
+        self._read_seconds = read_seconds
+        self._body = body
         self._release_connection = release_connection
         self._complete = False
 
@@ -103,22 +112,57 @@
         """Returns the rest of the body.
 
         Raises:
-            ExchangeFailed: the connection failed.
+            ExchangeFailed: the connection failed, or the body is too large or
+                arrives too slowly.
         """
-        return b"".join(self._read_chunks())
+        conn = self._conn
+        if conn is None:
+            return b""
+        length = self._head.body_length()
+        started_at = conn.now()
+        chunks: list[bytes] = []
+        received = 0
+        while True:
+            self._check_size("body", max(received, length or 0), MAX_BODY_BYTES)
+            deadline = (
+                started_at
+                + self._read_seconds
+                + received / MIN_BYTES_PER_SECOND
+            )
+            seconds = max(deadline - conn.now(), 0.0)
+            if not self._body.reserve(received, length, seconds):
+                self.close()
+                raise ExchangeFailed("no memory became free for the body")
+            chunk = self._read_chunk(deadline)
+            if chunk is None:
+                return b"".join(chunks)
+            received += len(chunk)
+            chunks.append(chunk)
 
     def lines(self) -> Iterator[bytes]:
         r"""Yields the lines of the body, each without its "\n".
 
         Raises:
-            ExchangeFailed: the connection failed before the end of the body.
+            ExchangeFailed: the connection failed before the end of the body,
+                or a line is too long or arrives too slowly.
         """
-        rest = b""
-        for chunk in self._read_chunks():
-            *lines, rest = (rest + chunk).split(b"\n")
-            yield from lines
+        rest = bytearray()
+        deadline = 0.0
+        while (conn := self._conn) is not None:
+            deadline = deadline or conn.now() + self._read_seconds
+            chunk = self._read_chunk(deadline)
+            if chunk is None:
+                break
+            first, *others = chunk.split(b"\n")
+            rest += first
+            self._check_size("line", len(rest), MAX_LINE_BYTES)
+            if others:
+                yield bytes(rest)
+                yield from others[:-1]
+                rest = bytearray(others[-1])
+                deadline = 0.0
         if rest:
-            yield rest
+            yield bytes(rest)
 
     def close(self) -> None:
         """Closes the connection, so that the server can stop responding."""
@@ -131,27 +175,38 @@
         """
         self._detach(keep=self._complete)
 
-    def _read_chunks(self) -> Iterator[bytes]:
-        while not self._complete:
-            try:
-                part = self._read_part()
-            except ExchangeFailed:
+    def _read_chunk(self, deadline: float) -> bytes | None:
+        """Returns the next part of the body, or None at its end."""
+        if self._conn is None:
+            return None
+        try:
+            with _as_exchange_failure():
+                part = self._conn.read(deadline)
+        except ExchangeFailed:
+            self.close()
+            raise
+        match part:
+            case responses.Data(content=content):
+                return content
+            case responses.End():
+                self._complete = True
+                self.release()
+                return None
+            case _:
                 self.close()
-                raise
-            match part:
-                case responses.Data(content=content):
-                    yield content
-                case responses.End():
-                    self._complete = True
-                    self.release()
-                case _:
-                    self.close()
-                    raise ExchangeFailed(
-                        "a second response began within the body"
-                    )
+                raise ExchangeFailed("a second response began within the body")
+
+    def _check_size(self, name: str, size: int, limit: int) -> None:
+        if size > limit:
+            self.close()
+            raise ExchangeFailed(
+                f"a {name} of the response has {size} bytes or more; the limit"
+                f" is {limit}"
+            )
 
     def _detach(self, *, keep: bool) -> None:
         """Releases the connection; does nothing if that was done before."""
+        self._body.release()
         conn, self._conn = self._conn, None
         if conn is not None:
             self._release_connection(conn, keep)
@@ -165,6 +220,14 @@
         raise ExchangeFailed(f"{type(exc).__name__}: {exc}") from exc
 
 
+# All clients of the process share its memory.
+_BUFFERS = buffers_lib.Buffers(
+    body_bytes=MAX_BODY_BYTES,
+    small_bytes=64 * 1024 * 1024,
+    large_bytes=2 * MAX_BODY_BYTES,
+)
+
+
 class HttpClient:
     """A client for one server, given by IP address and port."""
 
@@ -271,11 +334,11 @@
         except BaseException:
             self._release_connection(conn, keep=False)
             raise
-        connected = conn
         return StreamedResponse(
             conn,
             head,
-            lambda: self._read_part(connected),
+            self._read_seconds,
+            _BUFFERS.open(self._address),
             lambda conn, keep: self._release_connection(conn, keep=keep),
         )
 
@@ -286,10 +349,6 @@
     def _deadline(self) -> float:
         return self._timers.now() + self._read_seconds
 
-    def _read_part(self, conn: http1_client.Connection) -> responses.Part:
-        with _as_exchange_failure():
-            return conn.read(self._deadline())
-
     def _release_connection(
         self, conn: http1_client.Connection | None, *, keep: bool
     ) -> None:
