shares: owners and one standby read an account's row, and not every second

Cause: each host read the rows of all accounts each second: hosts times accounts.

Change: a host reads the rows of accounts that it owns when they are due for renewal (4 s), of those whose share it lacks each second, and of those that it would own next each 4 s, so that it has timed the leases there. A host ranks the owners of an account once for each list of hosts.

--- a/src/endivepier/gateway/share_renewals.py
+++ b/src/endivepier/gateway/share_renewals.py
@@ -32,13 +32,19 @@
 # Longer than the store outages stated for the deployments (9 s), so that
 # accounts keep their rates through one.
 LEASE_SECONDS = 15.0
-# Bounds how late a host notices that the share of a lost owner is free.
+# How often an owner looks for a share that it lacks, and how late it notices
+# that the share of a lost owner is free.
 POLL_INTERVAL_SECONDS = 1.0
 RENEW_INTERVAL_SECONDS = 4.0  # a lease survives three lost renewals
 COMMIT_TIMEOUT_SECONDS = 2.0  # less than RENEW_INTERVAL_SECONDS
 # Burst that each owner must get, in tokens: enough for four programs at once.
 TOKENS_PER_OWNER = 40.0
 MIN_OWNERS = 2  # one may be lost at any time
+# Hosts that follow an account's row, so that the one that becomes its owner has
+# timed the leases of the former ones.
+STANDBY_OWNERS = 1
+# Above this many rows, one scan of the table is cheaper than single reads.
+MAX_SINGLE_READS = 16
 # A transaction holds 100 entries, and a row takes a condition and a put.
 MAX_BATCH_ROWS = 45
 # A restart takes at least this long. The host admitted nothing meanwhile, so
@@ -95,6 +101,9 @@
         self._committer = commit.Committer(table, timers, rng)
         # By account and holder: its `renewals`, and when it was first read.
         self._last_renewals: dict[tuple[str, str], tuple[int, float]] = {}
+        self._read_at: dict[str, float] = {}  # by account: its last read
+        self._ranked_hosts: list[str] = []
+        self._ranks: dict[tuple[str, int], list[str]] = {}
         self._is_failing = False
         self._is_draining = False
         self._wake = gevent.event.Event()
@@ -119,12 +128,26 @@
 
         A host that drains counts as an owner only if it knows no other host.
         """
+        return self._rank(account, self._owner_count(account))
+
+    def _owner_count(self, account: model.Account) -> int:
+        tokens = account.burst + self.local.tolerance
+        return max(MIN_OWNERS, int(tokens / TOKENS_PER_OWNER))
+
+    def _rank(self, account: model.Account, count: int) -> list[str]:
+        """Returns the first hosts for an account, in rendezvous order."""
         hosts = self._peers.available_hosts()
         if not (self._is_draining and hosts):
             hosts.append(self.holder)
-        tokens = account.burst + self.local.tolerance
-        count = max(MIN_OWNERS, int(tokens / TOKENS_PER_OWNER))
-        return rendezvous.rank(account.name, hosts, count)
+        if hosts != self._ranked_hosts:
+            self._ranked_hosts = hosts
+            self._ranks.clear()
+        key = (account.name, count)
+        ranked = self._ranks.get(key)
+        if ranked is None:
+            ranked = rendezvous.rank(account.name, hosts, count)
+            self._ranks[key] = ranked
+        return ranked.copy()
 
     def _run(self) -> None:
         while True:
@@ -173,14 +196,51 @@
         if declaration is None:
             return
         self.host_count = len(self._peers.available_hosts()) + 1
-        limited = [a for a in declaration.accounts.values() if a.rate > 0]
-        if limited:
-            stored = self._read_rows()
-            for start in range(0, len(limited), MAX_BATCH_ROWS):
-                self._renew(limited[start : start + MAX_BATCH_ROWS], stored)
+        now = self._timers.now()
+        # The first round also finds shares of this host's former process.
+        due = [
+            account
+            for account in declaration.accounts.values()
+            if account.rate > 0
+            and (not self.ready or self._is_due(account, now))
+        ]
+        if due:
+            stored = self._read_rows(due)
+            for start in range(0, len(due), MAX_BATCH_ROWS):
+                self._renew(due[start : start + MAX_BATCH_ROWS], stored)
+            self._read_at.update((account.name, now) for account in due)
         self.ready = True
 
-    def _read_rows(self) -> dict[str, ports.Row]:
+    def _is_due(self, account: model.Account, now: float) -> bool:
+        """Returns whether to read and perhaps renew an account's row.
+
+        If every host read the rows of all accounts, the bytes read would grow
+        with the number of hosts times that of accounts.
+        """
+        share = self.local.ensure(account, now)
+        held = share.fraction if now < share.lease_until else 0.0
+        wanted = self._wanted_fraction(account)
+        if abs(held - wanted) > bucket_lib.ROUNDING_TOLERANCE:
+            return True
+        count = self._owner_count(account) + STANDBY_OWNERS
+        if not held and self.holder not in self._rank(account, count):
+            return False
+        last = share.written_at if held else self._read_at.get(account.name)
+        return last is None or now - last >= RENEW_INTERVAL_SECONDS
+
+    def _wanted_fraction(self, account: model.Account) -> float:
+        owners = self.owners(account)
+        return 1.0 / len(owners) if self.holder in owners else 0.0
+
+    def _read_rows(self, accounts: list[model.Account]) -> dict[str, ports.Row]:
+        """Returns the rows of accounts that have one, by key."""
+        if len(accounts) <= MAX_SINGLE_READS:
+            keys = [
+                rows.single_part_key(rows.SHARES, account.name)
+                for account in accounts
+            ]
+            found = [self._table.get(key) for key in keys]
+            return {row.key: row for row in found if row is not None}
         prefix = rows.single_part_key(rows.SHARES, "")
         stored: dict[str, ports.Row] = {}
         after = ""
@@ -235,9 +295,7 @@
         """
         other_entries = self._live_entries(account.name, before, now)
         free = 1.0 - sum(entry.fraction for entry in other_entries.values())
-        owners = self.owners(account)
-        wanted_fraction = 1.0 / len(owners) if self.holder in owners else 0.0
-        fraction = max(0.0, min(wanted_fraction, free))
+        fraction = max(0.0, min(self._wanted_fraction(account), free))
         own_entry = before.holders.get(self.holder)
         held_fraction = share.fraction if now < share.lease_until else 0.0
         if not (fraction or held_fraction) and (
