shares: an owner tells when a refused program may begin

Cause: a program that was refused by an owner got the Retry-After of the host that it had reached, 0.1 s, which has no share. Clients retry once, so most were refused again at once.

Change: the reply to a host that asks for a token carries the owner's time.

--- a/src/endivepier/gateway/share_messages.py
+++ b/src/endivepier/gateway/share_messages.py
@@ -70,11 +70,14 @@
         begun: whether the program had begun before this request.
         had: seconds that the program had left at its first request; 0 if
             unknown.
+        retry_after: seconds until the program may begin, if it may not now; 0
+            if unknown.
     """
 
     tokens: int
     begun: bool = False
     had: float = 0.0
+    retry_after: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/shares.py
@@ -129,7 +129,10 @@
                 return admission
             if self._has_single_home(account):
                 return self._borrow_at_home(account, owners, req, admission)
-            return self._borrow(account, owners, req) or admission
+            borrowed = self._borrow(account, owners, req)
+            if borrowed is None or borrowed.retry_after is not None:
+                return admission
+            return borrowed
         if (
             req.may_begin
             and self._has_single_home(account)
@@ -138,7 +141,12 @@
             owners = [home_owner]
         owners.sort(key=lambda host: host != home_owner)
         borrowed = self._borrow(account, owners, req)
-        return borrowed or self.admit(account, req, is_retry=is_retry)
+        if borrowed is not None and borrowed.retry_after is None:
+            return borrowed
+        admission = self.admit(account, req, is_retry=is_retry)
+        if borrowed is None or admission.retry_after is None:
+            return admission
+        return borrowed  # the owner knows when the program may begin
 
     def _borrow_at_home(
         self,
@@ -160,7 +168,7 @@
         # Whether a program may begin is decided here, so it is not asked again.
         ask = dataclasses.replace(req, may_begin=False)
         borrowed = self._borrow(account, owners, ask)
-        if borrowed is None:
+        if borrowed is None or borrowed.retry_after is not None:
             return admission
         return dataclasses.replace(admission, retry_after=None, has_room=True)
 
@@ -293,7 +301,13 @@
         owners: list[str],
         req: share_messages.TokenRequest,
     ) -> share_messages.Admission | None:
-        """Borrows a token from the owners, in order; None if none lent one."""
+        """Borrows a token from the owners, in order.
+
+        Returns:
+            The admission; a refusal if an owner said when a program may begin;
+            None if no owner lent a token or said so.
+        """
+        refusal: share_messages.Admission | None = None
         share = self._local.ensure(account, self._timers.now())
         # An owner lends a program that begins one token at most, and the
         # bucket of a host without a share can't keep spare tokens.
@@ -317,10 +331,14 @@
                 self._record_admission(share, req.program, self._timers.now())
                 return share_messages.Admission(None, begins, delayed)
             # A start may be refused although the owner still has tokens.
+            if begins and lent.retry_after:
+                refusal = refusal or share_messages.Admission(
+                    lent.retry_after, begins, delayed, has_room=False
+                )
             if not begins:
                 until = self._timers.now() + BORROW_PAUSE_SECONDS
                 share.no_tokens_until[host] = until
-        return None
+        return refusal
 
     def return_token(
         self, account: model.Account, program: str, *, began: bool
@@ -403,7 +421,10 @@
             granted = admission.retry_after is None
             return codec.encode(
                 share_messages.Lent(
-                    int(granted), begun=False, had=info.initial_seconds
+                    int(granted),
+                    begun=False,
+                    had=info.initial_seconds,
+                    retry_after=admission.retry_after or 0.0,
                 )
             )
         now = self._timers.now()
