gateway: refuse at once in a long outage of the store

Change: calls wait for the store only while an outage is younger than 2 s. A turn is sent before its reservation is confirmed only while the last call to the store succeeded, directly or by a peer. After 2 s of an outage it waits 0.3 s for its reservation.

--- a/src/endivepier/gateway/handler.py
+++ b/src/endivepier/gateway/handler.py
@@ -88,7 +88,7 @@
         assert declaration is not None
         account = declaration.accounts.get(ctx.account)
         if account is not None:
-            self._shares.return_token(
+            self._shares.returns.return_token(
                 account, ctx.call.program, began=ctx.is_first_turn
             )
 
--- a/src/endivepier/gateway/share_renewals.py
+++ b/src/endivepier/gateway/share_renewals.py
@@ -1,10 +1,6 @@
 """Renews the leases on this host's shares of the accounts' rates.
 
-Each account has a few owner hosts, chosen by rendezvous hashing, that split
-its rate equally and lend tokens to all other hosts. There are several, so
-that the account keeps most of its rate when one is lost: the share of a lost
-owner becomes free only when its lease ends. There are few, so that one host
-has enough tokens for programs to complete.
+An account's owners, see `account_owners`, hold its shares.
 """
 
 from __future__ import annotations
@@ -17,13 +13,13 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
+from endivepier.gateway import account_owners
 from endivepier.gateway import catalog as catalog_lib
 from endivepier.gateway import model
 from endivepier.gateway import peers as peers_lib
 from endivepier.gateway import rows
 from endivepier.gateway import share_rows
 from endivepier.internal import codec
-from endivepier.internal import rendezvous
 from endivepier.limits import bucket as bucket_lib
 from endivepier.limits import leases
 from endivepier.storage import commit
@@ -37,12 +33,6 @@
 POLL_INTERVAL_SECONDS = 1.0
 RENEW_INTERVAL_SECONDS = 4.0  # a lease survives three lost renewals
 COMMIT_TIMEOUT_SECONDS = 2.0  # less than RENEW_INTERVAL_SECONDS
-# Burst that each owner must get, in tokens: enough for four programs at once.
-TOKENS_PER_OWNER = 40.0
-MIN_OWNERS = 2  # one may be lost at any time
-# Hosts that follow an account's row, so that the one that becomes its owner has
-# timed the leases of the former ones.
-STANDBY_OWNERS = 1
 # Above this many rows, one scan of the table is cheaper than single reads.
 MAX_SINGLE_READS = 16
 # A transaction holds 100 entries, and a row takes a condition and a put.
@@ -69,6 +59,7 @@
         ready: whether a round of renewals has succeeded.
         host_count: number of known hosts, this one included.
         local: the shares of this host.
+        owners: ranks the hosts for each account.
         holder: name of this host, the same after a restart.
     """
 
@@ -103,15 +94,15 @@
         self._rng = rng
         self._peers = peers
         self.local = share_rows.LocalShares(tolerance * TOLERANCE_FRACTION)
+        self.owners = account_owners.AccountOwners(
+            holder, peers, self.local.tolerance
+        )
         self._restart_credit = tolerance * (1.0 - TOLERANCE_FRACTION)
         self._committer = commit.Committer(table, timers, rng)
         # By account and holder: its `renewals`, and when it was first read.
         self._last_renewals: dict[tuple[str, str], tuple[int, float]] = {}
         self._read_at: dict[str, float] = {}  # by account: its last read
-        self._ranked_hosts: list[str] = []
-        self._ranks: dict[tuple[str, int], list[str]] = {}
         self._is_failing = False
-        self._is_draining = False
         self._wake = gevent.event.Event()
         self._task: gevent.Greenlet | None = None
 
@@ -121,7 +112,7 @@
 
     def drain(self) -> None:
         """Releases this host's shares, so that others can use them at once."""
-        self._is_draining = True
+        self.owners.is_draining = True
         self._wake.set()
 
     def stop(self) -> None:
@@ -129,32 +120,6 @@
         if self._task is not None:
             self._task.kill()
 
-    def owners(self, account: model.Account) -> list[str]:
-        """Returns the owners of an account, in rendezvous order.
-
-        A host that drains counts as an owner only if it knows no other host.
-        """
-        return self._rank(account, self._owner_count(account))
-
-    def _owner_count(self, account: model.Account) -> int:
-        tokens = account.burst + self.local.tolerance
-        return max(MIN_OWNERS, int(tokens / TOKENS_PER_OWNER))
-
-    def _rank(self, account: model.Account, count: int) -> list[str]:
-        """Returns the first hosts for an account, in rendezvous order."""
-        hosts = self._peers.available_hosts()
-        if not (self._is_draining and hosts):
-            hosts.append(self.holder)
-        if hosts != self._ranked_hosts:
-            self._ranked_hosts = hosts
-            self._ranks.clear()
-        key = (account.name, count)
-        ranked = self._ranks.get(key)
-        if ranked is None:
-            ranked = rendezvous.rank(account.name, hosts, count)
-            self._ranks[key] = ranked
-        return ranked.copy()
-
     def _run(self) -> None:
         while True:
             self._wake.clear()
@@ -225,19 +190,14 @@
         """
         share = self.local.ensure(account, now)
         held = share.fraction if now < share.lease_until else 0.0
-        wanted = self._wanted_fraction(account)
+        wanted = self.owners.wanted_fraction(account)
         if abs(held - wanted) > bucket_lib.ROUNDING_TOLERANCE:
             return True
-        count = self._owner_count(account) + STANDBY_OWNERS
-        if not held and self.holder not in self._rank(account, count):
+        if not held and not self.owners.follows(account):
             return False
         last = share.written_at if held else self._read_at.get(account.name)
         return last is None or now - last >= RENEW_INTERVAL_SECONDS
 
-    def _wanted_fraction(self, account: model.Account) -> float:
-        owners = self.owners(account)
-        return 1.0 / len(owners) if self.holder in owners else 0.0
-
     def _read_rows(self, accounts: list[model.Account]) -> dict[str, ports.Row]:
         """Returns the rows of accounts that have one, by key."""
         if len(accounts) <= MAX_SINGLE_READS:
@@ -302,7 +262,7 @@
         """
         other_entries = self._live_entries(account.name, before, now)
         free = 1.0 - sum(entry.fraction for entry in other_entries.values())
-        fraction = max(0.0, min(self._wanted_fraction(account), free))
+        fraction = max(0.0, min(self.owners.wanted_fraction(account), free))
         own_entry = before.holders.get(self.holder)
         held_fraction = share.fraction if now < share.lease_until else 0.0
         if not (fraction or held_fraction) and (
--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/shares.py
@@ -29,7 +29,6 @@
 import dataclasses
 
 import eliot
-import gevent
 
 from endivepier import errors
 from endivepier import timers as timers_lib
@@ -39,17 +38,15 @@
 from endivepier.gateway import recent_programs
 from endivepier.gateway import share_messages
 from endivepier.gateway import share_renewals
+from endivepier.gateway import share_returns
 from endivepier.gateway import share_rows
 from endivepier.internal import codec
-from endivepier.internal import rendezvous
 from endivepier.limits import bucket as bucket_lib
 
 # Longer values would have no effect: clients wait at most a third of their
 # timeout of 4 s before they retry.
 MAX_RETRY_SECONDS = 2.0
-# Names of the requests to peers.
-BORROW = "borrow"
-RETURN_TOKEN = "give-back"
+BORROW = "borrow"  # name of the request to peers
 # A request waits for a token that is due within this time: a refused client
 # would lose more by its retry.
 MAX_WAIT_SECONDS = 0.25
@@ -57,15 +54,16 @@
 TOKENS_PER_BORROW = 3  # a program's turn and its two tool calls
 # Retry time at a host without a share of its own if no owner lent a token.
 NO_SHARE_RETRY_SECONDS = 0.1
-# Below this burst, an account has one home owner: its owners' shares hold less
-# than two programs need.
-SINGLE_HOME_TOKENS = 25.0
 IDLE_REQUESTS_PER_SECOND = 0.5  # below it a host lends all of its tokens
 BORROW_PAUSE_SECONDS = 0.1  # before a peer that lent nothing is asked again
 
 
 class Shares:
-    """Applies the rate limits of all accounts at this host."""
+    """Applies the rate limits of all accounts at this host.
+
+    Attributes:
+        returns: returns tokens of requests that were not sent to any target.
+    """
 
     def __init__(
         self,
@@ -84,12 +82,15 @@
         """
         self._renewals = renewals
         self._local = renewals.local
+        self._owners = renewals.owners
         self._catalog = catalog
         self._peers = peers
         self._timers = timers
         self._recent_programs = recent_programs.RecentPrograms()
+        self.returns = share_returns.TokenReturns(
+            renewals, self._recent_programs, peers, timers
+        )
         peers.register(BORROW, self._handle_borrow)
-        peers.register(RETURN_TOKEN, self._handle_return)
 
     def acquire(
         self, account: model.Account, req: share_messages.TokenRequest
@@ -119,15 +120,15 @@
         is_retry: bool,
     ) -> share_messages.Admission:
         """Tries once to take a token, here and from other owners."""
-        owners = self._renewals.owners(account)
-        home_owner = self._home_owner(account, owners, req.program)
+        owners = self._owners.owners(account)
+        home_owner = self._owners.home_owner(account, req.program)
         # An account with a rate of 0 has no limit and needs no token.
         if account.rate <= 0 or home_owner == self._renewals.holder:
             owners.remove(home_owner)
             admission = self.admit(account, req, is_retry=is_retry)
             if admission.retry_after is None:
                 return admission
-            if self._has_single_home(account):
+            if self._owners.has_single_home(account):
                 return self._borrow_at_home(account, owners, req, admission)
             borrowed = self._borrow(account, owners, req)
             if borrowed is None or borrowed.retry_after is not None:
@@ -135,7 +136,7 @@
             return borrowed
         if (
             req.may_begin
-            and self._has_single_home(account)
+            and self._owners.has_single_home(account)
             and self._peers.is_available(home_owner)
         ):
             owners = [home_owner]
@@ -172,22 +173,6 @@
             return admission
         return dataclasses.replace(admission, retry_after=None, has_room=True)
 
-    def _has_single_home(self, account: model.Account) -> bool:
-        """Returns whether one owner is home to all programs of an account."""
-        tokens = account.burst + self._local.tolerance
-        return account.rate > 0 and tokens < SINGLE_HOME_TOKENS
-
-    def _home_owner(
-        self, account: model.Account, owners: list[str], program: str
-    ) -> str:
-        """Returns the home owner of a program.
-
-        Without a program, the owner is chosen by the name of this host.
-        """
-        if self._has_single_home(account):
-            return owners[0]
-        return rendezvous.choose(program or self._renewals.holder, owners)
-
     def admit(
         self,
         account: model.Account,
@@ -239,12 +224,10 @@
         self, account: model.Account, share: share_rows.Share, now: float
     ) -> bucket_lib.Bucket | None:
         """Returns what the other owners hold for this host's programs."""
-        if not self._has_single_home(account):
-            return None
-        owners = self._renewals.owners(account)
-        if owners[0] != self._renewals.holder:
+        if not self._owners.is_single_home(account):
             return None
-        if not all(self._peers.is_available(host) for host in owners[1:]):
+        others = self._owners.owners(account)[1:]
+        if not all(self._peers.is_available(host) for host in others):
             return None
         return share.update_elsewhere(now)
 
@@ -284,7 +267,7 @@
             account=account.name,
             begins=admission.begins,
             delayed=admission.delayed,
-            owners=self._renewals.owners(account),
+            owners=self._owners.owners(account),
             rate=account.rate,
             burst=account.burst,
             fraction=round(share.fraction, 4),
@@ -340,49 +323,6 @@
                 share.no_tokens_until[host] = until
         return refusal
 
-    def return_token(
-        self, account: model.Account, program: str, *, began: bool
-    ) -> None:
-        """Returns the token of a request that was not sent to any target."""
-        now = self._timers.now()
-        share = self._local.ensure(account, now)
-        self._withdraw(share, program, began=began)
-        owners = self._renewals.owners(account)
-        home_owner = self._home_owner(account, owners, program)
-        if home_owner != self._renewals.holder:
-            req = share_messages.ReturnToken(account.name, program, began)
-            gevent.spawn(self._send_return, home_owner, codec.encode(req))
-        elif share.fraction:
-            # The next refill drops tokens above the burst.
-            share.bucket.level += 1.0
-
-    def _send_return(self, home_owner: str, body: bytes) -> None:
-        try:
-            self._peers.request(home_owner, RETURN_TOKEN, body)
-        except errors.PeerUnreachable as exc:
-            eliot.log_message("token.lost", peer=home_owner, reason=str(exc))
-
-    def _handle_return(self, body: bytes) -> bytes:
-        """Handles a peer's `ReturnToken`."""
-        req: share_messages.ReturnToken = codec.decode(
-            share_messages.ReturnToken, body
-        )
-        share = self._local.find(req.account)
-        if share is not None:
-            self._withdraw(share, req.program, began=req.began)
-            if share.fraction:
-                share.update_bucket(self._timers.now())
-                share.bucket.level += 1.0
-        return codec.encode(share_messages.TokenReturned())
-
-    def _withdraw(
-        self, share: share_rows.Share, program: str, *, began: bool
-    ) -> None:
-        if program:
-            share.start_limiter.withdraw(program)
-            if began:
-                self._recent_programs.set_begun(program, begun=False)
-
     def _may_borrow_from(self, share: share_rows.Share, host: str) -> bool:
         if share.no_tokens_until.get(host, 0.0) > self._timers.now():
             return False
@@ -411,12 +351,10 @@
         if begins:
             admission = self.admit(account, req)
             if admission.retry_after is not None and admission.has_room:
-                owners = self._renewals.owners(account)
-                if self._has_single_home(account) and (
-                    owners[0] == self._renewals.holder
-                ):
+                others = self._owners.owners(account)[1:]
+                if self._owners.is_single_home(account):
                     admission = self._borrow_at_home(
-                        account, owners[1:], req, admission
+                        account, others, req, admission
                     )
             granted = admission.retry_after is None
             return codec.encode(
@@ -433,7 +371,7 @@
         # Unless this host is idle, one token stays for its own next request.
         demand = share.bucket.demand(now)
         kept = 1.0 if demand > IDLE_REQUESTS_PER_SECOND else 0.0
-        if self._has_single_home(account):
+        if self._owners.has_single_home(account):
             kept = 0.0
         tokens = max(0, min(borrow.tokens, int(share.bucket.level - kept)))
         if not tokens:
--- a/src/endivepier/gateway/store_access.py
+++ b/src/endivepier/gateway/store_access.py
@@ -14,9 +14,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-import dataclasses
 import random
-from typing import Literal
 from typing import TypeVar
 
 import eliot
@@ -26,6 +24,7 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.gateway import peers as peers_lib
+from endivepier.gateway import store_messages
 from endivepier.internal import codec
 from endivepier.storage import ports
 from endivepier.storage import wire
@@ -52,44 +51,6 @@
 CHANGES = "store-changes"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Table:
-    """Request for a whole table."""
-
-    table: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Since:
-    """Request for the changes of a table after a version."""
-
-    table: str
-    after: int
-    wait: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Found:
-    """Reply to a successful read."""
-
-    rows: tuple[wire.RowDocument, ...]
-    removed: tuple[str, ...] = ()
-    version: int = 0
-    kind: Literal["found"] = "found"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Failed:
-    """Reply to a call that the peer could not complete."""
-
-    reason: Literal["unavailable", "unknown", "history"]
-    detail: str
-    kind: Literal["failed"] = "failed"
-
-
-Reply = Found | Failed | wire.Committed | wire.Conflict
-
-
 class Store:
     """A `storage.ports.Table` and `Feed` with a direct and a relayed path.
 
@@ -152,6 +113,14 @@
                 return True
         return False
 
+    def is_failing(self) -> bool:
+        """Returns whether the last calls failed, directly and by peers."""
+        if self.is_unavailable():
+            return True
+        return self.unreachable_since is not None and not (
+            self._relayed_recently()
+        )
+
     def _relayed_recently(self) -> bool:
         """Returns whether a peer has relayed a call recently."""
         return self._timers.now() - self._relayed_at <= SUSPECT_SECONDS
@@ -192,7 +161,7 @@
         return self._read(
             lambda: self._feed.snapshot(table),
             SNAPSHOT,
-            codec.encode(Table(table)),
+            codec.encode(store_messages.Table(table)),
         )
 
     def changes(self, table: str, after: int, wait: float) -> ports.Changes:
@@ -200,7 +169,7 @@
         return self._read(
             lambda: self._feed.changes(table, after, wait),
             CHANGES,
-            codec.encode(Since(table, after, wait)),
+            codec.encode(store_messages.Since(table, after, wait)),
             wait + RELAY_MARGIN_SECONDS,
             feed=True,
         )
@@ -240,7 +209,7 @@
                 if not self._relay_hosts():
                     raise
         reply = self._relay(operation, body, seconds, at_most_once=False)
-        if not isinstance(reply, Found):
+        if not isinstance(reply, store_messages.Found):
             raise errors.Unavailable(f"unexpected reply of a peer: {reply}")
         rows = tuple(row.row() for row in reply.rows)
         return ports.Changes(rows, reply.removed, reply.version)
@@ -305,7 +274,7 @@
 
     def _relay(
         self, operation: str, body: bytes, seconds: float, *, at_most_once: bool
-    ) -> Reply:
+    ) -> store_messages.Reply:
         """Has a peer make a call, and returns its reply.
 
         With `at_most_once`, stops after a peer that may have made the call.
@@ -327,8 +296,10 @@
                         f"no valid reply from {host} to a relayed call"
                     ) from exc
                 continue
-            reply: Reply = codec.decode(Reply, response)
-            if not isinstance(reply, Failed):
+            reply: store_messages.Reply = codec.decode(
+                store_messages.Reply, response
+            )
+            if not isinstance(reply, store_messages.Failed):
                 self._relayed_at = self._timers.now()
                 return reply
             if reply.reason == "history":
@@ -353,11 +324,11 @@
         )
 
     def _serve_snapshot(self, body: bytes) -> bytes:
-        req = codec.decode(Table, body)
+        req = codec.decode(store_messages.Table, body)
         return self._serve(lambda: self._feed.snapshot(req.table))
 
     def _serve_changes(self, body: bytes) -> bytes:
-        req = codec.decode(Since, body)
+        req = codec.decode(store_messages.Since, body)
         return self._serve(
             lambda: self._feed.changes(req.table, req.after, req.wait)
         )
@@ -373,18 +344,20 @@
         except errors.ConditionFailed as exc:
             return _encode(wire.Conflict(exc.key))
         except errors.HistoryLost as exc:
-            return _encode(Failed("history", str(exc)))
+            return _encode(store_messages.Failed("history", str(exc)))
         except errors.Unavailable as exc:
-            return _encode(Failed("unavailable", str(exc)))
+            return _encode(store_messages.Failed("unavailable", str(exc)))
         except errors.OutcomeUnknown as exc:
-            return _encode(Failed("unknown", str(exc)))
+            return _encode(store_messages.Failed("unknown", str(exc)))
         if isinstance(result, int):
             return _encode(wire.Committed(result))
         rows = tuple(
             wire.RowDocument(row.key, _base64(row.value), row.version)
             for row in result.rows
         )
-        return _encode(Found(rows, result.removed, result.version))
+        return _encode(
+            store_messages.Found(rows, result.removed, result.version)
+        )
 
 
 def _as_rows(rows: Sequence[ports.Row | None]) -> ports.Changes:
@@ -396,5 +369,5 @@
     return value
 
 
-def _encode(reply: Reply) -> bytes:
-    return codec.encode(reply, Reply)
+def _encode(reply: store_messages.Reply) -> bytes:
+    return codec.encode(reply, store_messages.Reply)
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -118,7 +118,9 @@
         call = ctx.call
         if not ctx.route.retained:
             return call.body
-        wait_seconds = calls.store_wait_seconds(ctx)
+        wait_seconds = calls.store_wait_seconds(
+            ctx, self._store.outage_seconds()
+        )
         if not self._store.wait_until_available(wait_seconds):
             raise calls.store_unavailable(
                 "the store for turns is unavailable",
--- a/src/endivepier/gateway/turn_tokens.py
+++ b/src/endivepier/gateway/turn_tokens.py
@@ -14,6 +14,7 @@
 # How long a turn waits for an uncertain reservation before it is sent to a
 # target. A turn that already runs waits for as long as its route allows.
 RESERVE_TIMEOUT_SECONDS = 1.5
+OUTAGE_RESERVE_TIMEOUT_SECONDS = 0.3  # if the store has failed for some time
 
 
 class TurnTokens:
@@ -57,7 +58,7 @@
             call.program, call.budget, max_tokens, first=ctx.is_first_turn
         )
         granted = reservation.state is budget_state.State.GRANTED
-        if granted or (reservation.likely and not self._store.is_unavailable()):
+        if granted or (reservation.likely and not self._store.is_failing()):
             return reservation
         try:
             self.wait(ctx, reservation, RESERVE_TIMEOUT_SECONDS)
@@ -83,11 +84,18 @@
             errors.Refused: the tokens are not granted in time.
         """
         if reservation.state is budget_state.State.PENDING:
-            timeout = calls.store_wait_seconds(ctx)
+            outage_seconds = self._store.outage_seconds()
+            timeout = calls.store_wait_seconds(ctx, outage_seconds)
             if not ctx.tried and not self._store.wait_until_available(timeout):
                 raise calls.store_unavailable(
                     "the budget can't be read now", self._store.outage_seconds()
                 )
+            if (
+                not ctx.tried
+                and self._store.is_failing()
+                and outage_seconds >= calls.SHORT_OUTAGE_SECONDS
+            ):
+                seconds = min(seconds, OUTAGE_RESERVE_TIMEOUT_SECONDS)
             seconds = min(seconds, ctx.deadline - self._timers.now())
             self._timers.wait(reservation.decided, seconds)
         call = ctx.call
--- a/tests/cover/gateway/test_share_restarts.py
+++ b/tests/cover/gateway/test_share_restarts.py
@@ -6,6 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from endivepier.gateway import account_owners
 from endivepier.gateway import share_renewals
 from tests.common import gateway_parts
 from tests.cover.gateway import test_shares
@@ -51,7 +52,7 @@
             return fleet.table.rows_read - before
 
         rows_read.append(fleet.timers.run(main))
-    readers = share_renewals.MIN_OWNERS + share_renewals.STANDBY_OWNERS
+    readers = account_owners.MIN_OWNERS + account_owners.STANDBY_OWNERS
     rounds = 20.0 / share_renewals.RENEW_INTERVAL_SECONDS
     assert max(rows_read) <= 1.5 * readers * rounds * len(accounts)
 
@@ -118,7 +119,7 @@
         for renewals in fleet.renewals.values():
             share = renewals.local.find("acme")
             share.bucket.level = share.fraction * share.bucket.burst
-        leaving = fleet.renewals["h0"].owners(account)[0]
+        leaving = fleet.renewals["h0"].owners.owners(account)[0]
         peers = fleet.peers.pop(leaving)
         peers.hosts = dict(fleet.peers)
         fleet.renewals[leaving].drain()
--- a/tests/cover/gateway/test_shares.py
+++ b/tests/cover/gateway/test_shares.py
@@ -60,7 +60,7 @@
 
     def lose_an_owner(self, account):
         """Stops an owner of the account for good and returns its name."""
-        lost = self.renewals["h0"].owners(account)[0]
+        lost = self.renewals["h0"].owners.owners(account)[0]
         self.renewals[lost].stop()
         del self.peers[lost]
         return lost
@@ -228,7 +228,9 @@
             host = f"h{number % 3}"
             if fleet.request(host, "acme", "loops") is not None:
                 return number
-            fleet.hosts[host].return_token(account, "loops", began=False)
+            fleet.hosts[host].returns.return_token(
+                account, "loops", began=False
+            )
             fleet.timers.sleep(0.01)
         return None
 
@@ -243,7 +245,7 @@
         req = share_messages.TokenRequest(program, left, may_begin=True)
         admission = fleet.hosts[host].acquire(account, req)
         assert admission.retry_after is None
-        fleet.hosts[host].return_token(account, program, began=True)
+        fleet.hosts[host].returns.return_token(account, program, began=True)
         fleet.timers.sleep(0.1)
         return admission.begins, admission.delayed
 
@@ -404,7 +406,7 @@
 
     def main():
         fleet.timers.sleep(3.0)
-        leaving = fleet.renewals["h0"].owners(account)[0]
+        leaving = fleet.renewals["h0"].owners.owners(account)[0]
         # The other hosts no longer list the leaving one, but it lists them.
         peers = fleet.peers.pop(leaving)
         peers.hosts = dict(fleet.peers)
--- a/tests/cover/gateway/test_store_access.py
+++ b/tests/cover/gateway/test_store_access.py
@@ -8,10 +8,12 @@
 from endivepier import errors
 from endivepier.gateway import calls
 from endivepier.gateway import store_access
+from endivepier.gateway import store_messages
 from endivepier.internal import codec
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
 from endivepier.storage import ports
+from tests.common import gateway_parts
 
 PUT = ports.Transaction((ports.Absent("t//a"),), (ports.Put("t//a", b"x"),))
 
@@ -283,11 +285,11 @@
 def test_a_wait_for_the_store_ends_with_its_first_response(timers):
     table, store = silent_store(timers)
     peers = FakePeers()
-    unavailable_reply = store_access.Failed(
+    unavailable_reply = store_messages.Failed(
         "unavailable", "the store is unreachable here, too"
     )
     peers.other[store_access.GET] = lambda body: codec.encode(
-        unavailable_reply, store_access.Reply
+        unavailable_reply, store_messages.Reply
     )
     store.use_peers(peers)
 
@@ -331,15 +333,17 @@
     _, store = silent_store(timers)
     peers = FakePeers()
     peers.available_hosts = lambda: ["cut", "sound", "cut too"]
-    unavailable_reply = store_access.Failed(
+    unavailable_reply = store_messages.Failed(
         "unavailable", "the store is unreachable here, too"
     )
     requested_hosts = []
 
     def request(host, operation, body, seconds):
         requested_hosts.append(host)
-        reply = store_access.Found(()) if host == "sound" else unavailable_reply
-        return codec.encode(reply, store_access.Reply)
+        reply = (
+            store_messages.Found(()) if host == "sound" else unavailable_reply
+        )
+        return codec.encode(reply, store_messages.Reply)
 
     peers.request = request
     store.use_peers(peers)
@@ -358,14 +362,14 @@
     _, store = silent_store(timers)
     peers = FakePeers()
     peers.available_hosts = lambda: [f"h{number}" for number in range(300)]
-    unavailable_reply = store_access.Failed(
+    unavailable_reply = store_messages.Failed(
         "unavailable", "the store is unreachable here, too"
     )
     requested_hosts = []
 
     def request(host, operation, body, seconds):
         requested_hosts.append(host)
-        return codec.encode(unavailable_reply, store_access.Reply)
+        return codec.encode(unavailable_reply, store_messages.Reply)
 
     peers.request = request
     store.use_peers(peers)
@@ -378,3 +382,46 @@
 
     timers.run(main)
     assert len(requested_hosts) < 60
+
+
+# In an outage of seven seconds, turns waited for a second each, and their
+# clients learned nothing by it; 85 turns ran although none could be recorded.
+@pytest.mark.parametrize(
+    ("is_first_turn", "outage_seconds", "waits"),
+    [
+        (False, 0.5, True),
+        (False, calls.SHORT_OUTAGE_SECONDS, False),
+        (True, 0.5, False),
+    ],
+)
+def test_only_running_programs_wait_and_only_in_a_short_outage(
+    is_first_turn, outage_seconds, waits
+):
+    ctx = calls.CallContext(
+        call=gateway_parts.call(),
+        route=gateway_parts.route(),
+        account="acme",
+        service="s",
+        engine=None,
+        responder=None,
+        deadline=4.0,
+        is_first_turn=is_first_turn,
+    )
+    seconds = calls.store_wait_seconds(ctx, outage_seconds)
+    assert seconds == (calls.STORE_WAIT_SECONDS if waits else 0.0)
+
+
+def test_a_store_whose_last_call_failed_counts_as_failing(timers):
+    table, store = silent_store(timers)
+
+    def main():
+        assert not store.is_failing()
+        failure_seconds(timers, lambda: store.get("t//a"))
+        timers.sleep(store_access.SUSPECT_SECONDS + 0.01)
+        assert not store.is_unavailable()
+        assert store.is_failing()
+        table.recovered = True
+        store.get("t//a")
+        return store.is_failing()
+
+    assert timers.run(main) is False
