gateway: tell other hosts which target exceeded a limit

Cause: each host avoided a target that floods only after it had met it itself, so that each of 84 hosts received a part of the flood.

Change: hosts pass on what they met, with the messages that they exchange anyway; a host that is told so avoids the target for the seconds that remain. It doesn't pass that on, so that reports end.

Measured: test_other_hosts_avoid_a_flooding_target_that_one_of_them_met.

--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -14,6 +14,7 @@
 from endivepier import timers as timers_lib
 from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import dialect as dialect_lib
+from endivepier.gateway import limit_reports as limit_reports_lib
 from endivepier.gateway import model
 from endivepier.gateway import placement as placement_lib
 from endivepier.http1 import buffers as buffers_lib
@@ -184,7 +185,7 @@
                 self.target, self._call, failed=failed
             )
         if self._exceeded_limit:
-            self._dispatcher.placement.avoid(self.target)
+            self._dispatcher.avoid_flooding(self.target)
 
     def _read(self, deadline: float) -> responses.Part:
         try:
@@ -230,6 +231,7 @@
         pool: the idle connections to all targets.
         placement: chooses targets and tracks their load and failures.
         departures: records the targets that say that they are leaving.
+        limit_reports: tells other hosts which targets exceeded a limit.
         metrics: counts responses that exceed a limit.
         buffers: the memory for responses that are read as a whole.
     """
@@ -240,6 +242,7 @@
         pool: pool_lib.Pool,
         placement: placement_lib.Placement,
         departures: departures_lib.Departures,
+        limit_reports: limit_reports_lib.LimitReports,
         timers: timers_lib.Timers,
         metrics: metrics_lib.Metrics,
     ) -> None:
@@ -249,6 +252,7 @@
         self.pool = pool
         self.placement = placement
         self.departures = departures
+        self.limit_reports = limit_reports
         self._timers = timers
 
     def now(self) -> float:
@@ -318,6 +322,16 @@
             raise
         return exchange
 
+    def avoid_flooding(self, target: model.Target) -> None:
+        """Avoids a target that exceeded a limit, on all hosts.
+
+        A failure that costs this much memory and time must not be repeated by
+        each of the next calls.
+        """
+        seconds = placement_lib.MAX_AVOID_SECONDS
+        self.placement.avoid(target.incarnation, seconds)
+        self.limit_reports.add(target.incarnation, seconds)
+
     def drop_target(self, target: model.Target) -> None:
         """Closes the idle connections to a removed target; drops its load."""
         self.pool.close_idle(target.incarnation)
--- a/src/endivepier/gateway/peers.py
+++ b/src/endivepier/gateway/peers.py
@@ -21,6 +21,7 @@
 from endivepier import timers as timers_lib
 from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import follower as follower_lib
+from endivepier.gateway import limit_reports as limit_reports_lib
 from endivepier.gateway import load_reports
 from endivepier.gateway import rows
 from endivepier.http1 import buffers as buffers_lib
@@ -43,11 +44,12 @@
 MAX_ANNOUNCE_BACKOFF_SECONDS = 2.0
 
 # Headers with the name of the host that sends a request, and with the load
-# report and the known departures of the host that sends a request or a
-# response.
+# report, the known departures and the targets that exceeded a limit at the host
+# that sends a request or a response.
 HOST_HEADER = b"entry-host"
 LOAD_HEADER = b"load"
 DEPARTURES_HEADER = b"leaving"
+LIMITS_HEADER = b"limits-exceeded"
 
 Handler = Callable[[bytes], bytes]
 
@@ -90,10 +92,12 @@
         timers: timers_lib.Timers,
         reports: load_reports.LoadReports,
         departures: departures_lib.Departures,
+        limit_reports: limit_reports_lib.LimitReports,
     ) -> None:
         self._host = host
         self._reports = reports
         self._departures = departures
+        self._limit_reports = limit_reports
         self._own_entry = own_entry
         self._table = table
         self._timers = timers
@@ -264,6 +268,9 @@
         departures = self._departures.encode()
         if departures:
             headers.append((DEPARTURES_HEADER, departures))
+        exceeded = self._limit_reports.encode()
+        if exceeded:
+            headers.append((LIMITS_HEADER, exceeded))
         return headers
 
     def _receive_news(
@@ -273,10 +280,12 @@
         if departures:
             self._departures.receive(host, departures)
         report = messages.find(headers, LOAD_HEADER)
-        if not report:
-            return
+        exceeded = messages.find(headers, LIMITS_HEADER)
         try:
-            self._reports.receive(host, report)
+            if exceeded:
+                self._limit_reports.receive(host, exceeded)
+            if report:
+                self._reports.receive(host, report)
         except ValueError as exc:
             eliot.log_message("peer.bad_report", peer=host, reason=str(exc))
 
--- a/src/endivepier/gateway/placement.py
+++ b/src/endivepier/gateway/placement.py
@@ -269,13 +269,14 @@
         load.running = max(load.running - 1, 0)
         self._avoid(load, FULL_AVOID_SECONDS)
 
-    def avoid(self, target: model.Target) -> None:
-        """Avoids a target that exceeded a limit for the longest time.
+    def avoid(self, incarnation: str, seconds: float) -> None:
+        """Avoids a target that exceeded a limit, here or at another host.
 
-        A failure that costs this much memory and time must not be repeated by
-        each of the next calls.
+        Args:
+            incarnation: name and start time of the target.
+            seconds: how long to avoid it, `MAX_AVOID_SECONDS` at most.
         """
-        self._avoid(self.load(target), MAX_AVOID_SECONDS)
+        self._avoid(self._loads[incarnation], min(seconds, MAX_AVOID_SECONDS))
 
     def _avoid(self, load: Load, seconds: float) -> None:
         load.avoid_until = max(load.avoid_until, self._timers.now() + seconds)
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -21,6 +21,7 @@
 from endivepier.gateway import exchange
 from endivepier.gateway import handler as handler_lib
 from endivepier.gateway import isolation
+from endivepier.gateway import limit_reports
 from endivepier.gateway import load_reports
 from endivepier.gateway import peers as peers_lib
 from endivepier.gateway import placement as placement_lib
@@ -105,6 +106,7 @@
         self.kernel = kernel_lib.Kernel()
         self.incarnation = ids_lib.Ids(rng).unique()[:12]
         reports = load_reports.LoadReports(timers)
+        limits_exceeded = limit_reports.LimitReports(timers)
         departures = departures_lib.Departures(timers, self.metrics)
         store = store_access.Store(adapters.table, adapters.feed, timers, rng)
         self.catalog = self.kernel.register(
@@ -121,6 +123,7 @@
                 timers,
                 reports,
                 departures,
+                limits_exceeded,
             ),
         )
         store.use_peers(self.peers)
@@ -157,11 +160,13 @@
         self.placement = placement_lib.Placement(
             cfg.data_centre, timers, rng, reports, self.pool.has_idle
         )
+        limits_exceeded.set_sink(self.placement.avoid)
         self.dispatcher = exchange.Dispatcher(
             adapters.dialect,
             self.pool,
             self.placement,
             departures,
+            limits_exceeded,
             timers,
             self.metrics,
         )
--- a/tests/cover/gateway/test_flooding_targets.py
+++ b/tests/cover/gateway/test_flooding_targets.py
@@ -4,9 +4,12 @@
 import pytest
 
 from endivepier.gateway import events
+from endivepier.gateway import limit_reports
 from endivepier.gateway import model
+from endivepier.gateway import peers as peers_lib
 from endivepier.gateway import placement as placement_lib
 from endivepier.http1 import buffers as buffers_lib
+from endivepier.standins import clock
 from tests.common import flooding
 from tests.common import gateway_fleet
 from tests.common import gateway_parts
@@ -21,9 +24,10 @@
 def start():
     fleets = []
 
-    def make(**changes):
+    def make(hosts=1, **changes):
         changes = {"timeout": TIMEOUT_SECONDS, **changes}
-        fleets.append(gateway_fleet.Fleet([gateway_parts.route(**changes)]))
+        routes = [gateway_parts.route(**changes)]
+        fleets.append(gateway_fleet.Fleet(routes, hosts=hosts))
         return fleets[-1]
 
     yield make
@@ -128,6 +132,33 @@
     assert metrics.value("limits_exceeded", limit="framing") == 1
 
 
+# Each of 84 hosts would have received a part of the flood.
+def test_other_hosts_avoid_a_flooding_target_that_one_of_them_met(start):
+    fleet = start(hosts=2, kind=model.RouteKind.IDEMPOTENT, objective=20.0)
+    respond_plainly(fleet)
+    called = flood_first(fleet, *flooding.FLOODS["headers"])
+    fleet.request()
+    first, second = fleet.gateways
+    second.peers.request("h0", peers_lib.PROBE, b"{}")
+    [target] = [t for t in second.catalog.targets("s") if t.name == called[0]]
+    load = second.placement.load(target)
+    avoided = load.avoid_until - fleet.timers.now()
+    assert avoided > placement_lib.MAX_AVOID_SECONDS / 2
+    for number in range(5):
+        assert fleet.request(f"later-{number}", host=1).status == 200
+    assert called.count(called[0]) == 1
+    # A host passes on only what it met itself.
+    assert second.dispatcher.limit_reports.encode() == b""
+    assert first.dispatcher.limit_reports.encode() != b""
+
+
+def test_a_malformed_limit_report_is_an_error():
+    reports = limit_reports.LimitReports(clock.VirtualTimers())
+    for encoded in (b"no-seconds", b"target=soon", b"a@1=1.0,,"):
+        with pytest.raises(ValueError, match=r"limit report|could not convert"):
+            reports.receive("h0", encoded)
+
+
 def test_responses_to_other_calls_without_end_are_not_skipped_forever(start):
     fleet = start(kind=model.RouteKind.IDEMPOTENT, objective=20.0)
     respond_plainly(fleet)
--- a/tests/cover/gateway/test_peers.py
+++ b/tests/cover/gateway/test_peers.py
@@ -8,6 +8,7 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.gateway import departures as departures_lib
+from endivepier.gateway import limit_reports
 from endivepier.gateway import load_reports
 from endivepier.gateway import peers as peers_lib
 from endivepier.gateway import rows
@@ -36,6 +37,7 @@
             self.timers,
             self.reports,
             self.departures,
+            limit_reports.LimitReports(self.timers),
         )
         self.peers.register("echo", lambda body: body)
         self.peers.register("slow", self.slow)
