shares: requests wait for owners that start after other hosts

Hosts start over one second, since their processors differ; one that starts early reaches no owner, has no share, and refused at once with a Retry-After of 0.1 s, which used up the only retry.

Change: replies to a host that asks for a token say whether the sender holds a share. While no host that does has replied, requests wait for 0.8 s at most; after that the Retry-After is 0.5 s.

Moved: shares.Shares.log_refusal -> share_refusals.log

Measured: test_requests_wait_for_owners_that_start_later, and that the wait ends.

--- a/src/endivepier/gateway/handler.py
+++ b/src/endivepier/gateway/handler.py
@@ -12,6 +12,7 @@
 from endivepier.gateway import dialect as dialect_lib
 from endivepier.gateway import model
 from endivepier.gateway import share_messages
+from endivepier.gateway import share_refusals
 from endivepier.gateway import shares as shares_lib
 from endivepier.gateway import streams as streams_lib
 from endivepier.gateway import unary_calls as unary_calls_lib
@@ -186,7 +187,13 @@
         )
         admission = self._shares.acquire(account, share_request)
         if admission.retry_after is not None:
-            self._shares.log_refusal(account, call.id, admission)
+            share_refusals.log(
+                self._shares.renewals,
+                self._timers.now(),
+                account,
+                call.id,
+                admission,
+            )
             raise errors.Refused(
                 errors.Code.RATE_LIMITED,
                 429,
--- a/src/endivepier/gateway/share_messages.py
+++ b/src/endivepier/gateway/share_messages.py
@@ -38,12 +38,15 @@
             late.
         has_room: whether the running programs leave enough tokens for it, if
             it begins a program.
+        no_share: whether neither this host nor one that it asked holds a share
+            of the account, as after a restart of its owners.
     """
 
     retry_after: float | None = None
     begins: bool = False
     delayed: bool = False
     has_room: bool = True
+    no_share: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,12 +75,14 @@
             unknown.
         retry_after: seconds until the program may begin, if it may not now; 0
             if unknown.
+        has_share: whether the sender holds a share of the account.
     """
 
     tokens: int
     begun: bool = False
     had: float = 0.0
     retry_after: float = 0.0
+    has_share: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/endivepier/gateway/share_rows.py
+++ b/src/endivepier/gateway/share_rows.py
@@ -74,6 +74,8 @@
         lease_until: end of the lease, monotonic seconds.
         written_at: time of the last write of the entry, monotonic seconds; 0
             if this process has not written it.
+        owner_seen_at: when another host that holds a share last replied,
+            monotonic seconds.
         elsewhere: estimate of the tokens at the account's other owners; None
             if this host has never decided alone on its programs.
         no_tokens_until: by peer that lent nothing, the time before which it
@@ -85,6 +87,7 @@
     fraction: float = 0.0
     lease_until: float = 0.0
     written_at: float = 0.0
+    owner_seen_at: float = float("-inf")
     elsewhere: bucket_lib.Bucket | None = None
     no_tokens_until: dict[str, float] = dataclasses.field(default_factory=dict)
 
--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/shares.py
@@ -28,8 +28,6 @@
 
 import dataclasses
 
-import eliot
-
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.gateway import catalog as catalog_lib
@@ -54,6 +52,13 @@
 TOKENS_PER_BORROW = 3  # a program's turn and its two tool calls
 # Retry time at a host without a share of its own if no owner lent a token.
 NO_SHARE_RETRY_SECONDS = 0.1
+# How long a request waits for an owner that holds a share. After a restart of
+# all hosts, some serve up to a second before others, and clients retry once.
+NO_SHARE_WAIT_SECONDS = 0.8
+NO_SHARE_CLIENT_RETRY_SECONDS = 0.5
+# For this long after another host with a share replied, the account counts as
+# one with an owner: a host that has just lent nothing is not asked again.
+OWNER_SEEN_SECONDS = 0.5
 IDLE_REQUESTS_PER_SECOND = 0.5  # below it a host lends all of its tokens
 BORROW_PAUSE_SECONDS = 0.1  # before a peer that lent nothing is asked again
 
@@ -62,6 +67,7 @@
     """Applies the rate limits of all accounts at this host.
 
     Attributes:
+        renewals: holds and renews this host's shares.
         returns: returns tokens of requests that were not sent to any target.
     """
 
@@ -80,7 +86,7 @@
             peers: the other hosts.
             timers: the timer service.
         """
-        self._renewals = renewals
+        self.renewals = renewals
         self._local = renewals.local
         self._owners = renewals.owners
         self._catalog = catalog
@@ -98,20 +104,35 @@
         """Takes a token of the account, here or from another owner.
 
         Waits for the next token if it is due soon. A request that begins a
-        program does not wait: the next tokens are for running programs.
+        program does not wait: the next tokens are for running programs. Every
+        request waits for an owner if none holds a share now.
         """
-        end = self._timers.now() + MAX_WAIT_SECONDS
+        started_at = self._timers.now()
         is_retry = False
         while True:
             admission = self._try_acquire(account, req, is_retry=is_retry)
             retry_after = admission.retry_after
-            if retry_after is None or admission.begins:
+            if retry_after is None:
                 return admission
-            if self._timers.now() + retry_after > end:
+            no_share = admission.no_share and not self._owner_seen(account)
+            if admission.begins and not no_share:
                 return admission
+            wait = NO_SHARE_WAIT_SECONDS if no_share else MAX_WAIT_SECONDS
+            if self._timers.now() + retry_after > started_at + wait:
+                if not no_share:
+                    return admission
+                return dataclasses.replace(
+                    admission, retry_after=NO_SHARE_CLIENT_RETRY_SECONDS
+                )
             self._timers.sleep(max(retry_after, MIN_WAIT_SECONDS))
             is_retry = True
 
+    def _owner_seen(self, account: model.Account) -> bool:
+        """Returns whether another host with a share replied lately."""
+        now = self._timers.now()
+        share = self._local.ensure(account, now)
+        return now - share.owner_seen_at < OWNER_SEEN_SECONDS
+
     def _try_acquire(
         self,
         account: model.Account,
@@ -123,7 +144,7 @@
         owners = self._owners.owners(account)
         home_owner = self._owners.home_owner(account, req.program)
         # An account with a rate of 0 has no limit and needs no token.
-        if account.rate <= 0 or home_owner == self._renewals.holder:
+        if account.rate <= 0 or home_owner == self.renewals.holder:
             owners.remove(home_owner)
             admission = self.admit(account, req, is_retry=is_retry)
             if admission.retry_after is None:
@@ -145,9 +166,9 @@
         if borrowed is not None and borrowed.retry_after is None:
             return borrowed
         admission = self.admit(account, req, is_retry=is_retry)
-        if borrowed is None or admission.retry_after is None:
+        if admission.retry_after is None:
             return admission
-        return borrowed  # the owner knows when the program may begin
+        return borrowed or admission  # the owner knows when it may begin
 
     def _borrow_at_home(
         self,
@@ -198,7 +219,7 @@
             share.bucket.record_request(now)
         if not share.fraction:
             return share_messages.Admission(
-                NO_SHARE_RETRY_SECONDS, begins, delayed
+                NO_SHARE_RETRY_SECONDS, begins, delayed, no_share=True
             )
         share.start_limiter.record_request(req.program, now)
         elsewhere = self._tokens_elsewhere(account, share, now)
@@ -252,32 +273,6 @@
             share.start_limiter.record_admission(program, now)
             self._recent_programs.set_begun(program, begun=True)
 
-    def log_refusal(
-        self,
-        account: model.Account,
-        request: str,
-        admission: share_messages.Admission,
-    ) -> None:
-        """Logs the state that led to the refusal of a request."""
-        now = self._timers.now()
-        share = self._local.ensure(account, now)
-        eliot.log_message(
-            "account.refused",
-            request=request,
-            account=account.name,
-            begins=admission.begins,
-            delayed=admission.delayed,
-            owners=self._owners.owners(account),
-            rate=account.rate,
-            burst=account.burst,
-            fraction=round(share.fraction, 4),
-            tokens=round(share.bucket.level, 2),
-            demand=round(share.bucket.demand(now), 1),
-            holders=self._renewals.host_count,
-            lease_left=round(share.lease_until - now, 2),
-            fraction_age=round(now - share.written_at, 2),
-        )
-
     def _borrow(
         self,
         account: model.Account,
@@ -305,6 +300,8 @@
             except errors.PeerUnreachable:
                 continue
             lent: share_messages.Lent = codec.decode(share_messages.Lent, reply)
+            if lent.has_share:
+                share.owner_seen_at = self._timers.now()
             self._recent_programs.record_time_left(req.program, lent.had)
             if lent.begun:
                 self._recent_programs.set_begun(req.program, begun=True)
@@ -314,7 +311,7 @@
                 self._record_admission(share, req.program, self._timers.now())
                 return share_messages.Admission(None, begins, delayed)
             # A start may be refused although the owner still has tokens.
-            if begins and lent.retry_after:
+            if begins and lent.has_share and lent.retry_after:
                 refusal = refusal or share_messages.Admission(
                     lent.retry_after, begins, delayed, has_room=False
                 )
@@ -344,7 +341,7 @@
         if declaration is not None:
             account = declaration.accounts.get(borrow.account)
         if share is None or account is None:
-            return codec.encode(share_messages.Lent(0))
+            return codec.encode(share_messages.Lent(0, has_share=False))
         req = borrow.ask
         begins, _ = self._classify(req)
         info = self._recent_programs.get(req.program)
@@ -363,6 +360,7 @@
                     begun=False,
                     had=info.initial_seconds,
                     retry_after=admission.retry_after or 0.0,
+                    has_share=not admission.no_share,
                 )
             )
         now = self._timers.now()
@@ -384,5 +382,10 @@
         if tokens:
             self._record_admission(share, req.program, now)
         return codec.encode(
-            share_messages.Lent(tokens, begun=begun, had=info.initial_seconds)
+            share_messages.Lent(
+                tokens,
+                begun=begun,
+                had=info.initial_seconds,
+                has_share=bool(share.fraction),
+            )
         )
--- a/tests/cover/gateway/test_share_restarts.py
+++ b/tests/cover/gateway/test_share_restarts.py
@@ -8,6 +8,7 @@
 
 from endivepier.gateway import account_owners
 from endivepier.gateway import share_renewals
+from endivepier.gateway import shares
 from tests.common import gateway_parts
 from tests.cover.gateway import test_shares
 
@@ -92,6 +93,53 @@
     assert fleet.refused == 0
 
 
+# After a power failure some hosts served up to a second before others. What
+# they refused while the owners still started used up a client's only retry.
+def test_requests_wait_for_owners_that_start_later():
+    account = gateway_parts.account(**SMALL)
+    fleet = test_shares.Fleet(6, [account])
+
+    def main():
+        fleet.timers.sleep(20.0)
+        names = list(fleet.hosts)
+        owners = fleet.renewals["h0"].owners.owners(account)
+        first = [name for name in names if name not in owners]
+        for name in owners:
+            fleet.renewals[name].stop()
+            del fleet.peers[name]
+        restart(fleet, first)
+        tasks = [
+            gevent.spawn(
+                fleet.request, first[0], "acme", "p", 2.0, is_first=is_first
+            )
+            for is_first in (True, False)
+        ]
+        fleet.timers.sleep(0.5)
+        for name in owners:
+            fleet.start(name)
+        return [task.get() for task in tasks]
+
+    assert fleet.timers.run(main) == [None, None]
+
+
+def test_an_account_whose_owners_stay_away_is_refused_after_a_wait():
+    account = gateway_parts.account(**SMALL)
+    fleet = test_shares.Fleet(6, [account])
+
+    def main():
+        fleet.timers.sleep(20.0)
+        for name in fleet.renewals["h0"].owners.owners(account):
+            fleet.renewals[name].stop()
+            del fleet.peers[name]
+        started_at = fleet.timers.now()
+        retry_after = fleet.request(next(iter(fleet.peers)), "acme", "p")
+        return retry_after, fleet.timers.now() - started_at
+
+    retry_after, seconds = fleet.timers.run(main)
+    assert retry_after == shares.NO_SHARE_CLIENT_RETRY_SECONDS
+    assert seconds <= shares.NO_SHARE_WAIT_SECONDS
+
+
 def test_restarts_in_quick_succession_get_no_more_tokens():
     account = gateway_parts.account(**SMALL)
     fleet = test_shares.Fleet(4, [account])
