shares: only hosts that have just started wait for owners

Cause: read in the diff. A host that is cut off from the others also reaches no owner. It delayed each request by 0.8 s before its client turned to another host.

Change: a host waits for owners in the first 5 s after its start only.

--- a/src/endivepier/gateway/share_renewals.py
+++ b/src/endivepier/gateway/share_renewals.py
@@ -57,6 +57,7 @@
 
     Attributes:
         ready: whether a round of renewals has succeeded.
+        started_at: when this process started, monotonic seconds.
         host_count: number of known hosts, this one included.
         local: the shares of this host.
         owners: ranks the hosts for each account.
@@ -86,6 +87,7 @@
                 of each account, over all hosts.
         """
         self.ready = False
+        self.started_at = timers.now()
         self.host_count = 1
         self.holder = holder
         self._catalog = catalog
--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/shares.py
@@ -56,6 +56,7 @@
 # all hosts, some serve up to a second before others, and clients retry once.
 NO_SHARE_WAIT_SECONDS = 0.8
 NO_SHARE_CLIENT_RETRY_SECONDS = 0.5
+ALL_STARTED_SECONDS = 5.0  # after a start, other hosts have started as well
 # For this long after another host with a share replied, the account counts as
 # one with an owner: a host that has just lent nothing is not asked again.
 OWNER_SEEN_SECONDS = 0.5
@@ -105,7 +106,7 @@
 
         Waits for the next token if it is due soon. A request that begins a
         program does not wait: the next tokens are for running programs. Every
-        request waits for an owner if none holds a share now.
+        request waits for an owner that is expected to start.
         """
         started_at = self._timers.now()
         is_retry = False
@@ -114,7 +115,7 @@
             retry_after = admission.retry_after
             if retry_after is None:
                 return admission
-            no_share = admission.no_share and not self._owner_seen(account)
+            no_share = admission.no_share and self._awaits_owner(account)
             if admission.begins and not no_share:
                 return admission
             wait = NO_SHARE_WAIT_SECONDS if no_share else MAX_WAIT_SECONDS
@@ -127,11 +128,17 @@
             self._timers.sleep(max(retry_after, MIN_WAIT_SECONDS))
             is_retry = True
 
-    def _owner_seen(self, account: model.Account) -> bool:
-        """Returns whether another host with a share replied lately."""
+    def _awaits_owner(self, account: model.Account) -> bool:
+        """Returns whether an owner with a share is expected to start soon.
+
+        That is so after a restart of all hosts, until the first owner replies.
+        A host that is cut off from the others refuses at once instead.
+        """
         now = self._timers.now()
+        if now - self.renewals.started_at > ALL_STARTED_SECONDS:
+            return False
         share = self._local.ensure(account, now)
-        return now - share.owner_seen_at < OWNER_SEEN_SECONDS
+        return now - share.owner_seen_at >= OWNER_SEEN_SECONDS
 
     def _try_acquire(
         self,
