suspects: try bodies that only begin like refused ones

Cause: a request that ended three targets was refused by the first 64 bytes of its body, too, so that all other bodies of that account and path that begin alike were refused for 600 s. Chat bodies with one model and system prompt do.

Change: a body that was at no target's end itself gets 503, not 500, with the time until one such body is tried: 5 s after the refusal, 30 s and 300 s after the trial before, in the fleet's one turn. If a target completes it, the start is ignored for good and whole bodies count. If it ends its target, it is refused itself. Ends that a start explains still count for the bodies that begin so.

The bound on ends stays.

--- a/src/endivepier/gateway/fingerprints.py
+++ b/src/endivepier/gateway/fingerprints.py
@@ -14,6 +14,8 @@
 # Bodies that begin alike may differ in what follows, as a prompt that has grown
 # since the last attempt.
 START_BYTES = 64
+# Begins the digest of a start, so that it differs from that of a whole body.
+START_MARK = "s"
 
 
 def fingerprints(call: model.Call, account: str) -> tuple[str, ...]:
@@ -29,10 +31,16 @@
         call: the call, of which method, path, `Host` and body count.
         account: name of the client account, or empty.
     """
-    contents = [call.body]
-    if len(call.body) > START_BYTES:
-        contents.append(call.body[:START_BYTES])
-    return tuple(_digest(call, account, content) for content in contents)
+    whole = _digest(call, account, call.body)
+    if len(call.body) <= START_BYTES:
+        return (whole,)
+    start = _digest(call, account, call.body[:START_BYTES])
+    return whole, START_MARK + start
+
+
+def is_start(content: str) -> bool:
+    """Returns whether a digest is that of the start of a body."""
+    return content.startswith(START_MARK)
 
 
 def _digest(call: model.Call, account: str, content: bytes) -> str:
--- a/src/endivepier/gateway/suspect_guard.py
+++ b/src/endivepier/gateway/suspect_guard.py
@@ -4,7 +4,7 @@
 content selects, so that those that were there together part. One that was at
 two such targets runs only in turn (see `suspect_trials`), where the fewest
 calls run, and not at the last target of its service. One that has ended three
-is refused on all hosts.
+is refused on all hosts; those that only begin like it are tried, a few of them.
 """
 
 from __future__ import annotations
@@ -93,9 +93,13 @@
                 target.incarnation,
                 run,
                 suspects_lib.CALL,
+                start=ctx.contents[-1],
                 request=ctx.call.id,
                 account=ctx.account,
             )
+        if ctx.has_turn and self.suspects.is_refused(ctx.contents[-1]):
+            # It ran alone, so it is at fault itself.
+            self.suspects.refuse(ctx.contents[0], request=ctx.call.id)
         self._check(ctx)
 
     def note_completed(self, ctx: calls.CallContext) -> None:
@@ -149,7 +153,8 @@
         """Checks that a call has not ended too many targets.
 
         Raises:
-            errors.Refused: it has. The client must not send it again.
+            errors.Refused: it has, and the client must not send it again, or
+                only its start is known and it is not its turn to be tried.
         """
         refused = [
             content
@@ -158,6 +163,9 @@
         ]
         if not refused:
             return
+        if self._is_only_start_known(ctx, refused):
+            self._take_trial(ctx, refused[0])
+            return
         eliot.log_message(
             "content.turned_away", request=ctx.call.id, content=refused[0]
         )
@@ -169,6 +177,27 @@
             ran=errors.Ran.UNKNOWN if ctx.may_have_run else errors.Ran.NO,
         )
 
+    def _is_only_start_known(
+        self, ctx: calls.CallContext, refused: list[str]
+    ) -> bool:
+        """Returns whether the request itself has been at no target's end."""
+        whole = ctx.contents[0]
+        return whole not in refused and not self.suspects.was_at_end(whole)
+
+    def _take_trial(self, ctx: calls.CallContext, start: str) -> None:
+        if ctx.has_turn:
+            return
+        begun = self._trials.begin_trial(
+            ctx.call.id, start, self.suspects.refused_seconds(start)
+        )
+        if not begun.granted:
+            raise self._not_now(
+                ctx,
+                "another request that begins like it is tried first",
+                begun.retry_after,
+            )
+        ctx.has_turn = True
+
     def _not_now(
         self, ctx: calls.CallContext, reason: str, retry_after: float
     ) -> errors.Refused:
--- a/src/endivepier/gateway/suspects.py
+++ b/src/endivepier/gateway/suspects.py
@@ -14,6 +14,8 @@
   taken for one as long as none of them is completed.
 * What a request did that is known to end targets does not count for those that
   were there with it.
+* Once requests that begin alike are refused and a target completes one of them,
+  their common start is ignored, and only whole requests count.
 
 Hosts pass on what they saw with the messages that they exchange anyway, so
 that all know it, and a host that has just started learns it from any other.
@@ -27,6 +29,7 @@
 import eliot
 
 from endivepier import timers as timers_lib
+from endivepier.gateway import fingerprints
 from endivepier.internal import bounded_map
 from endivepier.telemetry import metrics as metrics_lib
 
@@ -72,11 +75,13 @@
         runs: its runs at targets that ended, by the target's incarnation.
         completed: when a target last completed it, monotonic seconds.
         changed: when something was last added, monotonic seconds.
+        start: fingerprint of the start of its body, if known; else empty.
     """
 
     runs: dict[str, Run] = dataclasses.field(default_factory=dict)
     completed: float = float("-inf")
     changed: float = 0.0
+    start: str = ""
 
 
 class Suspects:
@@ -95,6 +100,10 @@
         self._refused: bounded_map.BoundedMap[float] = bounded_map.BoundedMap(
             MAX_REFUSED
         )
+        # Starts of bodies that are ignored, and since when, monotonic seconds.
+        self._ignored: bounded_map.BoundedMap[float] = bounded_map.BoundedMap(
+            MAX_REFUSED
+        )
         # The fingerprints of what is to be passed on; the newest are last.
         self._shared: dict[str, None] = {}
         self._shared_refused: dict[str, None] = {}
@@ -130,15 +139,32 @@
         self._lift(content)
         return False
 
+    def refused_seconds(self, content: str) -> float:
+        """Returns for how long a request has been refused; 0 if it is not."""
+        refused_since = self._refused.get(content)
+        if refused_since is None:
+            return 0.0
+        return self._timers.now() - refused_since
+
     def _lift(self, content: str) -> None:
         self._refused.drop(content)
         self._shared_refused.pop(content, None)
         self._metrics.set("contents_refused", len(self._refused))
 
+    def was_at_end(self, content: str) -> bool:
+        """Returns whether a target ended while it ran a request.
+
+        Unlike `ends`, this counts ends that another request explains.
+        """
+        history = self._histories.get(content)
+        return history is not None and any(
+            run.ended > history.completed for run in history.runs.values()
+        )
+
     def ends(self, content: str) -> int:
         """Returns how many targets ended while a request ran, one by one."""
         history = self._histories.get(content)
-        if history is None:
+        if history is None or self._is_ignored(content):
             return 0
         oldest = self._timers.now() - SUSPECT_SECONDS
         count = 0
@@ -153,12 +179,19 @@
         runs = [
             run
             for target, run in history.runs.items()
-            if self._explained.get(target) in (None, content)
+            if self._explained.get(target) in (None, content, history.start)
         ]
         return sorted(runs, key=lambda run: run.ended)
 
     def add_end(
-        self, content: str, target: str, run: Run, source: str, **details: str
+        self,
+        content: str,
+        target: str,
+        run: Run,
+        source: str,
+        *,
+        start: str = "",
+        **details: str,
     ) -> None:
         """Records that a target ended while it ran a request.
 
@@ -167,9 +200,12 @@
             target: incarnation of the target.
             run: the run.
             source: who saw it: `CALL`, or the name of a peer.
+            start: fingerprint of the start of the request's body, if known. An
+                end that it explains counts for the request, too.
             details: what to log besides, such as the request's id.
         """
         history = self._ensure(content)
+        history.start = start or history.start
         if target in history.runs:
             return
         history.runs[target] = run
@@ -208,22 +244,43 @@
             return
         ends = self.ends(content)
         history.completed = at
-        if not ends:
-            return
         refused_since = self._refused.get(content)
+        if not ends and refused_since is None:
+            return
         if refused_since is not None and refused_since < at:
             self._lift(content)
+            if fingerprints.is_start(content):
+                self._ignored.put(content, at)
         self._changed(content, history)
         eliot.log_message("content.cleared", content=content, source=source)
         # Until the others know, they let such requests run one at a time.
         if source == CALL and ends > 1:
             self._notify()
 
-    def _refuse(self, content: str, since: float, source: str) -> None:
+    def refuse(self, content: str, **details: str) -> None:
+        """Refuses a request that ended a target without any other beside it.
+
+        Args:
+            content: fingerprint of the request.
+            details: what to log besides, such as the request's id.
+        """
+        self._refuse(content, self._timers.now(), CALL, **details)
+
+    def _is_ignored(self, content: str) -> bool:
+        since = self._ignored.get(content)
+        return since is not None and (
+            self._timers.now() - since < REFUSE_SECONDS
+        )
+
+    def _refuse(
+        self, content: str, since: float, source: str, **details: str
+    ) -> None:
         history = self._ensure(content)
         now = self._timers.now()
         if content in self._refused or since <= history.completed:
             return
+        if self._is_ignored(content):
+            return
         if now - since >= REFUSE_SECONDS:
             return
         self._refused.put(content, since)
@@ -238,6 +295,7 @@
             source=source,
             targets=list(history.runs),
             seconds=REFUSE_SECONDS,
+            **details,
         )
         self._metrics.set("contents_refused", len(self._refused))
 
--- a/tests/cover/gateway/test_suspects.py
+++ b/tests/cover/gateway/test_suspects.py
@@ -80,6 +80,26 @@
     assert not hosts.known[0].is_refused("c")
 
 
+# The next end by the request at fault refused all that begin alike again.
+def test_a_start_is_ignored_for_good_once_a_body_with_it_was_completed():
+    hosts = Hosts(2)
+    for n in range(3):
+        hosts.end("s1", f"t{n}@1")
+        hosts.timers.advance(1.0)
+    hosts.pass_on(0, 1)
+    assert hosts.known[1].is_refused("s1")
+    hosts.known[0].add_completion("s1", hosts.timers.now())
+    hosts.pass_on(0, 1)
+    for n in range(3, 6):
+        hosts.timers.advance(1.0)
+        hosts.end("s1", f"t{n}@1", host=n % 2)
+        hosts.pass_on(0, 1)
+        hosts.pass_on(1, 0)
+    for known in hosts.known:
+        assert not known.is_refused("s1")
+        assert known.ends("s1") == 0
+
+
 def test_ends_that_a_refused_request_explains_count_for_no_other():
     hosts = Hosts()
     for n in range(3):
