budgets: hold up to half of what is left in advance

Cause: a process held the tokens of one more turn, so that the second turn of a program in an outage of the store was refused; and a program that paused for 0.5 s lost them, as did all whose release was under way when the outage began.

Change: half of what is left is held, if two turns are left for other processes; for 2 s of idle time, or 0.5 s if few tokens are left; nothing is released while the store is away.

--- a/src/endivepier/gateway/budget_state.py
+++ b/src/endivepier/gateway/budget_state.py
@@ -7,6 +7,10 @@
 
 import gevent.event
 
+# A process holds tokens in advance only if enough are left for so many turns at
+# other processes, or for one turn of its own.
+ENOUGH_TURNS = 2
+
 
 class State(enum.Enum):
     """The state of a reservation.
@@ -164,3 +168,20 @@
     def spare(self) -> int:
         """Tokens held here that are neither spent nor granted to a turn."""
         return self.held_here - self.active - self.promised - self.unwritten
+
+    @property
+    def is_scarce(self) -> bool:
+        """Whether other processes have tokens for few turns."""
+        left = self.budget - self.spent - self.held_here - self.held_by_others
+        return left < ENOUGH_TURNS * self.largest_turn
+
+    def tokens_ahead(self, available: int) -> int:
+        """Returns how many tokens to hold in advance.
+
+        Args:
+            available: tokens that are left beside those that turns need now.
+        """
+        if self.release_spare or available < self.largest_turn:
+            return 0
+        spare = available - ENOUGH_TURNS * self.largest_turn
+        return max(self.largest_turn, min(available // 2, spare))
--- a/src/endivepier/gateway/budgets.py
+++ b/src/endivepier/gateway/budgets.py
@@ -5,10 +5,10 @@
 Held tokens count as spent until the process writes what its turns used, so
 the loss of a process never returns tokens to the budget.
 
-A process holds the tokens of one more turn than it runs, if the budget allows
-it. So most turns are granted without a write, also while the store is
-unavailable. The tokens used are written with the next reservation, or once
-the program has been idle for `IDLE_SECONDS`.
+A process holds up to half of what is left of the budget in advance. So most
+turns are granted without a write, also while the store is unavailable. The
+tokens used are written with the next reservation, or once the program has been
+idle for some time.
 
 A budget is exhausted once the turns that have ended used it up; the last turn
 may exceed it by its own length. If a turn does not fit only because of tokens
@@ -31,9 +31,12 @@
 from endivepier.storage import ports
 
 # When a program has been idle for this time, its process writes the tokens
-# used and releases the rest. Shorter than RELEASE_WAIT_SECONDS, so that a turn
-# at another process can use the released tokens.
-IDLE_SECONDS = 0.5
+# used and releases the rest. Programs pause for some tenths of a second.
+IDLE_SECONDS = 2.0
+# The time if few tokens are left for other processes. Shorter than
+# RELEASE_WAIT_SECONDS, so that a turn there can use the released tokens.
+SCARCE_IDLE_SECONDS = 0.5
+IDLE_CHECK_SECONDS = 0.125
 # How long a turn waits for tokens that running turns or other processes hold.
 RELEASE_WAIT_SECONDS = 1.2
 FIRST_BACKOFF_SECONDS = 0.02
@@ -70,7 +73,7 @@
 
     def start(self) -> None:
         """Starts to release the tokens of idle programs."""
-        self._timers.every(IDLE_SECONDS / 4, self._release_idle)
+        self._timers.every(IDLE_CHECK_SECONDS, self._release_idle)
 
     def stop(self) -> None:
         """Does nothing: held tokens count as spent."""
@@ -260,7 +263,7 @@
         reserved = program.active + sum(r.max_tokens for r in granted)
         available = program.budget - program.spent - used
         available -= program.held_by_others + reserved
-        tokens = reserved + self._reserve_ahead(program, available)
+        tokens = reserved + program.tokens_ahead(available)
         number = next(self._write_numbers)
         program.needs_write = False
         key = rows.key(rows.BUDGETS, program.name)
@@ -331,14 +334,6 @@
         program.unwritten -= attempt.used
         program.held_here = attempt.tokens
 
-    def _reserve_ahead(
-        self, program: budget_state.Program, available: int
-    ) -> int:
-        """Returns how many of the available tokens to hold in advance."""
-        if program.release_spare or available < program.largest_turn:
-            return 0
-        return program.largest_turn
-
     def _read(self, program: budget_state.Program) -> None:
         """Reads the row, which also tells whether a write took effect.
 
@@ -385,14 +380,23 @@
                 )
 
     def _release_idle(self) -> None:
-        """Releases tokens of idle programs and drops old programs."""
+        """Releases tokens of idle programs and drops old programs.
+
+        Not in an outage: after a write that may have taken effect, only what is
+        held in either case can be granted.
+        """
+        if self.store_down:
+            return
         now = self._timers.now()
         for name, program in list(self._programs.items()):
             if program.is_writing or program.active or program.pending:
                 continue
+            idle_seconds = (
+                SCARCE_IDLE_SECONDS if program.is_scarce else IDLE_SECONDS
+            )
             if now - program.used_at > FORGET_SECONDS and not program.unwritten:
                 del self._programs[name]
-            elif now - program.used_at > IDLE_SECONDS and (
+            elif now - program.used_at > idle_seconds and (
                 program.unwritten or program.spare > 0
             ):
                 program.release_spare = True
