budgets: open programs in an outage of the store

Change: the first choice among all listed hosts opens a program that is new to it with half of its budget, and records it when the store is back (openers). Others that begin a program without a row count that half as spent; so does a process whose predecessor was lost, for as long as programs come back. A host that has joined, or that another one of higher rank has left, opens none in that time. Rows of hosts say since when their process runs and when one was lost (host_rows, taken out of peers; budget_rows, taken out of budgets). Whether the fleet starts for the first time comes from the settings.

--- a/src/endivepier/gateway/budget_state.py
+++ b/src/endivepier/gateway/budget_state.py
@@ -117,6 +117,10 @@
             reservations.
         release_spare: whether the next write releases the tokens that are
             held in advance.
+        assumed: tokens that count as spent while there is no row, since another
+            process may have granted them.
+        is_new: whether the program came to this host for the first time.
+        opened: tokens that this process may grant although there is no row.
         largest_turn: the most tokens that any turn here has requested.
         used_at: time of the last reservation or settlement, monotonic
             seconds.
@@ -137,6 +141,9 @@
     is_writing: bool = False
     needs_write: bool = False
     release_spare: bool = False
+    assumed: int = 0
+    is_new: bool = False
+    opened: int = 0
     largest_turn: int = 0
     used_at: float = 0.0
     turn_ended: gevent.event.Event = dataclasses.field(
--- a/src/endivepier/gateway/budgets.py
+++ b/src/endivepier/gateway/budgets.py
@@ -10,6 +10,9 @@
 tokens used are written with the next reservation, or once the program has been
 idle for some time.
 
+In an outage of the store, a program that has no row yet may be opened with a
+part of its budget (see `openers`), which is recorded when the store is back.
+
 A budget is exhausted once the turns that have ended used it up; the last turn
 may exceed it by its own length. If a turn does not fit only because of tokens
 that running turns have reserved, it waits for them to end.
@@ -17,17 +20,15 @@
 
 from __future__ import annotations
 
-import itertools
-
 import eliot
 import gevent
 import gevent.event
 
 from endivepier import errors
 from endivepier import timers as timers_lib
+from endivepier.gateway import budget_rows
 from endivepier.gateway import budget_state
-from endivepier.gateway import rows
-from endivepier.internal import codec
+from endivepier.gateway import openers as openers_lib
 from endivepier.storage import ports
 
 # When a program has been idle for this time, its process writes the tokens
@@ -54,7 +55,11 @@
     """
 
     def __init__(
-        self, holder: str, table: ports.Table, timers: timers_lib.Timers
+        self,
+        holder: str,
+        table: ports.Table,
+        timers: timers_lib.Timers,
+        openers: openers_lib.Openers | None = None,
     ) -> None:
         """Initializes without any budgets.
 
@@ -62,13 +67,14 @@
             holder: name of this process, a new one after each restart.
             table: stores the rows.
             timers: the timer service.
+            openers: tells which programs may begin in an outage of the store;
+                None if none may, at any process.
         """
         self.store_down = False
-        self._holder = holder
-        self._table = table
+        self._openers = openers
+        self._rows = budget_rows.BudgetRows(holder, table)
         self._timers = timers
         self._programs: dict[str, budget_state.Program] = {}
-        self._write_numbers = itertools.count(1)
         self._store_back = gevent.event.Event()
 
     def start(self) -> None:
@@ -92,17 +98,18 @@
         """
         tracked = self._programs.get(program)
         if tracked is None:
-            tracked = self._programs[program] = budget_state.Program(
-                program, budget
-            )
+            tracked = self._programs[program] = self._track(program, budget)
         tracked.used_at = self._timers.now()
         tracked.budget = budget
         tracked.release_spare = False
         tracked.largest_turn = max(tracked.largest_turn, max_tokens)
         reservation = budget_state.Reservation(max_tokens, tracked)
+        if self.store_down:
+            self._open(tracked)
         if tracked.spare >= max_tokens:
             tracked.active += max_tokens
             reservation.decide(budget_state.State.GRANTED)
+            self._start_writing(tracked)
             return reservation
         reservation.likely = self._is_likely(tracked, max_tokens, first)
         tracked.pending.append(reservation)
@@ -132,6 +139,42 @@
             program.active += reservation.max_tokens
             reservation.decide(budget_state.State.GRANTED)
 
+    def has_unrecorded(self) -> bool:
+        """Returns whether any program was opened and is not recorded yet."""
+        return any(program.opened for program in self._programs.values())
+
+    def _track(self, name: str, budget: int) -> budget_state.Program:
+        program = budget_state.Program(name, budget)
+        if self._openers is None:
+            return program
+        program.is_new = self._openers.is_new(name)
+        if program.is_new and self._openers.may_be_open(name):
+            program.assumed = budget // openers_lib.OPEN_DIVISOR
+            program.spent = program.assumed
+        return program
+
+    def _open(self, program: budget_state.Program) -> None:
+        """Begins a program without the store, if this process may do so."""
+        if self._openers is None or program.opened:
+            return
+        if not program.is_new or program.version is not None:
+            return
+        if not self._openers.may_open(program.name):
+            return
+        # A write whose outcome is unknown may leave a row with fewer tokens.
+        kept = [
+            attempt.tokens + attempt.used
+            for attempt in program.attempts.values()
+        ]
+        part = program.budget // openers_lib.OPEN_DIVISOR
+        program.opened = min([part, *kept])
+        program.held_here = program.opened
+        program.needs_write = True
+        eliot.log_message(
+            "budget.opened", program=program.name, tokens=program.opened
+        )
+        self._grant_spare(program)
+
     def _is_likely(
         self, program: budget_state.Program, max_tokens: int, first: bool
     ) -> bool:
@@ -161,6 +204,7 @@
                     backoff = FIRST_BACKOFF_SECONDS
                 except (errors.Unavailable, errors.OutcomeUnknown) as exc:
                     self._set_store_down(program, exc)
+                    self._open(program)
                     self._timers.wait(self._store_back, backoff)
                     backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
                     continue
@@ -219,12 +263,12 @@
         """
         was_read = bool(program.attempts)
         if was_read:
-            self._read(program)
+            self._rows.read(program)
         granted = self._affordable(program)
         if len(granted) < len(program.pending) and not was_read:
             # The known state may be stale or assumed, so the row is read
             # before any reservation is denied.
-            self._read(program)
+            self._rows.read(program)
             granted = self._affordable(program)
         if granted or program.needs_write:
             # An earlier write whose reply was lost may hold these tokens
@@ -232,7 +276,8 @@
             # to another turn during this write.
             program.promised = sum(r.max_tokens for r in granted)
             try:
-                self._commit(program, granted)
+                if self._rows.commit(program, granted):
+                    self._grant(program, granted)
             finally:
                 program.promised = 0
             return False
@@ -240,6 +285,17 @@
             self._deny(program)
         return bool(program.pending)
 
+    def _grant(
+        self,
+        program: budget_state.Program,
+        granted: list[budget_state.Reservation],
+    ) -> None:
+        for reservation in granted:
+            if reservation in program.pending:
+                program.pending.remove(reservation)
+                program.active += reservation.max_tokens
+                reservation.decide(budget_state.State.GRANTED)
+
     def _affordable(
         self, program: budget_state.Program
     ) -> list[budget_state.Reservation]:
@@ -254,131 +310,6 @@
                 granted.append(reservation)
         return granted
 
-    def _commit(
-        self,
-        program: budget_state.Program,
-        granted: list[budget_state.Reservation],
-    ) -> None:
-        used = program.unwritten
-        reserved = program.active + sum(r.max_tokens for r in granted)
-        available = program.budget - program.spent - used
-        available -= program.held_by_others + reserved
-        tokens = reserved + program.tokens_ahead(available)
-        number = next(self._write_numbers)
-        program.needs_write = False
-        key = rows.key(rows.BUDGETS, program.name)
-        usage = budget_state.Usage(
-            program.spent + used,
-            {
-                **program.others,
-                self._holder: budget_state.Held(tokens, number),
-            },
-        )
-        # Without a known row, none is assumed. If there is one, the write
-        # fails and the row is read.
-        condition: ports.Condition = ports.Absent(key)
-        if program.version:
-            condition = ports.VersionIs(key, program.version)
-        program.attempts[number] = budget_state.WriteAttempt(
-            program.version or 0, used, tokens
-        )
-        # Until the outcome is known, count only the tokens that this process
-        # holds whether or not the write takes effect.
-        program.held_here = min(program.held_here, tokens + used)
-        try:
-            version = self._table.transact(
-                ports.Transaction(
-                    (condition,), (ports.Put(key, codec.encode(usage)),)
-                )
-            )
-        except errors.OutcomeUnknown:
-            program.needs_write = True
-            raise
-        except (errors.ConditionFailed, errors.Unavailable) as exc:
-            program.needs_write = True
-            del program.attempts[number]
-            if isinstance(exc, errors.Unavailable):
-                raise
-            self._read(program)
-            return
-        self._apply(program, number, version, usage.spent)
-        eliot.log_message(
-            "budget.written",
-            program=program.name,
-            budget=program.budget,
-            spent=program.spent,
-            held=program.held_here,
-            held_elsewhere=program.held_by_others,
-            running=program.active,
-            granted=len(granted),
-            row_version=version,
-        )
-        for reservation in granted:
-            if reservation in program.pending:
-                program.pending.remove(reservation)
-                program.active += reservation.max_tokens
-                reservation.decide(budget_state.State.GRANTED)
-
-    def _apply(
-        self,
-        program: budget_state.Program,
-        number: int,
-        version: int,
-        spent: int,
-    ) -> None:
-        attempt = program.attempts[number]
-        # The row has a new version, so no earlier write can take effect.
-        program.attempts.clear()
-        program.version = version
-        program.spent = spent
-        program.unwritten -= attempt.used
-        program.held_here = attempt.tokens
-
-    def _read(self, program: budget_state.Program) -> None:
-        """Reads the row, which also tells whether a write took effect.
-
-        Raises:
-            errors.Unavailable: the row can't be read now.
-        """
-        row = self._table.get(rows.key(rows.BUDGETS, program.name))
-        if row is None:
-            self._use_row(program, 0, budget_state.Usage(0, {}), None)
-            program.others = {}
-            return
-        usage: budget_state.Usage = codec.decode(budget_state.Usage, row.value)
-        own = usage.held.get(self._holder)
-        if own is not None and own.write in program.attempts:
-            self._apply(program, own.write, row.version, usage.spent)
-        else:
-            self._use_row(program, row.version, usage, own)
-        program.others = {
-            holder: held
-            for holder, held in usage.held.items()
-            if holder != self._holder
-        }
-
-    def _use_row(
-        self,
-        program: budget_state.Program,
-        version: int,
-        usage: budget_state.Usage,
-        own: budget_state.Held | None,
-    ) -> None:
-        """Updates the state from a row that none of the attempts wrote.
-
-        Attempts on a former version can't take effect any more.
-        """
-        program.version = version
-        program.spent = usage.spent
-        program.held_here = 0 if own is None else own.tokens
-        for number, attempt in list(program.attempts.items()):
-            if attempt.version != version:
-                del program.attempts[number]
-            else:
-                program.held_here = min(
-                    program.held_here, attempt.tokens + attempt.used
-                )
-
     def _release_idle(self) -> None:
         """Releases tokens of idle programs and drops old programs.
 
--- a/src/endivepier/gateway/catalog.py
+++ b/src/endivepier/gateway/catalog.py
@@ -136,6 +136,13 @@
             return messages.ClientLimits()
         return self.declaration.limits
 
+    def retention(self) -> float:
+        """Returns for how long turns are stored at most, in seconds."""
+        if self.declaration is None:
+            return 0.0
+        retentions = (route.retention for route in self.declaration.routes)
+        return max(retentions, default=0.0)
+
     def route(self, host: str, path: bytes) -> model.Route | None:
         """Returns the host's route with the longest matching prefix, if any."""
         decoded_path = path.partition(b"?")[0].decode("latin-1")
--- /dev/null
+++ b/src/endivepier/gateway/host_rows.py
@@ -0,0 +1,207 @@
+"""The rows in the store by which the entry hosts know each other.
+
+Each process writes a row when it starts, and deletes it when it is told to
+stop. The row of a process that ended otherwise stays until its host starts
+again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+
+import eliot
+import gevent
+
+from endivepier import errors
+from endivepier import timers as timers_lib
+from endivepier.gateway import follower as follower_lib
+from endivepier.gateway import rows
+from endivepier.internal import codec
+from endivepier.storage import ports
+
+FIRST_ANNOUNCE_BACKOFF_SECONDS = 0.1
+MAX_ANNOUNCE_BACKOFF_SECONDS = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """The stored row of a process, by which other entry hosts reach it.
+
+    Attributes:
+        address: "ip:port" for other entry hosts.
+        data_centre: the data centre of the host.
+        since: when the process started, Unix seconds; 0 if the whole fleet
+            started for the first time.
+        lost_at: when it was found that a former process of the host had ended
+            without deleting its row, Unix seconds; 0 if none had.
+        has_left: whether the process has stopped. Such a row stays as long as
+            `lost_at` matters.
+    """
+
+    address: str
+    data_centre: str
+    since: float = 0.0
+    lost_at: float = 0.0
+    has_left: bool = False
+
+
+class HostRows:
+    """Writes this host's row and follows those of all hosts.
+
+    Attributes:
+        own: the row of this process.
+        listed: the rows of the hosts that have not left, by host.
+        entries: the last row of each host. Hosts whose row is deleted respond
+            until they stop.
+        left: the rows of hosts that have left.
+        departed: when a host was last found to have no row any more, or one
+            that says that it has left, monotonic seconds.
+        is_leaving: whether this process has been told to stop.
+        has_unrecorded: returns whether this process has granted something that
+            is recorded nowhere, so that its row must stay if it stops.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        own: Entry,
+        table: ports.Table,
+        feed: ports.Feed,
+        timers: timers_lib.Timers,
+        *,
+        is_first_start: bool = False,
+    ) -> None:
+        """Initializes without reading or writing anything.
+
+        Args:
+            host: name of this host.
+            own: address and data centre of this process.
+            table: stores the rows.
+            feed: tells of their changes.
+            timers: the timer service.
+            is_first_start: whether the whole fleet starts for the first time.
+        """
+        self.own = own
+        self.listed: dict[str, Entry] = {}
+        self.entries: dict[str, Entry] = {}
+        self.left: dict[str, Entry] = {}
+        self.departed: dict[str, float] = {}
+        self.is_leaving = False
+        self.has_unrecorded: Callable[[], bool] = lambda: False
+        self._host = host
+        self._table = table
+        self._timers = timers
+        self._is_first_start = is_first_start
+        self._is_announced = False
+        self._tasks: list[gevent.Greenlet] = []
+        self._listeners: list[Callable[[str], None]] = []
+        self._follower = follower_lib.Follower(
+            feed,
+            timers,
+            rows.HOSTS,
+            self._apply_snapshot,
+            self._apply_changes,
+            poll_seconds=follower_lib.SLOW_POLL_SECONDS,
+        )
+
+    def subscribe(self, callback: Callable[[str], None]) -> None:
+        """Calls `callback` with the name of each host that has a new row."""
+        self._listeners.append(callback)
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether this process is listed and knows the other hosts."""
+        return self._is_announced and self._follower.version is not None
+
+    def members(self) -> dict[str, Entry]:
+        """Returns the rows of all hosts, this one and those left included."""
+        return {**self.left, **self.listed, self._host: self.own}
+
+    def start(self) -> None:
+        """Starts to follow the rows and to write this process's own."""
+        self._follower.start()
+        self._tasks.append(gevent.spawn(self._announce))
+
+    def leave(self) -> None:
+        """Deletes this process's row, or marks it if it still matters."""
+        self.is_leaving = True
+        gevent.killall(self._tasks)
+        if self.has_unrecorded():
+            eliot.log_message("peers.row_kept", reason="unrecorded budgets")
+            return
+        key = rows.single_part_key(rows.HOSTS, self._host)
+        write: ports.Write = ports.Delete(key)
+        if self.own.lost_at:
+            left = dataclasses.replace(self.own, has_left=True)
+            write = ports.Put(key, codec.encode(left))
+        try:
+            self._table.transact(ports.Transaction((), (write,)))
+        except (errors.Unavailable, errors.OutcomeUnknown) as exc:
+            eliot.log_message("peers.not_deleted", reason=str(exc))
+
+    def stop(self) -> None:
+        """Stops following the rows."""
+        self._follower.stop()
+        gevent.killall(self._tasks)
+
+    def _announce(self) -> None:
+        key = rows.single_part_key(rows.HOSTS, self._host)
+        backoff = FIRST_ANNOUNCE_BACKOFF_SECONDS
+        is_known = self._is_announced
+        while True:
+            try:
+                if not is_known:
+                    self.own = self._follow_up(self._table.get(key))
+                    is_known = True
+                put = ports.Put(key, codec.encode(self.own))
+                self._table.transact(ports.Transaction((), (put,)))
+                self._is_announced = True
+                return
+            except (errors.Unavailable, errors.OutcomeUnknown) as exc:
+                eliot.log_message("peers.not_announced", reason=str(exc))
+            self._timers.sleep(backoff)
+            backoff = min(backoff * 2, MAX_ANNOUNCE_BACKOFF_SECONDS)
+
+    def _follow_up(self, before: ports.Row | None) -> Entry:
+        """Returns this process's row, given the one that is stored now."""
+        if before is None and self._is_first_start:
+            return self.own
+        now = self._timers.wall()
+        lost_at = 0.0
+        if before is not None:
+            entry: Entry = codec.decode(Entry, before.value)
+            lost_at = entry.lost_at if entry.has_left else now
+        return dataclasses.replace(self.own, since=now, lost_at=lost_at)
+
+    def _apply_snapshot(self, changes: ports.Changes) -> None:
+        listed_before = set(self.listed)
+        self.listed.clear()
+        self.left.clear()
+        self._apply_changes(changes)
+        for host in listed_before - set(self.listed):
+            self.departed[host] = self._timers.now()
+
+    def _apply_changes(self, changes: ports.Changes) -> None:
+        for key in changes.removed:
+            host = key.rpartition("/")[2]
+            self.listed.pop(host, None)
+            self.left.pop(host, None)
+            self.departed[host] = self._timers.now()
+            if host == self._host and not self.is_leaving:
+                # The row was deleted late by this host's previous process.
+                self._tasks.append(gevent.spawn(self._announce))
+        for row in changes.rows:
+            host = row.key.rpartition("/")[2]
+            entry: Entry = codec.decode(Entry, row.value)
+            if entry.has_left:
+                self.listed.pop(host, None)
+                self.left[host] = entry
+                self.departed[host] = self._timers.now()
+                if host == self._host and not self.is_leaving:
+                    self._tasks.append(gevent.spawn(self._announce))
+                continue
+            self.left.pop(host, None)
+            self.listed[host] = self.entries[host] = entry
+            for callback in self._listeners:
+                callback(host)
--- /dev/null
+++ b/src/endivepier/gateway/openers.py
@@ -0,0 +1,136 @@
+"""Decides which host may begin a program without the store.
+
+A program's budget is kept in a row of the store. In an outage, one host may
+open a program with a part of its budget, and record it when the store is back.
+It can't see whether there is a row, and if it is lost before the store is back,
+nobody knows what it granted. So that the budget holds whatever is lost:
+
+* Only the first choice among all listed hosts opens a program, whether or not
+  the others respond to it. It has been the first choice for as long as programs
+  come back, and knows all that have come to it.
+* Any other host that begins a program counts that part as spent.
+* So does a process whose predecessor ended without recording everything.
+* A host that has joined asks the same of the next choices, down to the first
+  one that was there before: one of them was the first choice until then.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from endivepier import timers as timers_lib
+from endivepier.gateway import peers as peers_lib
+from endivepier.internal import rendezvous
+
+# The part of a budget that may be granted without a row is 1 / OPEN_DIVISOR. It
+# carries most programs to their end, and so does the rest.
+OPEN_DIVISOR = 2
+# After this, the other hosts know that a host has joined, and what they opened
+# in an outage that has ended is recorded.
+SETTLE_SECONDS = 3.0
+CLOCK_MARGIN_SECONDS = 10.0  # the hosts' clocks may differ by some seconds
+MAX_PROGRAMS = 50_000  # that are remembered; an entry takes some 150 bytes
+
+
+class Openers:
+    """Knows which programs this host may open, and which others may have."""
+
+    def __init__(
+        self,
+        host: str,
+        peers: peers_lib.Peers,
+        timers: timers_lib.Timers,
+        retention: Callable[[], float],
+    ) -> None:
+        """Initializes.
+
+        Args:
+            host: name of this host.
+            peers: the other hosts.
+            timers: the timer service.
+            retention: returns for how long a program may come back, in seconds.
+        """
+        self._host = host
+        self._peers = peers
+        self._timers = timers
+        self._retention = retention
+        self._started_at = timers.now()
+        # When each program came here first, monotonic seconds; oldest first.
+        self._programs: dict[str, float] = {}
+        # Until when programs that were dropped from it may come back.
+        self._forgot_until = float("-inf")
+
+    def is_new(self, program: str) -> bool:
+        """Returns whether a program has come here for the first time.
+
+        From then on the program is known.
+        """
+        now = self._timers.now()
+        horizon = self._horizon()
+        while self._programs:
+            oldest, at = next(iter(self._programs.items()))
+            if now - at < horizon and len(self._programs) < MAX_PROGRAMS:
+                break
+            del self._programs[oldest]
+            self._forgot_until = max(self._forgot_until, at + horizon)
+        known = self._programs.pop(program, None) is not None
+        self._programs[program] = now
+        return not known
+
+    def may_open(self, program: str) -> bool:
+        """Returns whether this host may begin a program that is new here."""
+        rows = self._peers.rows
+        if rows.is_leaving or not rows.is_settled:
+            return False
+        own = rows.own
+        if self._is_recent(own.since) or self._is_recent(own.lost_at):
+            return False
+        now = self._timers.now()
+        if now < self._forgot_until:
+            return False
+        departed = {
+            host
+            for host, at in rows.departed.items()
+            if now - at < self._horizon()
+        }
+        names = {*rows.members(), *departed, self._host}
+        return rendezvous.choose(program, names) == self._host
+
+    def may_be_open(self, program: str) -> bool:
+        """Returns whether a process that is lost may have opened a program.
+
+        To be asked for a program that is new here.
+        """
+        rows = self._peers.rows
+        if not rows.is_settled:
+            return True
+        members = rows.members()
+        is_first = True
+        for name in rendezvous.rank(program, members, len(members)):
+            member = members[name]
+            if self._is_recent(member.lost_at):
+                return True
+            if member.has_left:
+                continue
+            if name != self._host:
+                if is_first or not self._peers.is_available(name):
+                    return True
+            elif self._is_joining():
+                return True
+            is_first = False
+            if not self._is_recent(member.since):
+                return False
+        return False
+
+    def _is_recent(self, at: float) -> bool:
+        """Returns whether programs of a Unix time may still come back."""
+        return self._timers.wall() - at < self._horizon()
+
+    def _horizon(self) -> float:
+        return self._retention() + CLOCK_MARGIN_SECONDS
+
+    def _is_joining(self) -> bool:
+        """Returns whether other hosts may not know this process yet."""
+        if not self._peers.rows.own.since:
+            return False
+        return self._timers.now() - self._started_at < SETTLE_SECONDS
--- a/src/endivepier/gateway/peers.py
+++ b/src/endivepier/gateway/peers.py
@@ -1,8 +1,8 @@
 """Discovery of the other entry hosts, and requests to them.
 
-Each process writes a row with its address when it starts, and deletes it when
-it is told to stop. The row of a crashed process stays until its host starts
-again, so a peer that fails a request is avoided, for longer each time.
+Hosts are known by their rows (see `host_rows`). The row of a crashed process
+stays until its host starts again, so a peer that fails a request is avoided,
+for longer each time.
 
 Some operations may take long to complete. If the response to one is late, a
 short probe on another connection tells whether the peer still responds at all.
@@ -21,10 +21,9 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.gateway import departures as departures_lib
-from endivepier.gateway import follower as follower_lib
+from endivepier.gateway import host_rows as host_rows_lib
 from endivepier.gateway import limit_reports as limit_reports_lib
 from endivepier.gateway import load_reports
-from endivepier.gateway import rows
 from endivepier.gateway import suspects as suspects_lib
 from endivepier.gateway import target_rates
 from endivepier.http1 import buffers as buffers_lib
@@ -34,8 +33,6 @@
 from endivepier.http1 import pool as pool_lib
 from endivepier.http1 import responding
 from endivepier.http1 import server as server_lib
-from endivepier.internal import codec
-from endivepier.storage import ports
 
 # Some ten times the latency between two data centres.
 REQUEST_TIMEOUT_SECONDS = 0.08
@@ -46,8 +43,6 @@
 # News that can't wait for the next message are collected for this long.
 NEWS_DELAY_SECONDS = 0.02
 MAX_TOLD = 100  # hosts that get such news at once; they pass it on
-FIRST_ANNOUNCE_BACKOFF_SECONDS = 0.1
-MAX_ANNOUNCE_BACKOFF_SECONDS = 2.0
 
 # Headers with the name of the host that sends a request, and with the load
 # report, the known departures, the targets that exceeded a limit, the rates
@@ -76,29 +71,19 @@
     seconds: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Entry:
-    """The stored row of a process, by which other entry hosts reach it."""
-
-    address: str
-    data_centre: str
-
-
 class Peers:
     """Sends requests to the other entry hosts, and serves theirs.
 
     Attributes:
         last_contact_at: when a request or a response of a peer last arrived,
             monotonic seconds.
-        is_leaving: whether this process has been told to stop.
+        rows: the rows of all hosts.
     """
 
     def __init__(
         self,
         host: str,
-        own_entry: Entry,
-        table: ports.Table,
-        feed: ports.Feed,
+        host_rows: host_rows_lib.HostRows,
         timers: timers_lib.Timers,
         reports: load_reports.LoadReports,
         departures: departures_lib.Departures,
@@ -112,30 +97,17 @@
         self._limit_reports = limit_reports
         self._rates = rates
         self._suspects = suspects
-        self._own_entry = own_entry
-        self._table = table
+        self.rows = host_rows
         self._timers = timers
-        self.is_leaving = False
-        self._listed: set[str] = set()  # hosts that have a row
-        # Keeps hosts whose row is deleted: they respond until they stop.
-        self._entries: dict[str, Entry] = {}
         self.last_contact_at = float("-inf")
         self._backoffs: dict[str, Backoff] = {}
         self._pool = pool_lib.Pool(timers)
         self._buffers = buffers_lib.Buffers()
         self._is_telling = False
         self._handlers: dict[str, Handler] = {PROBE: lambda _: b"{}"}
-        self._tasks: list[gevent.Greenlet] = []
-        self._follower = follower_lib.Follower(
-            feed,
-            timers,
-            rows.HOSTS,
-            self._apply_snapshot,
-            self._apply_changes,
-            poll_seconds=follower_lib.SLOW_POLL_SECONDS,
-        )
+        host_rows.subscribe(self._reset)
         self._server = server_lib.Server(
-            own_entry.address, self._serve, timers, messages.ClientLimits
+            host_rows.own.address, self._serve, timers, messages.ClientLimits
         )
 
     def register(self, operation: str, handler: Handler) -> None:
@@ -147,42 +119,39 @@
         """Address at which this process listens for other hosts."""
         return self._server.address
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this process has been told to stop."""
+        return self.rows.is_leaving
+
     def start(self) -> None:
-        """Starts the server, follows all hosts' rows and writes its own."""
+        """Starts the server, and to follow and write the rows of hosts."""
         self._server.start()
-        self._follower.start()
-        self._tasks.append(gevent.spawn(self._announce))
+        self.rows.start()
 
     def drain(self) -> None:
-        """Deletes this process's row; requests are still sent and served."""
-        self.is_leaving = True
-        gevent.killall(self._tasks)
-        key = rows.single_part_key(rows.HOSTS, self._host)
-        try:
-            self._table.transact(ports.Transaction((), (ports.Delete(key),)))
-        except (errors.Unavailable, errors.OutcomeUnknown) as exc:
-            eliot.log_message("peers.not_deleted", reason=str(exc))
+        """Withdraws this process's row; requests are still sent and served."""
+        self.rows.leave()
 
     def stop(self) -> None:
         """Stops the server and the follower of the rows."""
-        self._follower.stop()
-        gevent.killall(self._tasks)
+        self.rows.stop()
         self._server.stop()
 
     def is_available(self, host: str) -> bool:
         """Returns whether `host` is another host, listed and not avoided."""
-        if host not in self._listed or host == self._host:
+        if host not in self.rows.listed or host == self._host:
             return False
         backoff = self._backoffs.get(host)
         return backoff is None or backoff.until <= self._timers.now()
 
     def available_hosts(self) -> list[str]:
         """Returns the other hosts that are listed and not avoided."""
-        return [host for host in self._listed if self.is_available(host)]
+        return [host for host in self.rows.listed if self.is_available(host)]
 
     def other_hosts(self) -> list[str]:
         """Returns all listed hosts but this one, including avoided ones."""
-        return [host for host in self._listed if host != self._host]
+        return [host for host in self.rows.listed if host != self._host]
 
     def request(
         self,
@@ -197,7 +166,7 @@
             errors.PeerUnreachable: the host is unknown, or its response was
                 missing, late or unsuccessful.
         """
-        entry = self._entries.get(host)
+        entry = self.rows.entries.get(host)
         if entry is None:
             raise errors.PeerUnreachable(host, "unknown host", sent=False)
         try:
@@ -353,35 +322,7 @@
         ]
         responder.send(200, headers, body)
 
-    def _announce(self) -> None:
-        key = rows.single_part_key(rows.HOSTS, self._host)
-        txn = ports.Transaction(
-            (), (ports.Put(key, codec.encode(self._own_entry)),)
-        )
-        backoff = FIRST_ANNOUNCE_BACKOFF_SECONDS
-        while True:
-            try:
-                self._table.transact(txn)
-                return
-            except (errors.Unavailable, errors.OutcomeUnknown) as exc:
-                eliot.log_message("peers.not_announced", reason=str(exc))
-            self._timers.sleep(backoff)
-            backoff = min(backoff * 2, MAX_ANNOUNCE_BACKOFF_SECONDS)
-
-    def _apply_snapshot(self, changes: ports.Changes) -> None:
-        self._listed.clear()
-        self._apply_changes(changes)
-
-    def _apply_changes(self, changes: ports.Changes) -> None:
-        for key in changes.removed:
-            host = key.rpartition("/")[2]
-            self._listed.discard(host)
-            if host == self._host and not self.is_leaving:
-                # The row was deleted late by this host's previous process.
-                self._tasks.append(gevent.spawn(self._announce))
-        for row in changes.rows:
-            host = row.key.rpartition("/")[2]
-            self._listed.add(host)
-            self._entries[host] = codec.decode(Entry, row.value)
-            self._backoffs.pop(host, None)
-            self._pool.close_idle(host)
+    def _reset(self, host: str) -> None:
+        """Forgets the failures of a host that has started again."""
+        self._backoffs.pop(host, None)
+        self._pool.close_idle(host)
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -20,9 +20,11 @@
 from endivepier.gateway import dialect as dialect_lib
 from endivepier.gateway import exchange
 from endivepier.gateway import handler as handler_lib
+from endivepier.gateway import host_rows as host_rows_lib
 from endivepier.gateway import isolation
 from endivepier.gateway import limit_reports
 from endivepier.gateway import load_reports
+from endivepier.gateway import openers
 from endivepier.gateway import peers as peers_lib
 from endivepier.gateway import placement as placement_lib
 from endivepier.gateway import rate_tokens
@@ -73,6 +75,7 @@
         grace_seconds: time from SIGTERM until the process is killed.
         rate_tolerance: how many requests beyond its burst the operators
             accept for an account, over all hosts.
+        is_first_start: whether the whole fleet starts for the first time.
     """
 
     host: str
@@ -84,6 +87,7 @@
     metrics_listen: str
     grace_seconds: float
     rate_tolerance: float
+    is_first_start: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,13 +126,19 @@
             "catalog",
             catalog_lib.Catalog(store, adapters.decoder, timers, departures),
         )
+        host_rows = host_rows_lib.HostRows(
+            cfg.host,
+            host_rows_lib.Entry(cfg.peer_listen, cfg.data_centre),
+            adapters.table,
+            adapters.feed,
+            timers,
+            is_first_start=cfg.is_first_start,
+        )
         self.peers = self.kernel.register(
             "peers",
             peers_lib.Peers(
                 cfg.host,
-                peers_lib.Entry(cfg.peer_listen, cfg.data_centre),
-                adapters.table,
-                adapters.feed,
+                host_rows,
                 timers,
                 reports,
                 departures,
@@ -156,8 +166,17 @@
             self.renewals, self.catalog, self.peers, timers
         )
         self.ledger = self.kernel.register(
-            "budgets", budgets.Ledger(self.incarnation, store, timers)
+            "budgets",
+            budgets.Ledger(
+                self.incarnation,
+                store,
+                timers,
+                openers.Openers(
+                    cfg.host, self.peers, timers, self.catalog.retention
+                ),
+            ),
         )
+        host_rows.has_unrecorded = self.ledger.has_unrecorded
         self.budgets = self.kernel.register(
             "budget_owners",
             budget_owners.Budgets(cfg.host, self.ledger, self.peers, timers),
@@ -245,6 +264,7 @@
             data_centre=self.cfg.data_centre,
             listen=self.cfg.listen,
             pid=os.getpid(),
+            is_first_start=self.cfg.is_first_start,
         )
         self.ready_server.start()
         self.metrics_server.start()
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -287,6 +287,7 @@
                 metrics_listen="127.0.0.1:0",
                 grace_seconds=3.0,
                 rate_tolerance=0.0,
+                is_first_start=True,
             ),
             process.Adapters(
                 self.table, self.table, self._decoder, dialect.PlatformDialect()
--- a/tests/common/gateway_peers.py
+++ b/tests/common/gateway_peers.py
@@ -2,6 +2,8 @@
 
 from endivepier import errors
 
+AVOID_SECONDS = 1.0  # after a failed request
+
 
 class SimulatedPeers:
     """A `gateway.peers.Peers` that calls the other hosts' handlers directly.
@@ -27,6 +29,7 @@
         self.handlers = {}
         self.cut = False
         self.sees_no_peers = False
+        self.avoided_until = {}
         hosts[name] = self
 
     def register(self, operation, handler):
@@ -35,14 +38,18 @@
     def available_hosts(self):
         if self.sees_no_peers:
             return []
-        return [name for name in self.hosts if name != self.name]
+        return [name for name in self.hosts if self.is_available(name)]
 
     def is_available(self, host):
-        return host in self.hosts and host != self.name
+        if host == self.name or host not in self.hosts:
+            return False
+        until = self.avoided_until.get(host, 0.0)
+        return until <= self.timers.now()
 
     def request(self, host, operation, body, seconds=None):
         other = self.hosts[host]
         self.timers.sleep(self.request_seconds)
         if self.cut or other.cut:
+            self.avoided_until[host] = self.timers.now() + AVOID_SECONDS
             raise errors.PeerUnreachable(host, "cut", sent=True)
         return other.handlers[operation](body)
--- a/tests/cover/gateway/test_peers.py
+++ b/tests/cover/gateway/test_peers.py
@@ -9,6 +9,7 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.gateway import departures as departures_lib
+from endivepier.gateway import host_rows
 from endivepier.gateway import limit_reports
 from endivepier.gateway import load_reports
 from endivepier.gateway import peers as peers_lib
@@ -25,6 +26,7 @@
     """One host, which serves an immediate and a slow operation."""
 
     def __init__(self, name, table):
+        self.table = table
         self.timers = timers_lib.SystemTimers()
         self.departures = departures_lib.Departures(
             self.timers, metrics_lib.Metrics()
@@ -39,9 +41,13 @@
         self.reports.set_source(lambda: self.running)
         self.peers = peers_lib.Peers(
             name,
-            peers_lib.Entry("127.0.0.1:0", "a"),
-            table,
-            table,
+            host_rows.HostRows(
+                name,
+                host_rows.Entry("127.0.0.1:0", "a"),
+                table,
+                table,
+                self.timers,
+            ),
             self.timers,
             self.reports,
             self.departures,
@@ -61,7 +67,7 @@
         self.peers.start()
         gevent.sleep(0.05)
         address = self.peers.address
-        entry = codec.encode(peers_lib.Entry(address, "a"))
+        entry = codec.encode(host_rows.Entry(address, "a"))
         key = rows.single_part_key(rows.HOSTS, name)
         table.transact(ports.Transaction((), (ports.Put(key, entry),)))
 
@@ -129,7 +135,7 @@
     # A write without a response may take effect seconds later, such as the
     # previous process's deletion of the row.
     key = rows.single_part_key(rows.HOSTS, "h1")
-    table = hosts["h1"].peers._table
+    table = hosts["h1"].table
     version_before = table.get(key).version
     table.transact(ports.Transaction((), (ports.Delete(key),)))
     with gevent.Timeout(5):
