recent_programs: after a start, no program counts as one that begins late

Change: the time that a program has left is not recorded for 2.5 s after a start, since it may not be the time that it began with; what resumes a stream has begun.

--- a/src/endivepier/gateway/model.py
+++ b/src/endivepier/gateway/model.py
@@ -239,12 +239,13 @@
         The prompt of a first turn consists of a shared part and a part of its
         own. A later turn may also have two parts, with a longer last one, so
         this may be true for it, too. Prompts of sub-agents have more parts,
-        and tool calls have no budget.
+        and tool calls have no budget. What resumes a stream has begun before.
         """
         return (
             bool(self.program)
             and self.budget is not None
             and not self.previous
+            and self.last_event is None
             and len(self.parts) <= MAX_FIRST_TURN_PARTS
         )
 
--- a/src/endivepier/gateway/recent_programs.py
+++ b/src/endivepier/gateway/recent_programs.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 
+from endivepier import timers as timers_lib
 from endivepier.internal import bounded_map
 
 # A program that starts with a smaller fraction of its initial time than this
@@ -17,6 +18,9 @@
 # programs are given 1.5 to 2.7 times the duration on idle engines.
 ON_TIME_FRACTION = 0.85
 MAX_PROGRAMS = 20_000  # an entry takes some 200 bytes
+# For so long after a start, programs come back that had begun before. How much
+# time they had is unknown, so that none of them counts as beginning late.
+RETURN_SECONDS = 2.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,7 +40,9 @@
 class RecentPrograms:
     """The programs that sent requests last, by program id."""
 
-    def __init__(self) -> None:
+    def __init__(self, timers: timers_lib.Timers) -> None:
+        self._timers = timers
+        self._started_at = timers.now()
         self._programs: bounded_map.BoundedMap[ProgramInfo] = (
             bounded_map.BoundedMap(MAX_PROGRAMS)
         )
@@ -46,6 +52,8 @@
 
         The largest value recorded counts as the program's initial time.
         """
+        if self._timers.now() - self._started_at < RETURN_SECONDS:
+            return
         info = self._get_or_add(program)
         info.initial_seconds = max(info.initial_seconds, seconds_left)
 
--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/shares.py
@@ -93,7 +93,7 @@
         self._catalog = catalog
         self._peers = peers
         self._timers = timers
-        self._recent_programs = recent_programs.RecentPrograms()
+        self._recent_programs = recent_programs.RecentPrograms(timers)
         self.returns = share_returns.TokenReturns(
             renewals, self._recent_programs, peers, timers
         )
--- a/tests/common/engine_load.py
+++ b/tests/common/engine_load.py
@@ -79,7 +79,7 @@
         self.ends = Ends()
         # In production, hosts get both from the owners of budgets and accounts.
         self.last_targets = {}
-        self.recent_programs = recent_programs.RecentPrograms()
+        self.recent_programs = recent_programs.RecentPrograms(self.timers)
 
     def run(self, per_second, seconds):
         """Starts programs for `seconds`; returns how they ended."""
--- a/tests/cover/gateway/test_share_restarts.py
+++ b/tests/cover/gateway/test_share_restarts.py
@@ -8,6 +8,7 @@
 import pytest
 
 from endivepier.gateway import account_owners
+from endivepier.gateway import share_messages
 from endivepier.gateway import share_renewals
 from endivepier.gateway import shares
 from tests.common import gateway_parts
@@ -243,3 +244,26 @@
         in_time += ends.in_time
         assert window <= test_shares.allowed(gateway_parts.account(**SMALL))
     assert in_time >= 0.7 * begun
+
+
+# A program that had been under way was refused once, and then as one that
+# begins late, until it failed.
+def test_a_program_that_comes_back_after_all_hosts_restarted_is_not_late():
+    fleet = test_shares.Fleet(6, [gateway_parts.account()])
+
+    def main():
+        fleet.timers.sleep(20.0)
+        restart(fleet, list(fleet.hosts))
+        fleet.timers.sleep(0.5)
+        delayed = []
+        for left in (3.0, 2.0, 1.0):
+            fleet.timers.sleep(0.3)
+            req = share_messages.TokenRequest("p", left, may_begin=True)
+            host = fleet.hosts["h0"]
+            account = fleet.accounts["acme"]
+            admission = host.acquire(account, req)
+            host.returns.return_token(account, "p", began=True)
+            delayed.append(admission.delayed)
+        return delayed
+
+    assert fleet.timers.run(main) == [False, False, False]
