--- a/tests/cover/gateway/test_store_access.py
+++ b/tests/cover/gateway/test_store_access.py
@@ -425,3 +425,48 @@
         return store.is_failing()
 
     assert timers.run(main) is False
+
+
+class BusyTable:
+    """A table that refuses a share of the calls."""
+
+    def __init__(self, table, share, rng):
+        self._table = table
+        self._share = share
+        self._rng = rng
+
+    def __getattr__(self, name):
+        method = getattr(self._table, name)
+
+        def call(*args, **kwargs):
+            if self._rng.random() < self._share:
+                raise errors.Unavailable("status 503")
+            return method(*args, **kwargs)
+
+        return call
+
+
+# One refused call made its host avoid the store for half a second, as in an
+# outage.
+def test_a_store_that_refuses_some_calls_is_not_taken_for_unavailable(timers):
+    table = table_lib.MemoryTable(timers, random.Random(0))
+    busy = BusyTable(table, 0.3, random.Random(1))
+    peers = [FakePeers() for _ in range(2)]
+    stores = [make(timers, busy, peer) for peer in peers]
+    peers[0].other, peers[1].other = peers[1].handlers, peers[0].handlers
+    unavailable = failed = 0
+
+    def main():
+        nonlocal unavailable, failed
+        for number in range(400):
+            store = stores[number % 2]
+            unavailable += store.is_failing()
+            try:
+                store.get("t//a")
+            except errors.Unavailable:
+                failed += 1
+            timers.sleep(0.02)
+
+    timers.run(main)
+    assert failed <= 0.01 * 400
+    assert unavailable <= 0.1 * 400
