suspect_trials: an isolated host gives itself no turns

Cause: test_a_host_that_reaches_no_other_tries_nothing failed once the stand-in for peers avoided silent peers, as the real one does: a host that avoids all others chose itself to give the turns, so that several isolated hosts could each try a request that ends targets.

Change: a host without any available peer, but with listed ones, gives none.

Measured: the test fails before, and passes now.

--- a/src/endivepier/gateway/suspect_trials.py
+++ b/src/endivepier/gateway/suspect_trials.py
@@ -153,6 +153,8 @@
     def _ask(self, request: Begin) -> Begun:
         owner = self._owner()
         if owner == self._host:
+            if self._peers.other_hosts() and not self._peers.available_hosts():
+                return Begun(granted=False)  # others may think the same
             return self._begin(request)
         try:
             reply = self._peers.request(owner, BEGIN, codec.encode(request))
--- a/tests/common/gateway_peers.py
+++ b/tests/common/gateway_peers.py
@@ -40,6 +40,9 @@
             return []
         return [name for name in self.hosts if self.is_available(name)]
 
+    def other_hosts(self):
+        return [name for name in self.hosts if name != self.name]
+
     def is_available(self, host):
         if host == self.name or host not in self.hosts:
             return False
