--- a/src/endivepier/gateway/store_access.py
+++ b/src/endivepier/gateway/store_access.py
@@ -4,9 +4,6 @@
 it has a peer relay its calls. Relayed calls also distinguish the three outcomes
 done, certainly not done, and unknown.
 
-A busy store refuses some calls and serves others, so that a refused call is
-tried again at once.
-
 In an outage for all hosts, a direct call would only wait for its timeout. A
 circuit breaker therefore opens after several consecutive failures: one call at
 a time is sent as a trial, and the others fail at once. Calls of feeds bypass
@@ -36,10 +33,6 @@
 
 # How long the direct path, or a peer, is avoided after a failed call.
 SUSPECT_SECONDS = 0.5
-# Pauses before a refused call is tried again. What takes longer than a refusal
-# is not tried again here.
-RETRY_PAUSES_SECONDS = (0.01, 0.03)
-REFUSAL_SECONDS = 0.1
 # Consecutive failures that open the breaker: single responses may get lost.
 OUTAGE_FAILURES = 3
 # This many cut-off peers, without one that relays, count as an outage for all
@@ -237,23 +230,9 @@
         finally:
             self._probing = False
 
-    def _try(self, call: Callable[[], T]) -> T:
-        """Calls the store, several times if it refuses and was well before."""
-        for pause in RETRY_PAUSES_SECONDS:
-            if self._breaker_is_open():
-                break
-            started_at = self._timers.now()
-            try:
-                return call()
-            except errors.Unavailable:
-                if self._timers.now() - started_at > REFUSAL_SECONDS:
-                    raise
-            self._timers.sleep(pause)
-        return call()
-
     def _call(self, call: Callable[[], T]) -> T:
         try:
-            result = self._try(call)
+            result = call()
         except (errors.Unavailable, errors.OutcomeUnknown) as exc:
             self._direct_suspect_until = self._timers.now() + SUSPECT_SECONDS
             self._consecutive_failures += 1
