turns: write a turn to a second part if the first is refused

Cause: a store that is partly busy refuses all calls to some of its parts.

Change: a turn has two parts that it may be in; readers look into both, and it doesn't exist only if neither has it. While a call succeeded in the last 0.25 s, the store doesn't count as unavailable.

--- a/src/endivepier/gateway/rows.py
+++ b/src/endivepier/gateway/rows.py
@@ -18,9 +18,15 @@
 TURNS = "turns"
 
 
-def key(table: str, name: str) -> str:
-    """Returns the key of a row in the part that its name hashes to."""
-    part = xxhash.xxh32_intdigest(name.encode()) % PARTS
+def key(table: str, name: str, *, shift: int = 0) -> str:
+    """Returns the key of a row in the part that its name hashes to.
+
+    Args:
+        table: the table.
+        name: name of the row.
+        shift: the number of parts to go on from that part.
+    """
+    part = (xxhash.xxh32_intdigest(name.encode()) + shift) % PARTS
     return f"{table}/{part:02x}/{name}"
 
 
--- a/src/endivepier/gateway/store_access.py
+++ b/src/endivepier/gateway/store_access.py
@@ -38,6 +38,8 @@
 # This many cut-off peers, without one that relays, count as an outage for all
 # hosts. Fewer do not, since the store may reject a third of the hosts.
 OUTAGE_PEERS = 3
+# While a call succeeded so recently, only some parts of the store are refused.
+SERVED_SECONDS = 0.25
 MAX_RELAY_ATTEMPTS = OUTAGE_PEERS  # peers tried for one call
 POLL_SECONDS = 0.1  # how often a waiting call checks for a working path
 # Timeout of a relayed call, which usually takes a few milliseconds; shorter
@@ -72,6 +74,7 @@
         self._rng = rng
         self._peers: peers_lib.Peers | None = None
         self._direct_suspect_until = 0.0
+        self._succeeded_at = float("-inf")
         # Until when peers that could not reach the store are avoided.
         self._cut_off: dict[str, float] = {}
         self._relayed_at = float("-inf")
@@ -92,6 +95,8 @@
     def is_unavailable(self) -> bool:
         """Returns whether neither path has worked recently."""
         now = self._timers.now()
+        if now - self._succeeded_at < SERVED_SECONDS:
+            return False
         if self._direct_suspect_until <= now and not self._breaker_is_open():
             return False
         return not self._relay_hosts()
@@ -242,6 +247,7 @@
                 eliot.log_message("store.turned_away", reason=str(exc))
             raise
         self._direct_suspect_until = 0.0
+        self._succeeded_at = self._timers.now()
         self._consecutive_failures = 0
         self._recovered.set()
         if self.unreachable_since is not None:
--- a/src/endivepier/gateway/turns.py
+++ b/src/endivepier/gateway/turns.py
@@ -7,6 +7,10 @@
 last, and a turn without its first row doesn't exist, so that readers see a
 turn as a whole or not at all.
 
+The store may refuse some parts of a table while it serves others. A turn whose
+part is refused is written to a second one. A turn doesn't exist if it is in
+neither.
+
 A turn is durable before the client has received the whole response: `streams`
 ends the response only after `TurnStore.commit` has returned.
 """
@@ -15,6 +19,7 @@
 
 import collections
 import dataclasses
+import itertools
 
 import eliot
 
@@ -33,6 +38,7 @@
 # Turns are kept this much longer than their retention, since a turn that
 # continues them may still be running.
 RETENTION_MARGIN_SECONDS = 30.0
+SECOND_PART_SHIFT = rows.PARTS // 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,17 +116,7 @@
                 time.
         """
         started_at = self._timers.now()
-        pieces = _split(turn)
-        keys = [_key(turn.id, number) for number in range(len(pieces))]
-        puts = [
-            ports.Put(key, piece)
-            for key, piece in zip(keys, pieces, strict=True)
-        ]
-        for end in range(len(puts), 0, -MAX_TRANSACTION_ROWS):
-            batch = tuple(puts[max(end - MAX_TRANSACTION_ROWS, 0) : end])
-            self._write_with_retries(
-                turn, ports.Transaction((), batch), deadline
-            )
+        keys = self._write_with_retries(turn, deadline)
         expires = self._timers.now() + retention + RETENTION_MARGIN_SECONDS
         self._expirations.append((expires, keys))
         self._cache_turn(turn)
@@ -132,31 +128,66 @@
             seconds=round(self._timers.now() - started_at, 4),
         )
 
-    def _write_with_retries(
-        self, turn: Turn, txn: ports.Transaction, deadline: float
-    ) -> None:
+    def _write_with_retries(self, turn: Turn, deadline: float) -> list[str]:
+        """Writes a turn to one of its parts.
+
+        Returns:
+            The keys of the rows that it may have written, in either part.
+        """
+        prefixes = _prefixes(turn.id)
+        keys: set[str] = set()
         backoff = FIRST_BACKOFF_SECONDS
-        while True:
+        for tries in itertools.count(1):
             try:
-                self._table.transact(txn)
-                return
+                keys.update(self._write(turn, prefixes[(tries - 1) % 2]))
+                break
             except (errors.Unavailable, errors.OutcomeUnknown) as exc:
+                if isinstance(exc, errors.OutcomeUnknown):
+                    keys.update(_keys(turn, prefixes[(tries - 1) % 2]))
                 if self._timers.now() + backoff >= deadline:
                     raise errors.OutcomeUnknown(
                         f"turn {turn.id} was not confirmed by the store: {exc}"
                     ) from exc
-            self._timers.sleep(backoff)
-            backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+            if tries % 2 == 0:
+                self._timers.sleep(backoff)
+                backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+        return sorted(keys)
+
+    def _write(self, turn: Turn, prefix: str) -> list[str]:
+        keys = _keys(turn, prefix)
+        puts = [
+            ports.Put(key, piece)
+            for key, piece in zip(keys, _split(turn), strict=True)
+        ]
+        for end in range(len(puts), 0, -MAX_TRANSACTION_ROWS):
+            batch = tuple(puts[max(end - MAX_TRANSACTION_ROWS, 0) : end])
+            self._table.transact(ports.Transaction((), batch))
+        return keys
 
     def _read(self, turn_id: str) -> Turn | None:
-        prefix = _key(turn_id, 0)[:-1]
-        values_by_key = {row.key: row.value for row in self._table.scan(prefix)}
-        first = values_by_key.get(_key(turn_id, 0))
-        if first is None:
-            return None
-        account, count, history = first.split(b"\n", 2)
-        rest = [values_by_key[_key(turn_id, n)] for n in range(1, int(count))]
-        return Turn(turn_id, account.decode(), b"".join([history, *rest]))
+        """Reads a turn from the part that has it.
+
+        Raises:
+            errors.Unavailable: one part can't be read, and the other one does
+                not have the turn.
+        """
+        unavailable: errors.Unavailable | None = None
+        for prefix in _prefixes(turn_id):
+            try:
+                rows_found = self._table.scan(prefix)
+            except errors.Unavailable as exc:
+                unavailable = exc
+                continue
+            values = {row.key: row.value for row in rows_found}
+            first = values.get(f"{prefix}0")
+            if first is None:
+                continue
+            account, count, history = first.split(b"\n", 2)
+            rest = [values[f"{prefix}{n}"] for n in range(1, int(count))]
+            return Turn(turn_id, account.decode(), b"".join([history, *rest]))
+        if unavailable is not None:
+            raise unavailable
+        return None
 
     def _cache_turn(self, turn: Turn) -> None:
         replaced = self._cache.pop(turn.id, None)
@@ -191,9 +222,16 @@
                 self._expirations.append((now + DELETE_INTERVAL_SECONDS, keys))
 
 
-def _key(turn_id: str, number: int) -> str:
-    """Returns the key of one of a turn's rows, which are all in one part."""
-    return f"{rows.key(rows.TURNS, turn_id)}.{number}"
+def _prefixes(turn_id: str) -> tuple[str, str]:
+    """Returns what the keys of a turn's rows begin with, in either part."""
+    return (
+        f"{rows.key(rows.TURNS, turn_id)}.",
+        f"{rows.key(rows.TURNS, turn_id, shift=SECOND_PART_SHIFT)}.",
+    )
+
+
+def _keys(turn: Turn, prefix: str) -> list[str]:
+    return [f"{prefix}{number}" for number in range(len(_split(turn)))]
 
 
 def _split(turn: Turn) -> list[bytes]:
--- a/tests/cover/gateway/test_turns.py
+++ b/tests/cover/gateway/test_turns.py
@@ -2,6 +2,7 @@
 import pytest
 
 from endivepier import errors
+from endivepier.gateway import rows
 from endivepier.gateway import turns
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
@@ -92,3 +93,57 @@
     monkeypatch.setattr(table, "transact", commit_one_part)
     timers.advance(120.0)
     assert not table.peek("turns/")
+
+
+class PartlyBusyTable:
+    """Refuses all calls to some parts of a table."""
+
+    def __init__(self, table, refused):
+        self.table = table
+        self.refused = refused
+
+    def _check(self, key):
+        if key.split("/")[1] in self.refused:
+            raise errors.Unavailable("status 503")
+
+    def transact(self, txn):
+        self._check(txn.writes[0].key)
+        return self.table.transact(txn)
+
+    def scan(self, prefix, **options):
+        self._check(prefix)
+        return self.table.scan(prefix, **options)
+
+
+# While a third of the store was busy, a third of the turns broke off at their
+# end, after two seconds.
+def test_turns_are_stored_while_parts_of_the_store_are_busy(timers, table):
+    parts = [f"{part:02x}" for part in range(rows.PARTS)]
+    busy = PartlyBusyTable(table, set(parts[: rows.PARTS // 2 : 2]))
+    for number in range(50):
+        turn = turns.Turn(f"t{number}", "a", b"x")
+        deadline = timers.now() + 0.5
+        timers.run(turns.TurnStore(busy, timers).commit, turn, 60.0, deadline)
+        found = timers.run(turns.TurnStore(busy, timers).find, turn.id, "a")
+        assert found == turn
+    for refused in (set(), set(parts[rows.PARTS // 2 :])):
+        busy.refused = refused
+        for number in range(50):
+            store = turns.TurnStore(busy, timers)
+            try:
+                found = timers.run(store.find, f"t{number}", "a")
+            except errors.Unavailable:
+                assert refused
+            else:
+                assert found is not None
+
+
+def test_a_turn_does_not_exist_if_neither_part_has_it(timers, table):
+    busy = PartlyBusyTable(table, set())
+    store = turns.TurnStore(busy, timers)
+    assert timers.run(store.find, "no", "a") is None
+    first, second = (key.split("/")[1] for key in turns._prefixes("no"))
+    for part in (first, second):
+        busy.refused = {part}
+        with pytest.raises(errors.Unavailable):
+            timers.run(store.find, "no", "a")
