store_access: open the breaker only if no call succeeds

Cause: while the store refuses some of its parts, three refusals in a row opened the breaker, and calls to the parts that are served failed, too.

--- a/src/endivepier/gateway/store_access.py
+++ b/src/endivepier/gateway/store_access.py
@@ -95,7 +95,7 @@
     def is_unavailable(self) -> bool:
         """Returns whether neither path has worked recently."""
         now = self._timers.now()
-        if now - self._succeeded_at < SERVED_SECONDS:
+        if self._served_recently():
             return False
         if self._direct_suspect_until <= now and not self._breaker_is_open():
             return False
@@ -138,7 +138,14 @@
 
     def _breaker_is_open(self) -> bool:
         """Returns whether the circuit breaker of the direct path is open."""
-        return self._consecutive_failures >= OUTAGE_FAILURES
+        return (
+            self._consecutive_failures >= OUTAGE_FAILURES
+            and not self._served_recently()
+        )
+
+    def _served_recently(self) -> bool:
+        """Returns whether a direct call has succeeded very recently."""
+        return self._timers.now() - self._succeeded_at < SERVED_SECONDS
 
     def get(self, key: str) -> ports.Row | None:
         """Returns a row; see `storage.ports.Table.get`."""
