openers: a suspended process reads the rows of hosts before it opens programs

Cause: read in the code: a host that is suspended through the end of an outage and the joining of another host would, when it wakes, still take itself for the first choice of programs that are the other's now, and open them with half of their budgets on top of the rows.

Change: a gap of more than a second between ticks counts as a suspension; programs are opened only after the rows of hosts were read since.

Measured: the test of it fails without the check (may_open is true).

--- a/src/endivepier/gateway/budgets.py
+++ b/src/endivepier/gateway/budgets.py
@@ -316,6 +316,8 @@
         Not in an outage: after a write that may have taken effect, only what is
         held in either case can be granted.
         """
+        if self._openers is not None:
+            self._openers.tick()
         if self.store_down:
             return
         now = self._timers.now()
--- a/src/endivepier/gateway/host_rows.py
+++ b/src/endivepier/gateway/host_rows.py
@@ -114,6 +114,12 @@
         """Whether this process is listed and knows the other hosts."""
         return self._is_announced and self._follower.version is not None
 
+    @property
+    def read_at(self) -> float:
+        """When the rows were last read, monotonic seconds."""
+        contact = self._follower.last_contact
+        return float("-inf") if contact is None else contact
+
     def members(self) -> dict[str, Entry]:
         """Returns the rows of all hosts, this one and those left included."""
         return {**self.left, **self.listed, self._host: self.own}
--- a/src/endivepier/gateway/openers.py
+++ b/src/endivepier/gateway/openers.py
@@ -7,7 +7,8 @@
 
 * Only the first choice among all listed hosts opens a program, whether or not
   the others respond to it. It has been the first choice for as long as programs
-  come back, and knows all that have come to it.
+  come back, and knows all that have come to it. If it was suspended, it reads
+  the rows of hosts first.
 * Any other host that begins a program counts that part as spent.
 * So does a process whose predecessor ended without recording everything.
 * A host that has joined asks the same of the next choices, down to the first
@@ -29,6 +30,7 @@
 # in an outage that has ended is recorded.
 SETTLE_SECONDS = 3.0
 CLOCK_MARGIN_SECONDS = 10.0  # the hosts' clocks may differ by some seconds
+SUSPENDED_SECONDS = 1.0  # without a tick, the process was suspended
 MAX_PROGRAMS = 50_000  # that are remembered; an entry takes some 150 bytes
 
 
@@ -55,6 +57,8 @@
         self._timers = timers
         self._retention = retention
         self._started_at = timers.now()
+        self._ticked_at = self._started_at
+        self._awake_since = float("-inf")  # since the last suspension
         # When each program came here first, monotonic seconds; oldest first.
         self._programs: dict[str, float] = {}
         # Until when programs that were dropped from it may come back.
@@ -77,11 +81,21 @@
         self._programs[program] = now
         return not known
 
+    def tick(self) -> None:
+        """Notes that the process runs; to be called several times a second."""
+        now = self._timers.now()
+        if now - self._ticked_at > SUSPENDED_SECONDS:
+            self._awake_since = now
+        self._ticked_at = now
+
     def may_open(self, program: str) -> bool:
         """Returns whether this host may begin a program that is new here."""
         rows = self._peers.rows
         if rows.is_leaving or not rows.is_settled:
             return False
+        self.tick()
+        if rows.read_at < self._awake_since:
+            return False
         own = rows.own
         if self._is_recent(own.since) or self._is_recent(own.lost_at):
             return False
