--- a/src/endivepier/gateway/share_rows.py
+++ b/src/endivepier/gateway/share_rows.py
@@ -12,8 +12,6 @@
 from endivepier.gateway import starts as starts_lib
 from endivepier.limits import bucket as bucket_lib
 
-IDLE_REQUESTS_PER_SECOND = 0.5  # below it a host lends all of its tokens
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Entry:
@@ -99,33 +97,6 @@
             now, self.fraction if now < self.lease_until else 0.0
         )
 
-    def take_token(self, program: str, now: float) -> float:
-        """Takes a token for a request of a program, if it may have one.
-
-        Returns:
-            How many tokens are missing for that; 0 if it was taken.
-        """
-        kept = self.start_limiter.tokens_for_others(program, now, self.bucket)
-        missing = 1.0 + kept - self.bucket.level
-        if missing > bucket_lib.ROUNDING_TOLERANCE:
-            return missing
-        self.bucket.level -= 1.0
-        return 0.0
-
-    def spare_tokens(self, program: str, now: float, *, own_use: bool) -> int:
-        """Returns how many tokens may be lent for requests of a program.
-
-        Args:
-            program: the program.
-            now: the current time, monotonic seconds.
-            own_use: whether to keep one for the next request here, unless this
-                host is idle.
-        """
-        kept = self.start_limiter.tokens_for_others(program, now, self.bucket)
-        if own_use and self.bucket.demand(now) > IDLE_REQUESTS_PER_SECOND:
-            kept += 1.0
-        return max(0, int(self.bucket.level - kept))
-
     def update_elsewhere(self, now: float) -> bucket_lib.Bucket:
         """Updates the estimate of the other owners' tokens and returns it."""
         fraction = 1.0 - self.fraction
--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/shares.py
@@ -60,6 +60,7 @@
 # For this long after another host with a share replied, the account counts as
 # one with an owner: a host that has just lent nothing is not asked again.
 OWNER_SEEN_SECONDS = 0.5
+IDLE_REQUESTS_PER_SECOND = 0.5  # below it a host lends all of its tokens
 BORROW_PAUSE_SECONDS = 0.1  # before a peer that lent nothing is asked again
 
 
@@ -235,8 +236,7 @@
                 now, share.bucket, elsewhere=elsewhere, delayed=delayed
             )
         has_room = not retry_after
-        missing = share.take_token(req.program, now) if has_room else 0.0
-        if has_room and not missing:
+        if has_room and share.bucket.take_token():
             self._record_admission(share, req.program, now)
             return share_messages.Admission(None, begins, delayed, has_room)
         if has_room:
@@ -244,7 +244,7 @@
             if elsewhere is not None:
                 refill = account.rate
                 elsewhere.level = max(elsewhere.level - 1.0, 0.0)
-            retry_after = missing / max(refill, 1e-3)
+            retry_after = (1.0 - share.bucket.level) / max(refill, 1e-3)
         retry_after = min(retry_after, MAX_RETRY_SECONDS)
         return share_messages.Admission(retry_after, begins, delayed, has_room)
 
@@ -373,10 +373,12 @@
         now = self._timers.now()
         share.start_limiter.record_request(req.program, now)
         share.update_bucket(now)
-        spare = share.spare_tokens(
-            req.program, now, own_use=not self._owners.has_single_home(account)
-        )
-        tokens = min(borrow.tokens, spare)
+        # Unless this host is idle, one token stays for its own next request.
+        demand = share.bucket.demand(now)
+        kept = 1.0 if demand > IDLE_REQUESTS_PER_SECOND else 0.0
+        if self._owners.has_single_home(account):
+            kept = 0.0
+        tokens = max(0, min(borrow.tokens, int(share.bucket.level - kept)))
         if not tokens:
             elsewhere = self._tokens_elsewhere(account, share, now)
             if elsewhere is not None:  # the sender asks there next
--- a/src/endivepier/gateway/starts.py
+++ b/src/endivepier/gateway/starts.py
@@ -6,8 +6,7 @@
 tokens at hand, and those that are refilled within `HORIZON_SECONDS`, cover
 the requests that the running programs are expected to make, and its own.
 
-The expected number of requests is a moving average over ended programs. A program
-that makes far more, such as one that loops, leaves tokens to the others.
+The expected number of requests is a moving average over ended programs.
 """
 
 from __future__ import annotations
@@ -35,9 +34,6 @@
 INITIAL_REQUESTS = 12.0
 INITIAL_REQUESTS_PER_SECOND = 10.0  # of one program
 NEWEST_WEIGHT = 0.1  # of the last ended program in the moving averages
-# Multiples of these averages from which on a program leaves tokens to others.
-MANY_REQUESTS_FACTOR = 4.0
-FAST_REQUESTS_FACTOR = 2.0
 MIN_RETRY_SECONDS = 0.1  # running programs take at least this long to end
 
 
@@ -95,27 +91,6 @@
         running.was_refused = False
         self._programs.move_to_end(program)
 
-    def tokens_for_others(
-        self, program: str, now: float, bucket: bucket_lib.Bucket
-    ) -> float:
-        """Returns how many tokens a request leaves to other programs.
-
-        They are enough for one program, but no more than half of the bucket,
-        if this program makes far more requests than others; else 0.
-        """
-        running = self._programs.get(program)
-        if running is None or running.requests < self._requests_per_program:
-            return 0.0
-        seconds = max(now - running.began_at, 0.1)
-        if (
-            running.requests < MANY_REQUESTS_FACTOR * self._requests_per_program
-            and running.requests / seconds
-            < FAST_REQUESTS_FACTOR * self._requests_per_second
-        ):
-            return 0.0
-        capacity = bucket.fraction * bucket.burst
-        return min(self._expected_requests(0), capacity / 2)
-
     def withdraw(self, program: str) -> None:
         """Subtracts an admitted request that was not sent to any target."""
         running = self._programs.get(program)
--- a/tests/cover/gateway/test_starts.py
+++ b/tests/cover/gateway/test_starts.py
@@ -2,8 +2,6 @@
 
 import random
 
-import pytest
-
 from endivepier.gateway import starts
 from endivepier.limits import bucket as bucket_lib
 from tests.common import gateway_parts
@@ -147,35 +145,3 @@
     for number in range(1000):
         limiter.record_admission(f"p{number}", number * 1.0)
     assert len(limiter._programs) <= starts.ENDED_AFTER_SECONDS + 1
-
-
-def run_program(limiter, name, requests, per_second):
-    """Admits requests of a program; returns the time of the last one."""
-    now = 0.0
-    for number in range(requests):
-        now = number / per_second
-        limiter.record_admission(name, now)
-    return now
-
-
-# A program that looped started sub-agents until its account had no token left,
-# and the others of the account were refused.
-@pytest.mark.parametrize(("requests", "per_second"), [(60, 8.0), (16, 40.0)])
-def test_a_program_that_makes_far_more_requests_leaves_tokens(
-    requests, per_second
-):
-    limiter = starts.StartLimiter()
-    now = run_program(limiter, "loop", requests, per_second)
-    kept = limiter.tokens_for_others("loop", now, bucket(30.0))
-    assert kept >= starts.INITIAL_REQUESTS
-    small = bucket(30.0)
-    small.burst = 10.0
-    assert limiter.tokens_for_others("loop", now, small) == 5.0
-
-
-@pytest.mark.parametrize(("requests", "per_second"), [(8, 10.0), (20, 12.0)])
-def test_a_usual_program_uses_all_tokens(requests, per_second):
-    limiter = starts.StartLimiter()
-    now = run_program(limiter, "p", requests, per_second)
-    assert limiter.tokens_for_others("p", now, bucket(1.0)) == 0.0
-    assert limiter.tokens_for_others("other", now, bucket(1.0)) == 0.0
