openers: open nothing beside processes of a former build

Cause: read in the code: during an upgrade, a former build's row has no start, was taken for one that was there from the first, and such a process writes rows as if no program had been opened.

Change: a row without a start is unknown, and nothing is opened beside one.

Measured: the new test fails before. Rows of both builds are read by both.

--- a/src/endivepier/gateway/host_rows.py
+++ b/src/endivepier/gateway/host_rows.py
@@ -32,7 +32,8 @@
         address: "ip:port" for other entry hosts.
         data_centre: the data centre of the host.
         since: when the process started, Unix seconds; 0 if the whole fleet
-            started for the first time.
+            started for the first time; None if it is a former build, which
+            does not tell.
         lost_at: when it was found that a former process of the host had ended
             without deleting its row, Unix seconds; 0 if none had.
         has_left: whether the process has stopped. Such a row stays as long as
@@ -41,7 +42,7 @@
 
     address: str
     data_centre: str
-    since: float = 0.0
+    since: float | None = None
     lost_at: float = 0.0
     has_left: bool = False
 
@@ -172,7 +173,7 @@
     def _follow_up(self, before: ports.Row | None) -> Entry:
         """Returns this process's row, given the one that is stored now."""
         if before is None and self._is_first_start:
-            return self.own
+            return dataclasses.replace(self.own, since=0.0)
         now = self._timers.wall()
         lost_at = 0.0
         if before is not None:
--- a/src/endivepier/gateway/openers.py
+++ b/src/endivepier/gateway/openers.py
@@ -99,6 +99,10 @@
         own = rows.own
         if self._is_recent(own.since) or self._is_recent(own.lost_at):
             return False
+        members = rows.members()
+        # Processes of a former build don't count what is opened as spent.
+        if any(member.since is None for member in members.values()):
+            return False
         now = self._timers.now()
         if now < self._forgot_until:
             return False
@@ -107,7 +111,7 @@
             for host, at in rows.departed.items()
             if now - at < self._horizon()
         }
-        names = {*rows.members(), *departed, self._host}
+        names = {*members, *departed, self._host}
         return rendezvous.choose(program, names) == self._host
 
     def may_be_open(self, program: str) -> bool:
@@ -136,9 +140,9 @@
                 return False
         return False
 
-    def _is_recent(self, at: float) -> bool:
+    def _is_recent(self, at: float | None) -> bool:
         """Returns whether programs of a Unix time may still come back."""
-        return self._timers.wall() - at < self._horizon()
+        return at is None or self._timers.wall() - at < self._horizon()
 
     def _horizon(self) -> float:
         return self._retention() + CLOCK_MARGIN_SECONDS
--- a/tests/cover/gateway/test_openers.py
+++ b/tests/cover/gateway/test_openers.py
@@ -23,7 +23,9 @@
         self.is_settled = True
         self.read_at = timers.now()
         self.departed = {}
-        self.by_host = {name: host_rows.Entry(name, "a") for name in NAMES}
+        self.by_host = {
+            name: host_rows.Entry(name, "a", since=0.0) for name in NAMES
+        }
         self.host = host
 
     @property
@@ -139,6 +141,12 @@
     assert world.openers.may_open("p")
 
 
+# Such a process writes rows as if no program had been opened.
+def test_nothing_is_opened_beside_a_process_of_a_former_build(world):
+    world.rows.change(world.second, since=None)
+    assert not world.openers.may_open("p")
+
+
 def test_a_program_is_new_once_as_long_as_it_may_come_back(world):
     assert world.openers.is_new("p")
     world.timers.advance(HORIZON_SECONDS - 1.0)
