--- a/src/endivepier/gateway/suspects.py
+++ b/src/endivepier/gateway/suspects.py
@@ -141,10 +141,8 @@
 
     def refused_seconds(self, content: str) -> float:
         """Returns for how long a request has been refused; 0 if it is not."""
-        refused_since = self._refused.get(content)
-        if refused_since is None:
-            return 0.0
-        return self._timers.now() - refused_since
+        now = self._timers.now()
+        return now - (self._refused.get(content) or now)
 
     def _lift(self, content: str) -> None:
         self._refused.drop(content)
@@ -268,18 +266,16 @@
 
     def _is_ignored(self, content: str) -> bool:
         since = self._ignored.get(content)
-        return since is not None and (
-            self._timers.now() - since < REFUSE_SECONDS
-        )
+        now = self._timers.now()
+        return since is not None and now - since < REFUSE_SECONDS
 
     def _refuse(
         self, content: str, since: float, source: str, **details: str
     ) -> None:
         history = self._ensure(content)
         now = self._timers.now()
-        if content in self._refused or since <= history.completed:
-            return
-        if self._is_ignored(content):
+        is_decided = content in self._refused or self._is_ignored(content)
+        if is_decided or since <= history.completed:
             return
         if now - since >= REFUSE_SECONDS:
             return
