Tests: a target that is down can't end once more

If two deadly requests are at one target, the stand-in crashed twice: it counted two ends, and the second try to listen failed in just that way.

Change: a crash while a target is down does nothing, and its port stays bound, so that nobody else gets it.

Measured: the new test counts two ends before and one now.

--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -51,10 +51,14 @@
         self.version = version
         self.received = []
         self.crashes = 0
+        self._placeholder = None
         self.handler = self.stream
         self._listen("127.0.0.1:0")
 
     def _listen(self, address):
+        if self._placeholder is not None:
+            self._placeholder.close()
+            self._placeholder = None
         self.server = server_lib.Server(
             address,
             self._handle,
@@ -64,10 +68,20 @@
         self.server.start()
 
     def crash(self, seconds=0.5):
-        """Breaks all connections, and listens again after some seconds."""
+        """Breaks all connections, and listens again after some seconds.
+
+        Meanwhile the port stays bound, without a listener, so that it refuses
+        connections and nobody else gets it. A crash while it is down is none.
+        """
+        if self._placeholder is not None:
+            return
         self.crashes += 1
         address = self.server.address
         self.server.kill()
+        host, _, port = address.rpartition(":")
+        self._placeholder = socket.socket()
+        self._placeholder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._placeholder.bind((host, int(port)))
         gevent.spawn_later(seconds, self._listen, address)
 
     def _handle(self, req, responder):
--- a/tests/cover/gateway/test_deadly_requests.py
+++ b/tests/cover/gateway/test_deadly_requests.py
@@ -243,3 +243,17 @@
     assert ends(fleet) <= MOST_ENDS + 1
     assert {response.status for response in responses[1:]} == {503}
     assert fleet.request("again", body=begin + b"0").status == REFUSED
+
+
+# Two requests that each crash their target were at one together. Its end was
+# counted twice, and it could not listen again: the address was in use.
+def test_two_deadly_requests_at_one_target_are_one_end(start):
+    fleet = start(targets=1)
+    requests = [
+        gevent.spawn(fleet.request, f"d{n}", n, body=DEADLY + b"%d" % n)
+        for n in range(2)
+    ]
+    gevent.joinall(requests, raise_error=True)
+    assert ends(fleet) == 1
+    gevent.sleep(0.8)
+    assert fleet.request("later", body=b"innocent").status == 200
