--- a/bench/floods_host.py
+++ b/bench/floods_host.py
@@ -50,6 +50,11 @@
             limits=messages.ClientLimits(),
         )
 
+    def decode_evacuated(self, key: str) -> str | None:
+        """Returns None: no data centre is evacuated here."""
+        del key
+        return None
+
     def decode_target(self, row: ports.Row) -> model.Target:
         """Returns the target whose address is the row's value."""
         return model.Target(
--- a/src/endivepier/gateway/catalog.py
+++ b/src/endivepier/gateway/catalog.py
@@ -17,6 +17,7 @@
 
 from endivepier import timers as timers_lib
 from endivepier.gateway import departures as departures_lib
+from endivepier.gateway import evacuations as evacuations_lib
 from endivepier.gateway import follower as follower_lib
 from endivepier.gateway import model
 from endivepier.http1 import messages
@@ -43,6 +44,15 @@
     def decode_target(self, row: ports.Row) -> model.Target | None:
         """Returns the target in a row, or None if it isn't usable."""
 
+    def decode_evacuated(self, key: str) -> str | None:
+        """Returns the data centre that a row with this key evacuates.
+
+        The row is one of the declaration table; its value doesn't matter.
+
+        Returns:
+            The data centre, or None if the row declares something else.
+        """
+
 
 @dataclasses.dataclass(slots=True)
 class TargetEntry:
@@ -65,6 +75,7 @@
         declaration: the declaration in force, or None until one was read.
         routes: the routes by host, ordered from the longest prefix to the
             shortest.
+        evacuations: the data centres whose targets get no calls.
     """
 
     def __init__(
@@ -76,6 +87,8 @@
     ) -> None:
         self.declaration: model.Declaration | None = None
         self.routes: dict[str, list[model.Route]] = {}
+        self.evacuations = evacuations_lib.Evacuations()
+        self.evacuations.subscribe(self._note_evacuation)
         self._accounts_by_key: dict[str, model.Account] = {}
         self._targets: dict[str, TargetEntry] = {}
         self._by_service: dict[str, list[model.Target]] | None = None
@@ -93,8 +106,8 @@
             feed,
             timers,
             decoder.declaration_table,
-            self._read_declarations,
-            self._read_declarations,
+            self._replace_declarations,
+            self._apply_declarations,
         )
         self._target_follower = follower_lib.Follower(
             feed,
@@ -188,7 +201,8 @@
             version = (target.service, target.software_version)
             same_version = self._by_version.setdefault(version, [])
             leaving = target.incarnation in self._departures
-            if not (target.draining or leaving):
+            evacuated = target.data_centre in self.evacuations
+            if not (target.draining or leaving or evacuated):
                 groups.setdefault(target.service, []).append(target)
                 same_version.append(target)
         return groups
@@ -225,12 +239,46 @@
                 versions.add(version)
         return versions.pop() if len(versions) == 1 else None
 
-    def _read_declarations(self, changes: ports.Changes) -> None:
+    def _replace_declarations(self, changes: ports.Changes) -> None:
+        evacuated = {
+            self._decoder.decode_evacuated(row.key): row.version
+            for row in changes.rows
+        }
+        self.evacuations.replace(
+            {name: v for name, v in evacuated.items() if name is not None}
+        )
+        self._apply_declarations(changes)
+
+    def _apply_declarations(self, changes: ports.Changes) -> None:
+        for key in changes.removed:
+            data_centre = self._decoder.decode_evacuated(key)
+            if data_centre is not None:
+                self.evacuations.end(data_centre)
         for row in changes.rows:
+            data_centre = self._decoder.decode_evacuated(row.key)
+            if data_centre is not None:
+                self.evacuations.begin(data_centre, row.version)
+                continue
             declaration = self._decoder.decode_declaration(row)
             if declaration is not None:
                 self._apply(declaration, row.version)
 
+    def _note_evacuation(self, data_centre: str, is_evacuated: bool) -> None:
+        self._forget_groups()
+        affected = [
+            entry.target.name
+            for entry in self._targets.values()
+            if entry.target.data_centre == data_centre
+        ]
+        if is_evacuated and not affected:
+            eliot.log_message(
+                "data_centre.no_targets",
+                data_centre=data_centre,
+                known=sorted(
+                    {e.target.data_centre for e in self._targets.values()}
+                ),
+            )
+
     def _apply(self, declaration: model.Declaration, version: int) -> None:
         current = self.declaration
         if current is not None and declaration.revision <= current.revision:
--- a/src/endivepier/gateway/target_choice.py
+++ b/src/endivepier/gateway/target_choice.py
@@ -16,6 +16,7 @@
 # How long a call waits for a token if all targets limit their rate.
 TOKEN_WAIT_SECONDS = 0.25
 BROKEN_OFF_TOKEN_WAIT_SECONDS = 1.0  # clients give up after two of silence
+EVACUATED_RETRY_SECONDS = 2.0  # evacuations last for seconds or longer
 MIN_TOKEN_WAIT_SECONDS = 0.005  # a wait rounded to 0 would be a busy loop
 
 
@@ -114,6 +115,13 @@
             excluded.add(target.incarnation)
             if refusal.wait <= patience:
                 cost_of_waiting = min(cost_of_waiting, cost + refusal.wait)
+        if not targets and self._catalog.evacuations:
+            raise calls.overloaded(
+                ctx,
+                "no target outside the evacuated data centres "
+                f"{sorted(self._catalog.evacuations.data_centres)}",
+                retry_after=EVACUATED_RETRY_SECONDS,
+            )
         if not refusals:
             version = ctx.software_version
             suffix = "" if version is None else f" of version {version!r}"
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -209,6 +209,10 @@
     def decode_declaration(self, row):
         return self.declaration
 
+    def decode_evacuated(self, key):
+        prefix = "declared//evacuated/"
+        return key.removeprefix(prefix) if key.startswith(prefix) else None
+
     def decode_target(self, row):
         return self.targets[row.key.rpartition("/")[2]]
 
@@ -284,6 +288,10 @@
         self.targets.append(target)
         self.list_targets([target])
 
+    def evacuate(self, data_centre):
+        """Evacuates a data centre."""
+        self._put(f"declared//evacuated/{data_centre}")
+
     def _put(self, key):
         self.table.transact(ports.Transaction((), (ports.Put(key, b""),)))
 
--- a/tests/cover/gateway/test_catalog.py
+++ b/tests/cover/gateway/test_catalog.py
@@ -27,6 +27,10 @@
         accounts = [gateway_parts.account(keys=(f"key-{revision}",))]
         return gateway_parts.declaration(int(revision), routes, accounts)
 
+    def decode_evacuated(self, key):
+        prefix = "declared//evacuated/"
+        return key.removeprefix(prefix) if key.startswith(prefix) else None
+
     def decode_target(self, row):
         if row.value == b"garbage":
             return None
