cold_targets: all hosts together keep the rate that a cold target bears

Cause: a row's `cold_left_ms`, and what a service declares for cold targets, were not read, and nothing limited what all hosts send to a target that has just come back (FAILBACK).

Change: `gateway.cold_targets` decides which targets are cold: by the row, as they appear, after a failure to connect, when their data centre is taken back. `target_rates` keeps them beside the rates that targets name, with an end, and `rate_tokens` gives out their tokens by the same owners: at 0.6 of the rate with a burst of 0.15 s, at two substitutes at most, and none at a host that knows no other. A burst of 1 s and a substitute in each part of the fleet, as for named rates, would exceed one and a half times the rate in a second.

Ruled out: equal parts for all hosts. At 37 hosts and 29/s each has one request in 1.3 s, and at 84 hosts and 3/s all of them together more than the rule.

--- a/src/endivepier/gateway/catalog.py
+++ b/src/endivepier/gateway/catalog.py
@@ -102,6 +102,7 @@
         self._timers = timers
         self._declaration_listeners: list[Callable[[], None]] = []
         self._removal_listeners: list[Callable[[model.Target], None]] = []
+        self._row_listeners: list[Callable[[model.Target, bool], None]] = []
         self._declaration_follower = follower_lib.Follower(
             feed,
             timers,
@@ -137,6 +138,16 @@
         """Calls `callback` for each removed or replaced target."""
         self._removal_listeners.append(callback)
 
+    def subscribe_rows(
+        self, callback: Callable[[model.Target, bool], None]
+    ) -> None:
+        """Calls `callback` for each row of a target that was read.
+
+        It gets the target, and whether it was not listed before, though this
+        process had read the list.
+        """
+        self._row_listeners.append(callback)
+
     def is_complete(self) -> bool:
         """Returns whether a declaration and the targets have been read."""
         return (
@@ -170,10 +181,22 @@
 
     def engine(self, service: str) -> model.Engine | None:
         """Returns the properties of a service's engines, if it has any."""
+        declared = self.service(service)
+        return None if declared is None else declared.engine
+
+    def service(self, name: str) -> model.Service | None:
+        """Returns a declared service, or None."""
         if self.declaration is None:
             return None
-        declared = self.declaration.services.get(service)
-        return None if declared is None else declared.engine
+        return self.declaration.services.get(name)
+
+    def listed(self, data_centre: str) -> list[model.Target]:
+        """Returns all targets of a data centre, including draining ones."""
+        return [
+            entry.target
+            for entry in self._targets.values()
+            if entry.target.data_centre == data_centre
+        ]
 
     def targets(
         self, service: str, version: str | None = None
@@ -265,12 +288,7 @@
 
     def _note_evacuation(self, data_centre: str, is_evacuated: bool) -> None:
         self._forget_groups()
-        affected = [
-            entry.target.name
-            for entry in self._targets.values()
-            if entry.target.data_centre == data_centre
-        ]
-        if is_evacuated and not affected:
+        if is_evacuated and not self.listed(data_centre):
             eliot.log_message(
                 "data_centre.no_targets",
                 data_centre=data_centre,
@@ -343,6 +361,11 @@
                     row_version=row.version,
                 )
             self._targets[row.key] = TargetEntry(target)
+            has_appeared = self._targets_read_at is not None and (
+                entry is None or entry.target.incarnation != target.incarnation
+            )
+            for callback in self._row_listeners:
+                callback(target, has_appeared)
         self._by_service = None
 
     def _remove_or_expire(self, key: str) -> None:
--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -12,6 +12,7 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
+from endivepier.gateway import cold_targets as cold_targets_lib
 from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import dialect as dialect_lib
 from endivepier.gateway import limit_reports as limit_reports_lib
@@ -101,6 +102,7 @@
                 raise self.failure("the response carries no call id")
             self.head = part
             self.verdict = verdict
+            self._dispatcher.cold_targets.note_reached(self.target)
             if part.status != MISDIRECTED_REQUEST:  # sent by the target meant
                 self._dispatcher.rates.note(
                     self.target.incarnation,
@@ -243,6 +245,7 @@
         limit_reports: tells other hosts which targets exceeded a limit.
         rates: records the rates that targets name in their responses.
         rate_tokens: gives the tokens for calls to targets that name a rate.
+        cold_targets: records which targets were unreachable.
         metrics: counts responses that exceed a limit.
         buffers: the memory for responses that are read as a whole.
     """
@@ -256,6 +259,7 @@
         limit_reports: limit_reports_lib.LimitReports,
         rates: target_rates.TargetRates,
         rate_tokens: rate_tokens_lib.RateTokens,
+        cold_targets: cold_targets_lib.ColdTargets,
         timers: timers_lib.Timers,
         metrics: metrics_lib.Metrics,
     ) -> None:
@@ -268,6 +272,7 @@
         self.limit_reports = limit_reports
         self.rates = rates
         self.rate_tokens = rate_tokens
+        self.cold_targets = cold_targets
         self._timers = timers
 
     def now(self) -> float:
@@ -299,6 +304,7 @@
                 max_idle=None if repeatable else MAX_IDLE_SECONDS,
             )
         except http_errors.ConnectFailed as exc:
+            self.cold_targets.note_unreachable(target)
             self.placement.note_ended(target, call, failed=True)
             raise errors.TargetFailed(
                 target.name, str(exc), sent=False
--- a/src/endivepier/gateway/model.py
+++ b/src/endivepier/gateway/model.py
@@ -102,11 +102,16 @@
         max_connections: connections that one target accepts from all callers
             together; not used by the gateway.
         engine: set if the targets are model engines.
+        cold_seconds: how long a target is cold after its start.
+        cold_rate: requests a second from all hosts together that a cold
+            target tolerates; 0 if that is not limited.
     """
 
     name: str
     max_connections: int
     engine: Engine | None
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -153,6 +158,7 @@
         draining: whether it accepts no new requests.
         started: start time in Unix milliseconds; 0 if not reported.
         software_version: version of its software; empty if not reported.
+        cold_seconds: how long it stays cold, as of its registration.
     """
 
     name: str
@@ -163,6 +169,7 @@
     draining: bool
     started: int
     software_version: str = ""
+    cold_seconds: float = 0.0
 
     @property
     def incarnation(self) -> str:
--- a/src/endivepier/gateway/peers.py
+++ b/src/endivepier/gateway/peers.py
@@ -46,13 +46,15 @@
 
 # Headers with the name of the host that sends a request, and with the load
 # report, the known departures, the targets that exceeded a limit, the rates
-# that targets named, and the requests that ended targets, at the host that
+# that targets named, the cold targets, and the requests that ended targets, at
+# the host that
 # sends a request or a response.
 HOST_HEADER = b"entry-host"
 LOAD_HEADER = b"load"
 DEPARTURES_HEADER = b"leaving"
 LIMITS_HEADER = b"limits-exceeded"
 RATES_HEADER = b"target-rates"
+COLD_HEADER = b"cold-targets"
 SUSPECTS_HEADER = b"suspects"
 
 Handler = Callable[[bytes], bytes]
@@ -124,6 +126,11 @@
         """Whether this process has been told to stop."""
         return self.rows.is_leaving
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether this process is listed and knows the other hosts."""
+        return self.rows.is_settled
+
     def start(self) -> None:
         """Starts the server, and to follow and write the rows of hosts."""
         self._server.start()
@@ -274,6 +281,9 @@
         rates = self._rates.encode()
         if rates:
             headers.append((RATES_HEADER, rates))
+        cold = self._rates.encode_cold()
+        if cold:
+            headers.append((COLD_HEADER, cold))
         suspects = self._suspects.encode()
         if suspects:
             headers.append((SUSPECTS_HEADER, suspects))
@@ -288,12 +298,15 @@
         report = messages.find(headers, LOAD_HEADER)
         exceeded = messages.find(headers, LIMITS_HEADER)
         rates = messages.find(headers, RATES_HEADER)
+        cold = messages.find(headers, COLD_HEADER)
         suspects = messages.find(headers, SUSPECTS_HEADER)
         try:
             if suspects:
                 self._suspects.receive(host, suspects)
             if rates:
                 self._rates.receive(host, rates)
+            if cold:
+                self._rates.receive_cold(cold)
             if exceeded:
                 self._limit_reports.receive(host, exceeded)
             if report:
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -16,6 +16,7 @@
 from endivepier.gateway import budget_owners
 from endivepier.gateway import budgets
 from endivepier.gateway import catalog as catalog_lib
+from endivepier.gateway import cold_targets
 from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import dialect as dialect_lib
 from endivepier.gateway import exchange
@@ -202,6 +203,7 @@
             rate_tokens.RateTokens(
                 cfg.host, rates, self.peers, timers, self.metrics
             ),
+            cold_targets.ColdTargets(self.catalog, rates, timers),
             timers,
             self.metrics,
         )
--- a/src/endivepier/gateway/rate_tokens.py
+++ b/src/endivepier/gateway/rate_tokens.py
@@ -13,6 +13,11 @@
 * A host that takes the place of an owner which does not respond, but may still
   be serving others, uses half of the rate.
 * A host that has no token from an owner uses half of an equal part.
+
+Cold targets (see `target_rates`) bear no more than their rate in a second, and
+a host that knows too little must not guess. So for their tokens the burst is
+short, only the next hosts in the ranking take the place of an owner, and a host
+that doesn't know the others yet, or has no owner, uses none.
 """
 
 from __future__ import annotations
@@ -37,6 +42,9 @@
 # Tokens that a bucket holds at most: those of this time, and no fewer than a
 # program needs that moves to the target.
 BURST_SECONDS = 1.0
+COLD_BURST_SECONDS = 0.15
+COLD_SUBSTITUTES = 2  # hosts that may take the place of an owner
+COLD_PAUSE_SECONDS = 0.25  # until a host without an owner asks again
 TOKENS_TO_MOVE = 2.0  # leaves one to the programs that are at the target
 FILLED_TO_BEGIN = 0.5  # of the bucket, besides the token for the call
 MIN_RATE = 0.1  # requests/s; only responses tell when a limit ends
@@ -76,6 +84,8 @@
         rate: the rate that the target named, as far as the host knows.
         age: seconds since the request was sent whose response named it.
         claim: who gets a token first.
+        cold_seconds: how long the target is cold yet; 0 if it is not.
+        cold_rate: the rate that it tolerates meanwhile.
     """
 
     host: str
@@ -83,6 +93,8 @@
     rate: float
     age: float
     claim: Claim
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,6 +131,9 @@
     retry_after: float
 
 
+_NO_OWNER = Refusal(COLD_PAUSE_SECONDS, COLD_PAUSE_SECONDS)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limit:
     """Rate and burst, in requests and per second, as a bucket needs them."""
@@ -230,7 +245,9 @@
         self, incarnation: str, rate: float, claim: Claim
     ) -> Refusal | None:
         owner = self._owner(incarnation)
-        if owner == self._host:
+        if self._rates.cold(incarnation) and not self._peers.is_settled:
+            refusal: Refusal | None = _NO_OWNER
+        elif owner == self._host:
             refusal = self._take_own(incarnation, rate, claim)
         else:
             refusal = self._take_from(owner, incarnation, rate, claim)
@@ -253,6 +270,13 @@
         """Takes a token of the owner, or one of this host's own part."""
         age = self._rates.age(incarnation)
         take = Take(self._host, incarnation, rate, age, claim)
+        cold = self._rates.cold(incarnation)
+        if cold is not None:
+            take = dataclasses.replace(
+                take,
+                cold_seconds=cold.until - self._timers.now(),
+                cold_rate=cold.rate,
+            )
         try:
             reply = self._peers.request(owner, TAKE, codec.encode(take))
         except errors.PeerUnreachable as exc:
@@ -264,9 +288,10 @@
             )
             return self._take_alone(incarnation, rate, claim)
         taken: Taken = codec.decode(Taken, reply)
-        self._rates.note(
-            incarnation, taken.rate, self._timers.now() - taken.age, owner
-        )
+        if cold is None:
+            self._rates.note(
+                incarnation, taken.rate, self._timers.now() - taken.age, owner
+            )
         if not taken.is_owner:
             return self._take_alone(incarnation, rate, claim)
         if taken.wait is None:
@@ -278,7 +303,10 @@
     ) -> Refusal | None:
         """Takes a token that this host owns."""
         hosts = [*self._peers.other_hosts(), self._host]
-        if rendezvous.choose(incarnation, hosts) == self._host:
+        ranking = rendezvous.rank(incarnation, hosts, 1 + COLD_SUBSTITUTES)
+        if self._rates.cold(incarnation) and self._host not in ranking:
+            return _NO_OWNER
+        if ranking[0] == self._host:
             return self._take_on(incarnation, rate, Basis.OWNER, 1.0, claim)
         return self._take_on(
             incarnation,
@@ -292,6 +320,8 @@
         self, incarnation: str, rate: float, claim: Claim
     ) -> Refusal | None:
         """Takes a token of an equal part, without an owner."""
+        if self._rates.cold(incarnation):
+            return _NO_OWNER
         host_count = len(self._peers.other_hosts()) + 1
         fraction = SHARE_WITHOUT_OWNER / host_count
         return self._take_on(incarnation, rate, Basis.ALONE, fraction, claim)
@@ -305,7 +335,9 @@
         claim: Claim,
     ) -> Refusal | None:
         now = self._timers.now()
-        most = max(rate * fraction * BURST_SECONDS, TOKENS_TO_MOVE)
+        is_cold = self._rates.cold(incarnation) is not None
+        burst_seconds = COLD_BURST_SECONDS if is_cold else BURST_SECONDS
+        most = max(rate * fraction * burst_seconds, TOKENS_TO_MOVE)
         limit = Limit(max(rate, MIN_RATE), most / fraction)
         tokens = self._ensure(incarnation, basis, fraction, limit, now)
         bucket = tokens.bucket
@@ -360,11 +392,16 @@
         """Handles a peer's `Take`."""
         take: Take = codec.decode(Take, body)
         now = self._timers.now()
-        self._rates.note(take.target, take.rate, now - take.age, take.host)
+        if take.cold_seconds:
+            self._rates.set_cold(take.target, take.cold_rate, take.cold_seconds)
+        else:
+            self._rates.note(take.target, take.rate, now - take.age, take.host)
         rate = self._rates.rate(take.target)
         is_owner = self._owner(take.target) == self._host
         refusal: Refusal | None = None
-        if is_owner and rate is not None:
+        if is_owner and take.cold_seconds and not self._peers.is_settled:
+            refusal = _NO_OWNER
+        elif is_owner and rate is not None:
             refusal = self._take_own(take.target, rate, take.claim)
         return codec.encode(
             Taken(
--- a/src/endivepier/gateway/target_rates.py
+++ b/src/endivepier/gateway/target_rates.py
@@ -2,8 +2,14 @@
 
 A target that needs relief names a rate in its responses, for as long as it
 needs it. A response without one ends it. Responses may overtake each other, so
-the one whose request was sent last counts. Hosts pass on what they learned with
-the messages that they exchange anyway.
+the one whose request was sent last counts.
+
+A cold target tolerates a declared rate until a stated time (`cold_targets`
+decides which are cold).
+
+Hosts pass on what they learned with the messages that they exchange anyway.
+Of cold targets, a host passes on only what it found out itself: a time that is
+passed on again and again would move on with each message.
 """
 
 from __future__ import annotations
@@ -30,6 +36,10 @@
 SEPARATOR = ","
 ASSIGN = "="
 NO_RATE = "-"
+# Of the rate that a cold target tolerates. With COLD_BURST_SECONDS in
+# `rate_tokens`, an owner and two substitutes that know nothing of each other
+# stay below one and a half times the tolerated rate in any second.
+COLD_RATE_SHARE = 0.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,8 +57,24 @@
     as_of: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cold:
+    """What is known of a cold target.
+
+    Attributes:
+        rate: requests a second that it tolerates from all hosts together.
+        until: when it is cold no longer, monotonic seconds.
+        told_seconds: how long it is cold at most, as told to peers; 0 if this
+            host was told itself.
+    """
+
+    rate: float
+    until: float
+    told_seconds: float
+
+
 class TargetRates:
-    """The rates that targets have named, by incarnation."""
+    """The rates that targets take at most, by incarnation."""
 
     def __init__(
         self, timers: timers_lib.Timers, metrics: metrics_lib.Metrics
@@ -58,6 +84,9 @@
         self._stated: bounded_map.BoundedMap[Stated] = bounded_map.BoundedMap(
             MAX_TARGETS
         )
+        self._cold: bounded_map.BoundedMap[Cold] = bounded_map.BoundedMap(
+            MAX_TARGETS
+        )
         # Targets that lately had a limit; the last change is last.
         self._shared: dict[str, None] = {}
         self._encoded = b""
@@ -70,7 +99,47 @@
             incarnation: name and start time of the target.
         """
         stated = self._stated.get(incarnation)
-        return None if stated is None else stated.rate
+        rate = None if stated is None else stated.rate
+        cold = self.cold(incarnation)
+        if cold is None:
+            return rate
+        cold_rate = COLD_RATE_SHARE * cold.rate
+        return cold_rate if rate is None else min(rate, cold_rate)
+
+    def cold(self, incarnation: str) -> Cold | None:
+        """Returns what is known of a target if it is cold, else None."""
+        cold = self._cold.get(incarnation)
+        if cold is None or cold.until <= self._timers.now():
+            return None
+        return cold
+
+    def set_cold(
+        self,
+        incarnation: str,
+        rate: float,
+        seconds: float,
+        *,
+        told_seconds: float = 0.0,
+    ) -> None:
+        """Records that a target is cold; it is so for no shorter than known.
+
+        Args:
+            incarnation: name and start time of the target.
+            rate: requests a second that it tolerates from all hosts together.
+            seconds: how long it is cold from now on.
+            told_seconds: how long peers are told at most; 0 if this host was
+                told by one.
+        """
+        known = self.cold(incarnation)
+        until = self._timers.now() + seconds
+        if known is not None:
+            until = max(until, known.until)
+            told_seconds = max(told_seconds, known.told_seconds)
+        self._cold.put(incarnation, Cold(rate, until, told_seconds))
+
+    def end_cold(self, incarnation: str) -> None:
+        """Records that a target is cold no longer."""
+        self._cold.drop(incarnation)
 
     def age(self, incarnation: str) -> float:
         """Returns the age of what is known of a target, in seconds.
@@ -117,6 +186,7 @@
     def forget(self, incarnation: str) -> None:
         """Drops what a target stated that no longer exists."""
         self._stated.drop(incarnation)
+        self._cold.drop(incarnation)
         if incarnation in self._shared:
             del self._shared[incarnation]
             self._count_limited()
@@ -162,6 +232,30 @@
                 source=host,
             )
 
+    def encode_cold(self) -> bytes:
+        """Returns the cold targets to tell a peer; empty if there are none."""
+        now = self._timers.now()
+        items = []
+        for incarnation, cold in self._cold.items():
+            if cold.until <= now:
+                self._cold.drop(incarnation)
+            elif cold.told_seconds:
+                seconds = min(cold.until - now, cold.told_seconds)
+                items.append(
+                    f"{incarnation}{ASSIGN}{cold.rate:g}{ASSIGN}{seconds:.3f}"
+                )
+        return SEPARATOR.join(items[-MAX_SHARED:]).encode()
+
+    def receive_cold(self, encoded: bytes) -> None:
+        """Records the cold targets that a peer tells.
+
+        Raises:
+            ValueError: the message is malformed.
+        """
+        for item in encoded.decode("latin-1").split(SEPARATOR):
+            incarnation, rate, seconds = item.rsplit(ASSIGN, 2)
+            self.set_cold(incarnation, float(rate), float(seconds))
+
     def _count_limited(self) -> None:
         limited = [name for name in self._shared if self.rate(name) is not None]
         self._metrics.set("target_rates", len(limited))
--- a/src/endivepier/internal/bounded_map.py
+++ b/src/endivepier/internal/bounded_map.py
@@ -44,6 +44,10 @@
         """
         return self._entries.get(name)
 
+    def items(self) -> list[tuple[str, T]]:
+        """Returns a copy of the entries, the oldest first."""
+        return list(self._entries.items())
+
     def drop(self, name: str) -> None:
         """Removes the entry for `name` if there is one."""
         self._entries.pop(name, None)
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -227,7 +227,14 @@
     """
 
     def __init__(
-        self, routes, accounts=(), targets=2, service="s", versions=(), hosts=1
+        self,
+        routes,
+        accounts=(),
+        targets=2,
+        service="s",
+        versions=(),
+        hosts=1,
+        cold=(0.0, 0.0),
     ):
         """Starts the fleet.
 
@@ -238,6 +245,8 @@
             service: service of all targets.
             versions: software version of each target, in place of `targets`.
             hosts: number of entry hosts.
+            cold: seconds for which a target is cold after its start, and the
+                requests a second that it tolerates meanwhile.
         """
         self.timers = timers_lib.SystemTimers()
         self.table = table_lib.MemoryTable(self.timers, random.Random(0))
@@ -248,7 +257,8 @@
         self.service = service
         self._rows = {}
         self._decoder = Decoder(
-            gateway_parts.declaration(1, routes, accounts), self._rows
+            gateway_parts.declaration(1, routes, accounts, cold=cold),
+            self._rows,
         )
         self._put("declared//config")
         self.list_targets(self.targets)
--- a/tests/common/gateway_parts.py
+++ b/tests/common/gateway_parts.py
@@ -29,12 +29,14 @@
     return model.Account(name, tuple(keys), None, rate, burst)
 
 
-def declaration(revision=1, routes=(), accounts=(), engine_tokens=4):
+def declaration(
+    revision=1, routes=(), accounts=(), engine_tokens=4, cold=(0.0, 0.0)
+):
     engine = model.Engine(12, 100_000, engine_tokens)
     return model.Declaration(
         revision=revision,
         routes=tuple(routes),
-        services={"s": model.Service("s", 100, engine)},
+        services={"s": model.Service("s", 100, engine, *cold)},
         accounts={account.name: account for account in accounts},
         limits=messages.ClientLimits(),
     )
--- a/tests/common/gateway_peers.py
+++ b/tests/common/gateway_peers.py
@@ -10,6 +10,7 @@
 
     Attributes:
         cut: whether the host can't exchange messages with any other.
+        is_settled: whether the host knows the others.
         sees_no_peers: whether `available_hosts` returns no hosts.
     """
 
@@ -29,6 +30,7 @@
         self.handlers = {}
         self.cut = False
         self.sees_no_peers = False
+        self.is_settled = True
         self.avoided_until = {}
         hosts[name] = self
 
