stream_origins: ask peers before the only known version is believed

Cause: a host that knew one software version of a service took each unknown stream for one of that version, though its list of targets may be up to 2 s old, and though versions may have come and gone while its feed was silent or the store forgot its history. If the host that began the stream was lost meanwhile, the stream went on with another version's events (ORDER).

Change: peers are always asked for the origin, and tell the versions they have seen; one version must be left of all of them.

--- a/src/endivepier/gateway/catalog.py
+++ b/src/endivepier/gateway/catalog.py
@@ -11,15 +11,16 @@
 
 from collections.abc import Callable
 import dataclasses
-from typing import Protocol
 
 import eliot
 
 from endivepier import timers as timers_lib
+from endivepier.gateway import decoding
 from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import evacuations as evacuations_lib
 from endivepier.gateway import follower as follower_lib
 from endivepier.gateway import model
+from endivepier.gateway import version_history
 from endivepier.http1 import messages
 from endivepier.storage import ports
 
@@ -32,28 +33,6 @@
 MAX_VERSION_SILENCE_SECONDS = 2.0
 
 
-class Decoder(Protocol):
-    """Decodes a deployment's rows. Implemented by an adapter."""
-
-    declaration_table: str
-    target_table: str
-
-    def decode_declaration(self, row: ports.Row) -> model.Declaration | None:
-        """Returns the declaration in a row, or None if there is none."""
-
-    def decode_target(self, row: ports.Row) -> model.Target | None:
-        """Returns the target in a row, or None if it isn't usable."""
-
-    def decode_evacuated(self, key: str) -> str | None:
-        """Returns the data centre that a row with this key evacuates.
-
-        The row is one of the declaration table; its value doesn't matter.
-
-        Returns:
-            The data centre, or None if the row declares something else.
-        """
-
-
 @dataclasses.dataclass(slots=True)
 class TargetEntry:
     """A target in the catalog.
@@ -81,7 +60,7 @@
     def __init__(
         self,
         feed: ports.Feed,
-        decoder: Decoder,
+        decoder: decoding.Decoder,
         timers: timers_lib.Timers,
         departures: departures_lib.Departures,
     ) -> None:
@@ -93,8 +72,7 @@
         self._targets: dict[str, TargetEntry] = {}
         self._by_service: dict[str, list[model.Target]] | None = None
         self._by_version: dict[tuple[str, str], list[model.Target]] = {}
-        # When a target of a service and version was removed last.
-        self._removed_versions: dict[tuple[str, str], float] = {}
+        self._history = version_history.VersionHistory(timers)
         self._targets_read_at: float | None = None
         self._decoder = decoder
         self._departures = departures
@@ -247,21 +225,22 @@
             The version; None if there were several or none, or if this process
             has not followed the targets throughout the period.
         """
-        now = self._timers.now()
-        followed_since = self._targets_read_at
         contact = self._target_follower.last_contact
-        if followed_since is None or contact is None:
-            return None
-        if now - followed_since < seconds:
+        if contact is None or not self._history.covers(seconds):
             return None
-        if now - contact > MAX_VERSION_SILENCE_SECONDS:
+        if self._timers.now() - contact > MAX_VERSION_SILENCE_SECONDS:
             return None
-        versions = self.versions(service)
-        for (name, version), removed_at in self._removed_versions.items():
-            if name == service and now - removed_at < seconds:
-                versions.add(version)
+        versions = self.recent_versions(service, seconds)
         return versions.pop() if len(versions) == 1 else None
 
+    def recent_versions(self, service: str, seconds: float) -> set[str]:
+        """Returns the versions that a service has, or had in the last seconds.
+
+        Versions that this process has never seen are missing.
+        """
+        removed = self._history.removed(service, seconds)
+        return self.versions(service) | removed
+
     def _replace_declarations(self, changes: ports.Changes) -> None:
         evacuated = {
             self._decoder.decode_evacuated(row.key): row.version
@@ -330,11 +309,15 @@
             if key not in current_keys:
                 self._remove_or_expire(key)
         self._update_targets(changes.rows)
+        self._history.restart()
         if self._targets_read_at is None:
             self._targets_read_at = self._timers.now()
 
     def _apply_target_changes(self, changes: ports.Changes) -> None:
         for key in changes.removed:
+            if key not in self._targets:
+                # It came and went between two reads.
+                self._history.restart()
             self._remove_or_expire(key)
         self._update_targets(changes.rows)
 
@@ -401,7 +384,6 @@
         self._notify_removed(entry.target)
 
     def _notify_removed(self, target: model.Target) -> None:
-        version = (target.service, target.software_version)
-        self._removed_versions[version] = self._timers.now()
+        self._history.note_removed(target)
         for callback in self._removal_listeners:
             callback(target)
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -17,6 +17,7 @@
 from endivepier.gateway import budgets
 from endivepier.gateway import catalog as catalog_lib
 from endivepier.gateway import cold_targets
+from endivepier.gateway import decoding
 from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import dialect as dialect_lib
 from endivepier.gateway import exchange
@@ -97,7 +98,7 @@
 
     table: ports.Table
     feed: ports.Feed
-    decoder: catalog_lib.Decoder
+    decoder: decoding.Decoder
     dialect: dialect_lib.Dialect
 
 
--- a/src/endivepier/gateway/rate_tokens.py
+++ b/src/endivepier/gateway/rate_tokens.py
@@ -31,13 +31,13 @@
 from endivepier import timers as timers_lib
 from endivepier.gateway import model
 from endivepier.gateway import peers as peers_lib
+from endivepier.gateway import rate_messages
 from endivepier.gateway import target_rates
 from endivepier.internal import codec
 from endivepier.internal import rendezvous
 from endivepier.limits import bucket as bucket_lib
 from endivepier.telemetry import metrics as metrics_lib
 
-TAKE = "rate-take"  # name of the request to peers
 SHARE_WITHOUT_OWNER = 0.5  # of the rate, without the consent of the owner
 # Tokens that a bucket holds at most: those of this time, and no fewer than a
 # program needs that moves to the target.
@@ -62,62 +62,6 @@
     ALONE = "alone"  # no owner gave it a token
 
 
-class Claim(enum.StrEnum):
-    """Who gets a token first; the first of these before the others.
-
-    A program that stays at its target needs no other one to read its prompt
-    again, and each program that comes to a target brings further calls.
-    """
-
-    STAYS = "stays"  # the program's prompt is cached at the target
-    MOVES = "moves"  # the program is under way at another target
-    BEGINS = "begins"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Take:
-    """Asks the owner of a target's tokens for one of them.
-
-    Attributes:
-        host: name of the host that asks.
-        target: incarnation of the target.
-        rate: the rate that the target named, as far as the host knows.
-        age: seconds since the request was sent whose response named it.
-        claim: who gets a token first.
-        cold_seconds: how long the target is cold yet; 0 if it is not.
-        cold_rate: the rate that it tolerates meanwhile.
-    """
-
-    host: str
-    target: str
-    rate: float
-    age: float
-    claim: Claim
-    cold_seconds: float = 0.0
-    cold_rate: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Taken:
-    """The reply to `Take`.
-
-    Attributes:
-        is_owner: whether the sender considers itself the owner of the tokens.
-        wait: seconds until the next token, or None if one was taken.
-        retry_after: seconds after which a client may find a token, given how
-            many calls ask for one.
-        rate: the rate that the target named, as far as the sender knows; None
-            if the limit has ended.
-        age: seconds since the request was sent whose response said so.
-    """
-
-    is_owner: bool
-    wait: float | None
-    retry_after: float
-    rate: float | None
-    age: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
     """No token, and when there may be one.
@@ -183,10 +127,14 @@
         self._tokens: dict[str, Tokens] = {}
         # No token is expected before the end of the refusal's wait, by
         # incarnation and claim.
-        self._refused: dict[tuple[str, Claim], tuple[float, Refusal]] = {}
-        peers.register(TAKE, self._handle_take)
+        self._refused: dict[
+            tuple[str, rate_messages.Claim], tuple[float, Refusal]
+        ] = {}
+        peers.register(rate_messages.TAKE, self._handle_take)
 
-    def take(self, target: model.Target, claim: Claim) -> Refusal | None:
+    def take(
+        self, target: model.Target, claim: rate_messages.Claim
+    ) -> Refusal | None:
         """Takes a token for a call to a target.
 
         Args:
@@ -211,7 +159,12 @@
         """Returns whether a call under way may get a token now."""
         if self._rates.rate(target.incarnation) is None:
             return True
-        return self._standing_refusal(target.incarnation, Claim.STAYS) is None
+        return (
+            self._standing_refusal(
+                target.incarnation, rate_messages.Claim.STAYS
+            )
+            is None
+        )
 
     def slots(self, target: model.Target) -> float:
         """Returns how many slots of a target its rate allows to use."""
@@ -223,15 +176,15 @@
     def forget(self, incarnation: str) -> None:
         """Drops the tokens of a target that no longer exists."""
         self._tokens.pop(incarnation, None)
-        for claim in Claim:
+        for claim in rate_messages.Claim:
             self._refused.pop((incarnation, claim), None)
 
     def _standing_refusal(
-        self, incarnation: str, claim: Claim
+        self, incarnation: str, claim: rate_messages.Claim
     ) -> Refusal | None:
         """Returns a refusal of this or a better claim that still stands."""
         now = self._timers.now()
-        for refused in Claim:
+        for refused in rate_messages.Claim:
             until, refusal = self._refused.get(
                 (incarnation, refused), (now, None)
             )
@@ -242,7 +195,7 @@
         return None
 
     def _take(
-        self, incarnation: str, rate: float, claim: Claim
+        self, incarnation: str, rate: float, claim: rate_messages.Claim
     ) -> Refusal | None:
         owner = self._owner(incarnation)
         if self._rates.cold(incarnation) and not self._peers.is_settled:
@@ -265,11 +218,15 @@
         return refusal
 
     def _take_from(
-        self, owner: str, incarnation: str, rate: float, claim: Claim
+        self,
+        owner: str,
+        incarnation: str,
+        rate: float,
+        claim: rate_messages.Claim,
     ) -> Refusal | None:
         """Takes a token of the owner, or one of this host's own part."""
         age = self._rates.age(incarnation)
-        take = Take(self._host, incarnation, rate, age, claim)
+        take = rate_messages.Take(self._host, incarnation, rate, age, claim)
         cold = self._rates.cold(incarnation)
         if cold is not None:
             take = dataclasses.replace(
@@ -278,7 +235,9 @@
                 cold_rate=cold.rate,
             )
         try:
-            reply = self._peers.request(owner, TAKE, codec.encode(take))
+            reply = self._peers.request(
+                owner, rate_messages.TAKE, codec.encode(take)
+            )
         except errors.PeerUnreachable as exc:
             eliot.log_message(
                 "target.rate_owner_silent",
@@ -287,7 +246,7 @@
                 reason=str(exc),
             )
             return self._take_alone(incarnation, rate, claim)
-        taken: Taken = codec.decode(Taken, reply)
+        taken: rate_messages.Taken = codec.decode(rate_messages.Taken, reply)
         if cold is None:
             self._rates.note(
                 incarnation, taken.rate, self._timers.now() - taken.age, owner
@@ -299,7 +258,7 @@
         return Refusal(taken.wait, taken.retry_after)
 
     def _take_own(
-        self, incarnation: str, rate: float, claim: Claim
+        self, incarnation: str, rate: float, claim: rate_messages.Claim
     ) -> Refusal | None:
         """Takes a token that this host owns."""
         hosts = [*self._peers.other_hosts(), self._host]
@@ -317,7 +276,7 @@
         )
 
     def _take_alone(
-        self, incarnation: str, rate: float, claim: Claim
+        self, incarnation: str, rate: float, claim: rate_messages.Claim
     ) -> Refusal | None:
         """Takes a token of an equal part, without an owner."""
         if self._rates.cold(incarnation):
@@ -332,7 +291,7 @@
         rate: float,
         basis: Basis,
         fraction: float,
-        claim: Claim,
+        claim: rate_messages.Claim,
     ) -> Refusal | None:
         now = self._timers.now()
         is_cold = self._rates.cold(incarnation) is not None
@@ -390,7 +349,7 @@
 
     def _handle_take(self, body: bytes) -> bytes:
         """Handles a peer's `Take`."""
-        take: Take = codec.decode(Take, body)
+        take: rate_messages.Take = codec.decode(rate_messages.Take, body)
         now = self._timers.now()
         if take.cold_seconds:
             self._rates.set_cold(take.target, take.cold_rate, take.cold_seconds)
@@ -404,7 +363,7 @@
         elif is_owner and rate is not None:
             refusal = self._take_own(take.target, rate, take.claim)
         return codec.encode(
-            Taken(
+            rate_messages.Taken(
                 is_owner=is_owner,
                 wait=None if refusal is None else refusal.wait,
                 retry_after=0.0 if refusal is None else refusal.retry_after,
@@ -414,7 +373,7 @@
         )
 
 
-def _tokens_needed(claim: Claim, most: float) -> float:
+def _tokens_needed(claim: rate_messages.Claim, most: float) -> float:
     """Returns how many tokens there must be for a call to get one.
 
     Args:
@@ -422,9 +381,9 @@
         most: tokens that the bucket holds at most.
     """
     match claim:
-        case Claim.STAYS:
+        case rate_messages.Claim.STAYS:
             return 1.0
-        case Claim.MOVES:
+        case rate_messages.Claim.MOVES:
             return TOKENS_TO_MOVE
-        case Claim.BEGINS:
+        case rate_messages.Claim.BEGINS:
             return 1.0 + FILLED_TO_BEGIN * most
--- a/src/endivepier/gateway/stream_origins.py
+++ b/src/endivepier/gateway/stream_origins.py
@@ -85,10 +85,12 @@
         origin: the recorded origin of the stream, or None.
         only_version: the only software version that the service has had in the
             period, as far as the peer knows, or None.
+        versions: the versions that the peer has seen in the period.
     """
 
     origin: Origin | None
     only_version: str | None
+    versions: tuple[str, ...] = ()
 
 
 class StreamOrigins:
@@ -146,19 +148,20 @@
         origin = self._origins.get(call)
         if origin is not None:
             return origin
-        version = self._catalog.only_version(service, seconds)
-        if version is not None:
-            return Origin(service, version)
         replies = self._ask_peers(Find(call, service, seconds))
         for reply in replies:
             if reply.origin is not None:
                 return reply.origin
         # A host that has just started does not know former versions, but peers
-        # may. They may know less than this host of a version just added.
-        versions = {reply.only_version for reply in replies} - {None}
-        versions |= self._catalog.versions(service)
-        if any(reply.only_version for reply in replies) and len(versions) == 1:
-            return Origin(service, versions.pop() or "")
+        # may. Any of them may not know yet of a version just added.
+        only_versions = {reply.only_version for reply in replies}
+        only_versions.add(self._catalog.only_version(service, seconds))
+        only_versions.discard(None)
+        seen = self._catalog.recent_versions(service, seconds)
+        for reply in replies:
+            seen.update(reply.versions)
+        if only_versions and len(seen | only_versions) == 1:
+            return Origin(service, only_versions.pop() or "")
         return None
 
     def _publish(self, call: str, origin: Origin) -> None:
@@ -218,9 +221,10 @@
 
     def _handle_find(self, body: bytes) -> bytes:
         request: Find = codec.decode(Find, body)
-        only_version = self._catalog.only_version(
-            request.service, request.seconds
-        )
-        return codec.encode(
-            Found(self._origins.get(request.call), only_version)
+        period = (request.service, request.seconds)
+        found = Found(
+            self._origins.get(request.call),
+            self._catalog.only_version(*period),
+            tuple(self._catalog.recent_versions(*period)),
         )
+        return codec.encode(found)
--- a/src/endivepier/gateway/target_choice.py
+++ b/src/endivepier/gateway/target_choice.py
@@ -10,6 +10,7 @@
 from endivepier.gateway import catalog as catalog_lib
 from endivepier.gateway import exchange as exchange_lib
 from endivepier.gateway import model
+from endivepier.gateway import rate_messages
 from endivepier.gateway import rate_tokens as rate_tokens_lib
 from endivepier.gateway import suspect_guard
 
@@ -156,12 +157,10 @@
     return 0.0 if ctx.is_first_turn else TOKEN_WAIT_SECONDS
 
 
-def _claim(
-    ctx: calls.CallContext, target: model.Target
-) -> rate_tokens_lib.Claim:
+def _claim(ctx: calls.CallContext, target: model.Target) -> rate_messages.Claim:
     """Returns the claim of a call to a target's tokens."""
     if ctx.is_first_turn:
-        return rate_tokens_lib.Claim.BEGINS
+        return rate_messages.Claim.BEGINS
     if ctx.last_target and ctx.last_target != target.incarnation:
-        return rate_tokens_lib.Claim.MOVES
-    return rate_tokens_lib.Claim.STAYS
+        return rate_messages.Claim.MOVES
+    return rate_messages.Claim.STAYS
--- a/tests/cover/gateway/test_cold_targets.py
+++ b/tests/cover/gateway/test_cold_targets.py
@@ -13,8 +13,9 @@
 from endivepier.gateway import cold_targets
 from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import model
-from endivepier.gateway import rate_tokens
+from endivepier.gateway import rate_messages
 from endivepier.gateway import target_rates
+from endivepier.internal import rendezvous
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
 from endivepier.storage import ports
@@ -230,7 +231,7 @@
                     target.incarnation, self.rate, seconds, told_seconds=3.0
                 )
 
-    def call(self, name, claim=rate_tokens.Claim.STAYS):
+    def call(self, name, claim=rate_messages.Claim.STAYS):
         """Sends a call to the first target that has a token for it."""
         for target in self.rng.sample(self.targets, len(self.targets)):
             if self.tokens[name].take(target, claim) is None:
@@ -249,7 +250,7 @@
 
     def rank(self, number):
         """Returns the host with this rank for the tokens of the target."""
-        ranking = test_rate_tokens.rate_tokens.rendezvous.rank(
+        ranking = rendezvous.rank(
             self.targets[0].incarnation, self.listed, len(self.listed)
         )
         return ranking[number]
--- a/tests/cover/gateway/test_rate_tokens.py
+++ b/tests/cover/gateway/test_rate_tokens.py
@@ -11,6 +11,7 @@
 
 from endivepier import errors
 from endivepier.gateway import peers as peers_lib
+from endivepier.gateway import rate_messages
 from endivepier.gateway import rate_tokens
 from endivepier.gateway import target_rates
 from endivepier.standins import clock
@@ -118,7 +119,7 @@
             if tokens._owner(TARGET.incarnation) == name
         )
 
-    def call(self, name, claim=rate_tokens.Claim.STAYS):
+    def call(self, name, claim=rate_messages.Claim.STAYS):
         """Sends a call if it gets a token; the target names its rate."""
         refusal = self.tokens[name].take(TARGET, claim)
         if refusal is None:
@@ -261,14 +262,14 @@
         fleet.tell(["h0"], 4.0)
         fleet.call("h0")
         fleet.timers.sleep(0.3)  # one token
-        assert fleet.call("h0", rate_tokens.Claim.BEGINS) is not None
-        assert fleet.call("h0", rate_tokens.Claim.MOVES) is not None
-        assert fleet.call("h0", rate_tokens.Claim.STAYS) is None
+        assert fleet.call("h0", rate_messages.Claim.BEGINS) is not None
+        assert fleet.call("h0", rate_messages.Claim.MOVES) is not None
+        assert fleet.call("h0", rate_messages.Claim.STAYS) is None
         fleet.timers.sleep(0.55)  # two tokens
-        assert fleet.call("h0", rate_tokens.Claim.BEGINS) is not None
-        assert fleet.call("h0", rate_tokens.Claim.MOVES) is None
+        assert fleet.call("h0", rate_messages.Claim.BEGINS) is not None
+        assert fleet.call("h0", rate_messages.Claim.MOVES) is None
         fleet.timers.sleep(2.0)  # a full bucket
-        assert fleet.call("h0", rate_tokens.Claim.BEGINS) is None
+        assert fleet.call("h0", rate_messages.Claim.BEGINS) is None
 
     fleet.timers.run(main)
 
--- a/tests/cover/gateway/test_stream_origins.py
+++ b/tests/cover/gateway/test_stream_origins.py
@@ -26,6 +26,9 @@
     def versions(self, service):
         return set(self.listed)
 
+    def recent_versions(self, service, seconds):
+        return set(self.listed)
+
     def only_version(self, service, seconds):
         return self.only
 
