Evacuations in release notes, followed by routers and clients of services

Cause: an operator of our own interface could not evacuate a data centre; only the users' row did.

Change: `evacuations` is a section of release notes, so that `endivepier release check`, `apply`, `show`, `diff` and `status` know it. `scheduling.router` and `effects.client` leave out the members there; without any other they refuse with 503, not run. Programs stay where they are owned. A delta without the section has the digest of former builds, or every stored chain would break.

--- a/src/endivepier/configuration/changes.py
+++ b/src/endivepier/configuration/changes.py
@@ -22,9 +22,16 @@
     "routes": state_lib.Route,
     "kinds": state_lib.Kind,
     "templates": state_lib.Template,
+    "evacuations": state_lib.Evacuation,
 }
 # Fields that hold an object's unique name, where that is not `name`.
-NAME_FIELDS: Mapping[str, str] = {"keys": "digest", "routes": "prefix"}
+NAME_FIELDS: Mapping[str, str] = {
+    "keys": "digest",
+    "routes": "prefix",
+    "evacuations": "data_centre",
+}
+# As a delta without evacuations encodes them, in `put` and in `withdrawn`.
+NO_EVACUATIONS = b',"evacuations":[]'
 
 
 def name_field(section: str) -> str:
@@ -49,6 +56,7 @@
     routes: tuple[state_lib.Route, ...] = ()
     kinds: tuple[state_lib.Kind, ...] = ()
     templates: tuple[state_lib.Template, ...] = ()
+    evacuations: tuple[state_lib.Evacuation, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,6 +71,7 @@
     routes: tuple[str, ...] = ()
     kinds: tuple[str, ...] = ()
     templates: tuple[str, ...] = ()
+    evacuations: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,5 +150,10 @@
 
 
 def _chain(delta: Delta) -> str:
-    """Returns a digest of a delta and, through its parent, all earlier ones."""
-    return hashlib.sha256(codec.encode(delta)).hexdigest()[:CHAIN_HEX_DIGITS]
+    """Returns a digest of a delta and, through its parent, all earlier ones.
+
+    Former builds encode a delta without the section of evacuations. Where it is
+    empty it is left out, so that all builds compute the same digests.
+    """
+    encoded = codec.encode(delta).replace(NO_EVACUATIONS, b"")
+    return hashlib.sha256(encoded).hexdigest()[:CHAIN_HEX_DIGITS]
--- a/src/endivepier/configuration/state.py
+++ b/src/endivepier/configuration/state.py
@@ -181,6 +181,19 @@
     seconds: Positive = 3600.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuation:
+    """A data centre whose targets get no calls until this is withdrawn.
+
+    Attributes:
+        data_centre: unique name of the data centre.
+        reason: description for people.
+    """
+
+    data_centre: Name
+    reason: Label = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class State:
     """The whole configuration as of one revision.
@@ -201,6 +214,7 @@
         routes: the routes, by prefix.
         kinds: the kinds of requests.
         templates: the program templates.
+        evacuations: the evacuated data centres.
     """
 
     revision: int = 0
@@ -214,6 +228,9 @@
     routes: Mapping[str, Route] = dataclasses.field(default_factory=dict)
     kinds: Mapping[str, Kind] = dataclasses.field(default_factory=dict)
     templates: Mapping[str, Template] = dataclasses.field(default_factory=dict)
+    evacuations: Mapping[str, Evacuation] = dataclasses.field(
+        default_factory=dict
+    )
 
     def weight_of_kind(self, name: str) -> float:
         """Returns the weight of a kind of request; 1 if it is unknown."""
--- a/src/endivepier/effects/client.py
+++ b/src/endivepier/effects/client.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Sequence
 import dataclasses
 
@@ -28,7 +30,17 @@
         view: view_lib.View,
         peers: peers_lib.Peers,
         timers: timers_lib.Timers,
+        evacuated: Callable[[], Container[str]] = tuple,
     ) -> None:
+        """Makes a client.
+
+        Args:
+            view: knows the members of the fleet.
+            peers: sends messages to sidecars.
+            timers: the timer service.
+            evacuated: returns the data centres whose targets get no calls.
+        """
+        self._evacuated = evacuated
         self._view = view
         self._peers = peers
         self._timers = timers
@@ -93,7 +105,12 @@
     def _candidates(
         self, pool: str, req: messages.CallService
     ) -> Sequence[members.Member]:
-        ready = self._view.ready("sidecar", pool)
+        evacuated = self._evacuated()
+        ready = [
+            member
+            for member in self._view.ready("sidecar", pool)
+            if member.data_centre not in evacuated
+        ]
         if not ready:
             raise errors.Refused(
                 errors.Code.NOT_READY,
--- a/src/endivepier/entry/parts.py
+++ b/src/endivepier/entry/parts.py
@@ -58,7 +58,12 @@
 
     def _make_services(self, call_seconds: float) -> services_lib.ServiceRoutes:
         env = self.env
-        client = client_lib.Client(self.view, env.peers, env.timers)
+        client = client_lib.Client(
+            self.view,
+            env.peers,
+            env.timers,
+            evacuated=lambda: self.current.state.evacuations,
+        )
         claims = claims_lib.Claims(
             env.platform.table, env.platform.objects, env.timers, self.ids
         )
--- a/src/endivepier/scheduling/router.py
+++ b/src/endivepier/scheduling/router.py
@@ -10,6 +10,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Generator
 from collections.abc import Iterator
 from collections.abc import Sequence
@@ -38,6 +40,7 @@
 RELEASE_TIMEOUT_SECONDS = 1.0
 # How many targets are compared with the preferred one for each call.
 MAX_ALTERNATIVES = 3
+EVACUATED_RETRY_SECONDS = 2.0  # evacuations last for seconds or longer
 RETRYABLE_CODES = frozenset({errors.Code.TARGET_FAILED, errors.Code.NOT_READY})
 
 
@@ -81,6 +84,7 @@
         *,
         policy: policies.RoutePolicy | None = None,
         rng: random.Random | None = None,
+        evacuated: Callable[[], Container[str]] = tuple,
     ) -> None:
         """Makes a router.
 
@@ -91,12 +95,14 @@
             timers: the timer service.
             policy: how to choose a target; `OwnerFirst` if None.
             rng: the source of random numbers.
+            evacuated: returns the data centres whose targets get no calls.
         """
         self._dispatcher = dispatcher
         self._peers = peers
         self._view = view
         self._timers = timers
         self._policy = policy or policies.OwnerFirst()
+        self._evacuated = evacuated
         self._rng = rng or random.Random(0)
         self._load_estimator = load_lib.LoadEstimator()
         self._retry_budget = retries_lib.RetryBudget()
@@ -180,7 +186,20 @@
 
     def _choose(self, req: work_lib.Generate, tried: set[str]) -> _Choice:
         me = self._view.me()
-        pool = self._view.ready("sidecar", me.pool)
+        evacuated = self._evacuated()
+        pool = [
+            member
+            for member in self._view.ready("sidecar", me.pool)
+            if member.data_centre not in evacuated
+        ]
+        if not pool and me.data_centre in evacuated:
+            raise errors.Refused(
+                errors.Code.NOT_READY,
+                503,
+                f"no engine of pool {me.pool!r} is outside the evacuated data "
+                "centres",
+                retry_after=EVACUATED_RETRY_SECONDS,
+            )
         match self._policy:
             case policies.RandomRoute():
                 chosen = self._rng.choice(pool) if pool else me
@@ -206,6 +225,8 @@
         """
         excluded = self._ejected(pool) | tried
         usable = [m for m in pool if m.address not in excluded]
+        if not usable and me.data_centre in self._evacuated():
+            return _Choice(pool[0], 0.0)
         if not usable:
             return _Choice(me, 0.0)
         location = self._prefix_locations.get(req.request.session)
--- a/src/endivepier/sidecar/parts.py
+++ b/src/endivepier/sidecar/parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from collections.abc import Sequence
 import dataclasses
 
@@ -68,7 +69,12 @@
             engine, self.queue, env.timers, self.metrics, env.peers
         )
         self.router = router_lib.Router(
-            self.dispatcher, env.peers, self.view, env.timers, rng=env.rng
+            self.dispatcher,
+            env.peers,
+            self.view,
+            env.timers,
+            rng=env.rng,
+            evacuated=self._evacuated,
         )
         self.slow_target_monitor = ejection.SlowTargetMonitor(
             self.queue,
@@ -134,7 +140,9 @@
             receipts=receipts_lib.Receipts(env.fleet_secret),
             router=self.router,
             current=self.current,
-            services=client_lib.Client(self.view, env.peers, env.timers),
+            services=client_lib.Client(
+                self.view, env.peers, env.timers, evacuated=self._evacuated
+            ),
             timers=env.timers,
             ids=self.ids,
             program_metrics=program_metrics_lib.ProgramMetrics(
@@ -176,6 +184,10 @@
         self.dispatcher.register(env.inbox, self.check_ready)
         self.programs.register(env.inbox)
 
+    def _evacuated(self) -> Container[str]:
+        """Returns the data centres whose targets get no calls."""
+        return self.current.state.evacuations
+
     def _expected_models(self) -> Sequence[str]:
         """Returns the models that the engines of this pool should load."""
         pool = self.describe().pool
--- a/tests/cover/test_configuration_notes.py
+++ b/tests/cover/test_configuration_notes.py
@@ -159,6 +159,29 @@
     assert after.accounts["one"] == state_lib.Account("one", 7.0, 9.0)
 
 
+def test_a_note_evacuates_a_data_centre_and_another_takes_it_back(base):
+    evacuated = _apply(
+        '[[added.evacuations]]\ndata_centre = "dakar-1"\nreason = "cooling"',
+        base,
+    )
+    assert list(evacuated.evacuations) == ["dakar-1"]
+    taken_back = _apply('withdrawn.evacuations = ["dakar-1"]', evacuated)
+    assert taken_back.evacuations == {}
+    with pytest.raises(notes.InvalidNote, match="there is no 'dakar-2'"):
+        _apply('withdrawn.evacuations = ["dakar-2"]', evacuated)
+
+
+# Builds from before evacuations compute the digest without that section.
+def test_the_chain_of_a_note_without_evacuations_is_that_of_former_builds():
+    note = notes.parse(
+        'title = "t"\n[[added.accounts]]\nname = "one"\nrate = 5.0\nburst = 9.0'
+    )
+    changed = checking.resolve(note, state_lib.State())
+    delta = changes.Delta(1, "c", "", "t", 1.5, changed)
+    after = changes.apply_delta(delta, state_lib.State())
+    assert after.chain == "e140f77c1db237f6b2b40605086bd837"
+
+
 def test_never_repeats_a_key_written_in_place_of_a_digest(base):
     key = keys.new_key()
     text = f"[[added.keys]]\ndigest = '{key}'\naccount = 'one'\n"
--- a/tests/cover/test_router.py
+++ b/tests/cover/test_router.py
@@ -74,6 +74,31 @@
     case.run(script)
 
 
+def test_calls_of_an_evacuated_owner_run_in_other_data_centres():
+    case = Case()
+    evacuated = {"one"}
+    case.owner.router._evacuated = lambda: evacuated
+    view = case.owner.router._view
+    pool = view.ready
+    view.ready = lambda role, name="": [
+        dataclasses.replace(m, data_centre="two" if n else "one")
+        for n, m in enumerate(pool(role, name))
+    ]
+
+    def script():
+        case.generate(call("r0"))
+        assert case.generated()[0] == 0
+        evacuated.add("two")
+        with pytest.raises(errors.Refused) as refused:
+            case.generate(call("r1"))
+        assert refused.value.status == 503
+        assert refused.value.ran is errors.Ran.NO
+        evacuated.clear()
+        case.generate(call("r2"))
+
+    case.run(script)
+
+
 def test_a_busy_owner_moves_a_call_and_its_prefix_to_another_target():
     case = Case()
 
