homes: calls stay in the regions that their route and account name

No deployment has two regions yet.

Change: `gateway.homes` leaves out the targets elsewhere, for the choice of a target, its retries and the load that admits a turn. A host relays its calls to the store only through hosts of its own region, since a write may hold a request's body. Data centres and their regions come from the settings.

--- a/src/endivepier/gateway/calls.py
+++ b/src/endivepier/gateway/calls.py
@@ -54,6 +54,7 @@
         contents: fingerprints of the request, the same for each retry.
         sent_at: when it was last sent to a target, monotonic seconds.
         has_turn: whether it has the turn of a suspected request.
+        homes: the regions that may run it; None for all.
     """
 
     call: model.Call
@@ -73,6 +74,7 @@
     contents: tuple[str, ...] = ()
     sent_at: float = 0.0
     has_turn: bool = False
+    homes: frozenset[str] | None = None
 
     def may_retry(self, now: float) -> bool:
         """Returns whether the call may be sent to another target."""
--- a/src/endivepier/gateway/handler.py
+++ b/src/endivepier/gateway/handler.py
@@ -10,6 +10,7 @@
 from endivepier.gateway import calls
 from endivepier.gateway import catalog as catalog_lib
 from endivepier.gateway import dialect as dialect_lib
+from endivepier.gateway import homes as homes_lib
 from endivepier.gateway import model
 from endivepier.gateway import share_messages
 from endivepier.gateway import share_refusals
@@ -154,6 +155,7 @@
             deadline=deadline,
             is_first_turn=admission.begins,
             delayed=admission.delayed,
+            homes=homes_lib.common(route, account),
         )
 
     def _authenticate(
--- a/src/endivepier/gateway/model.py
+++ b/src/endivepier/gateway/model.py
@@ -52,6 +52,7 @@
             by id.
         retention: how long a turn is stored.
         gap: objective for the pause between two events of a stream.
+        homes: the only regions that may serve its requests; empty for all.
     """
 
     name: str
@@ -69,6 +70,7 @@
     retained: bool
     retention: float
     gap: float
+    homes: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
@@ -125,6 +127,7 @@
             used by the gateway.
         rate: allowed requests per second over all entry hosts; 0 for no limit.
         burst: requests allowed beyond the rate in a burst.
+        homes: the only regions that may serve its requests; empty for all.
     """
 
     name: str
@@ -132,6 +135,7 @@
     priority: int | None
     rate: float
     burst: float
+    homes: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/endivepier/gateway/peers.py
+++ b/src/endivepier/gateway/peers.py
@@ -21,6 +21,7 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.gateway import departures as departures_lib
+from endivepier.gateway import homes as homes_lib
 from endivepier.gateway import host_rows as host_rows_lib
 from endivepier.gateway import limit_reports as limit_reports_lib
 from endivepier.gateway import load_reports
@@ -92,6 +93,7 @@
         limit_reports: limit_reports_lib.LimitReports,
         rates: target_rates.TargetRates,
         suspects: suspects_lib.Suspects,
+        homes: homes_lib.Homes,
     ) -> None:
         self._host = host
         self._reports = reports
@@ -99,6 +101,7 @@
         self._limit_reports = limit_reports
         self._rates = rates
         self._suspects = suspects
+        self._homes = homes
         self.rows = host_rows
         self._timers = timers
         self.last_contact_at = float("-inf")
@@ -156,6 +159,11 @@
         """Returns the other hosts that are listed and not avoided."""
         return [host for host in self.rows.listed if self.is_available(host)]
 
+    def is_near(self, host: str) -> bool:
+        """Returns whether a listed host is in this host's region."""
+        entry = self.rows.entries.get(host)
+        return entry is not None and self._homes.is_near(entry.data_centre)
+
     def other_hosts(self) -> list[str]:
         """Returns all listed hosts but this one, including avoided ones."""
         return [host for host in self.rows.listed if host != self._host]
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 import dataclasses
 import os
 import random
@@ -22,6 +23,7 @@
 from endivepier.gateway import dialect as dialect_lib
 from endivepier.gateway import exchange
 from endivepier.gateway import handler as handler_lib
+from endivepier.gateway import homes as homes_lib
 from endivepier.gateway import host_rows as host_rows_lib
 from endivepier.gateway import isolation
 from endivepier.gateway import limit_reports
@@ -78,6 +80,8 @@
         rate_tolerance: how many requests beyond its burst the operators
             accept for an account, over all hosts.
         is_first_start: whether the whole fleet starts for the first time.
+        regions: the region of each data centre; empty if there is only one
+            region.
     """
 
     host: str
@@ -90,6 +94,7 @@
     grace_seconds: float
     rate_tolerance: float
     is_first_start: bool = False
+    regions: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,6 +123,7 @@
         self.metrics = metrics_lib.Metrics()
         self.kernel = kernel_lib.Kernel()
         self.incarnation = ids_lib.Ids(rng).unique()[:12]
+        homes = homes_lib.Homes(cfg.data_centre, cfg.regions)
         reports = load_reports.LoadReports(timers)
         limits_exceeded = limit_reports.LimitReports(timers)
         rates = target_rates.TargetRates(timers, self.metrics)
@@ -147,6 +153,7 @@
                 limits_exceeded,
                 rates,
                 self.suspects,
+                homes,
             ),
         )
         store.use_peers(self.peers)
@@ -217,7 +224,7 @@
             timers,
         )
         choice = target_choice.TargetChoice(
-            self.catalog, self.dispatcher, guard, timers
+            self.catalog, self.dispatcher, guard, homes, timers
         )
         self.handler = handler_lib.Handler(
             self.catalog,
--- a/src/endivepier/gateway/store_access.py
+++ b/src/endivepier/gateway/store_access.py
@@ -275,7 +275,13 @@
         cut_off = self._cut_off_peers()
         if len(cut_off) >= OUTAGE_PEERS and not self._relayed_recently():
             return []
-        return [h for h in self._peers.available_hosts() if h not in cut_off]
+        # A relayed write may hold a request's body, which a route or an account
+        # may keep in its region.
+        return [
+            host
+            for host in self._peers.available_hosts()
+            if host not in cut_off and self._peers.is_near(host)
+        ]
 
     def _cut_off_peers(self) -> set[str]:
         """Returns the peers that recently could not reach the store either."""
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams.py
@@ -109,7 +109,7 @@
         rate_tokens = self._dispatcher.rate_tokens
         targets = [
             target
-            for target in self._catalog.targets(ctx.service)
+            for target in self._choice.targets(ctx)
             if rate_tokens.may_take(target)
         ]
         reason = turn_admission.refusal_reason(
--- a/src/endivepier/gateway/target_choice.py
+++ b/src/endivepier/gateway/target_choice.py
@@ -9,6 +9,7 @@
 from endivepier.gateway import calls
 from endivepier.gateway import catalog as catalog_lib
 from endivepier.gateway import exchange as exchange_lib
+from endivepier.gateway import homes as homes_lib
 from endivepier.gateway import model
 from endivepier.gateway import rate_messages
 from endivepier.gateway import rate_tokens as rate_tokens_lib
@@ -29,9 +30,11 @@
         catalog: catalog_lib.Catalog,
         dispatcher: exchange_lib.Dispatcher,
         guard: suspect_guard.SuspectGuard,
+        homes: homes_lib.Homes,
         timers: timers_lib.Timers,
     ) -> None:
         self._catalog = catalog
+        self._homes = homes
         self._placement = dispatcher.placement
         self._rate_tokens = dispatcher.rate_tokens
         self._guard = guard
@@ -62,14 +65,17 @@
                 )
             self._timers.sleep(max(choice.wait, MIN_TOKEN_WAIT_SECONDS))
 
+    def targets(self, ctx: calls.CallContext) -> list[model.Target]:
+        """Returns the targets that may run a call, tried ones included."""
+        return self._homes.targets(
+            self._catalog.targets(ctx.service, ctx.software_version), ctx.homes
+        )
+
     def has_other(self, ctx: calls.CallContext) -> bool:
         """Returns whether there is a target that a call was not sent to."""
         excluded = ctx.unreachable | set(ctx.tried)
         return any(
-            target.incarnation not in excluded
-            for target in self._catalog.targets(
-                ctx.service, ctx.software_version
-            )
+            target.incarnation not in excluded for target in self.targets(ctx)
         )
 
     def _choose(
@@ -96,7 +102,7 @@
                 503,
                 "the call's deadline has passed or is too close",
             )
-        targets = self._catalog.targets(ctx.service, ctx.software_version)
+        targets = self.targets(ctx)
         excluded = ctx.unreachable | set(ctx.tried)
         refusals = []
         cost_of_waiting = math.inf
@@ -126,6 +132,8 @@
         if not refusals:
             version = ctx.software_version
             suffix = "" if version is None else f" of version {version!r}"
+            if ctx.homes is not None:
+                suffix += f" in the home regions {sorted(ctx.homes)}"
             raise calls.overloaded(
                 ctx, f"{len(targets)} targets{suffix}, none accepts the call"
             )
--- a/tests/common/gateway_peers.py
+++ b/tests/common/gateway_peers.py
@@ -45,6 +45,9 @@
     def other_hosts(self):
         return [name for name in self.hosts if name != self.name]
 
+    def is_near(self, host):
+        return True
+
     def is_available(self, host):
         if host == self.name or host not in self.hosts:
             return False
--- a/tests/cover/gateway/test_peers.py
+++ b/tests/cover/gateway/test_peers.py
@@ -9,6 +9,7 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.gateway import departures as departures_lib
+from endivepier.gateway import homes
 from endivepier.gateway import host_rows
 from endivepier.gateway import limit_reports
 from endivepier.gateway import load_reports
@@ -54,6 +55,7 @@
             self.limits,
             self.rates,
             self.suspects,
+            homes.Homes("a", {}),
         )
         self.peers.register("echo", lambda body: body)
         self.peers.register("slow", self.slow)
--- a/tests/cover/gateway/test_store_access.py
+++ b/tests/cover/gateway/test_store_access.py
@@ -53,6 +53,9 @@
     def available_hosts(self):
         return ["other"]
 
+    def is_near(self, host):
+        return True
+
     def request(self, host, operation, body, seconds):
         if self.broken:
             raise errors.PeerUnreachable(host, "silent", sent=True)
