gateway: packages by what they look after

Cause: 57 modules lay on one floor, with prefixes in place of folders.

Change: moves only, to accounts, budgets, streams, choice, targets, suspects, hosts and store; names lose the prefix that the package says (share_renewals -> accounts.renewals, budgets -> budgets.ledger, streams -> streams.stream_calls, store_access -> store.access, peers -> hosts.peers, rate_tokens -> targets.tokens, and so on). Imports keep the former name as an alias where the new one would not tell.

--- /dev/null
+++ b/src/endivepier/gateway/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Rates of client accounts, over all hosts together."""
--- a/src/endivepier/gateway/account_owners.py
+++ b/src/endivepier/gateway/accounts/owners.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from endivepier.gateway import model
-from endivepier.gateway import peers as peers_lib
+from endivepier.gateway.hosts import peers as peers_lib
 from endivepier.internal import rendezvous
 
 # Burst that each owner must get, in tokens: enough for four programs at once.
--- a/src/endivepier/gateway/share_refusals.py
+++ b/src/endivepier/gateway/accounts/refusals.py
@@ -5,8 +5,8 @@
 import eliot
 
 from endivepier.gateway import model
-from endivepier.gateway import share_messages
-from endivepier.gateway import share_renewals
+from endivepier.gateway.accounts import messages as share_messages
+from endivepier.gateway.accounts import renewals as share_renewals
 
 
 def log(
--- a/src/endivepier/gateway/share_renewals.py
+++ b/src/endivepier/gateway/accounts/renewals.py
@@ -13,12 +13,12 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.gateway import account_owners
-from endivepier.gateway import catalog as catalog_lib
 from endivepier.gateway import model
-from endivepier.gateway import peers as peers_lib
-from endivepier.gateway import rows
-from endivepier.gateway import share_rows
+from endivepier.gateway.accounts import owners as account_owners
+from endivepier.gateway.accounts import rows as share_rows
+from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.store import rows
+from endivepier.gateway.targets import catalog as catalog_lib
 from endivepier.internal import codec
 from endivepier.limits import bucket as bucket_lib
 from endivepier.limits import leases
--- a/src/endivepier/gateway/share_returns.py
+++ b/src/endivepier/gateway/accounts/returns.py
@@ -8,11 +8,11 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.gateway import model
-from endivepier.gateway import peers as peers_lib
-from endivepier.gateway import recent_programs as recent_programs_lib
-from endivepier.gateway import share_messages
-from endivepier.gateway import share_renewals
-from endivepier.gateway import share_rows
+from endivepier.gateway.accounts import messages as share_messages
+from endivepier.gateway.accounts import recent_programs as recent_programs_lib
+from endivepier.gateway.accounts import renewals as share_renewals
+from endivepier.gateway.accounts import rows as share_rows
+from endivepier.gateway.hosts import peers as peers_lib
 from endivepier.internal import codec
 
 RETURN_TOKEN = "give-back"  # name of the request to peers
--- a/src/endivepier/gateway/share_rows.py
+++ b/src/endivepier/gateway/accounts/rows.py
@@ -9,7 +9,7 @@
 import dataclasses
 
 from endivepier.gateway import model
-from endivepier.gateway import starts as starts_lib
+from endivepier.gateway.accounts import starts as starts_lib
 from endivepier.limits import bucket as bucket_lib
 
 
--- a/src/endivepier/gateway/shares.py
+++ b/src/endivepier/gateway/accounts/shares.py
@@ -30,14 +30,14 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.gateway import catalog as catalog_lib
 from endivepier.gateway import model
-from endivepier.gateway import peers as peers_lib
-from endivepier.gateway import recent_programs
-from endivepier.gateway import share_messages
-from endivepier.gateway import share_renewals
-from endivepier.gateway import share_returns
-from endivepier.gateway import share_rows
+from endivepier.gateway.accounts import messages as share_messages
+from endivepier.gateway.accounts import recent_programs
+from endivepier.gateway.accounts import renewals as share_renewals
+from endivepier.gateway.accounts import returns as share_returns
+from endivepier.gateway.accounts import rows as share_rows
+from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.targets import catalog as catalog_lib
 from endivepier.internal import codec
 from endivepier.limits import bucket as bucket_lib
 
--- /dev/null
+++ b/src/endivepier/gateway/budgets/__init__.py
@@ -0,0 +1,1 @@
+"""Token budgets of programs, over all hosts together."""
--- a/src/endivepier/gateway/budgets.py
+++ b/src/endivepier/gateway/budgets/ledger.py
@@ -26,9 +26,9 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.gateway import budget_rows
-from endivepier.gateway import budget_state
-from endivepier.gateway import openers as openers_lib
+from endivepier.gateway.budgets import openers as openers_lib
+from endivepier.gateway.budgets import rows as budget_rows
+from endivepier.gateway.budgets import state as budget_state
 from endivepier.storage import ports
 
 # When a program has been idle for this time, its process writes the tokens
--- a/src/endivepier/gateway/openers.py
+++ b/src/endivepier/gateway/budgets/openers.py
@@ -23,8 +23,8 @@
 from collections.abc import Callable
 
 from endivepier import timers as timers_lib
-from endivepier.gateway import peers as peers_lib
-from endivepier.gateway import recorded_programs
+from endivepier.gateway.budgets import recorded_programs
+from endivepier.gateway.hosts import peers as peers_lib
 from endivepier.internal import rendezvous
 
 # The part of a budget that may be granted without a row is 1 / OPEN_DIVISOR. It
--- a/src/endivepier/gateway/budget_owners.py
+++ b/src/endivepier/gateway/budgets/owners.py
@@ -23,9 +23,9 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.gateway import budget_state
-from endivepier.gateway import budgets
-from endivepier.gateway import peers as peers_lib
+from endivepier.gateway.budgets import ledger as ledger_lib
+from endivepier.gateway.budgets import state as budget_state
+from endivepier.gateway.hosts import peers as peers_lib
 from endivepier.internal import bounded_map
 from endivepier.internal import codec
 from endivepier.internal import rendezvous
@@ -142,7 +142,7 @@
     def __init__(
         self,
         host: str,
-        ledger: budgets.Ledger,
+        ledger: ledger_lib.Ledger,
         peers: peers_lib.Peers,
         timers: timers_lib.Timers,
     ) -> None:
--- a/src/endivepier/gateway/recorded_programs.py
+++ b/src/endivepier/gateway/budgets/recorded_programs.py
@@ -7,7 +7,7 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.gateway import rows
+from endivepier.gateway.store import rows
 from endivepier.storage import ports
 
 # Before that, a host that has just started serves the programs that come back.
--- a/src/endivepier/gateway/budget_rows.py
+++ b/src/endivepier/gateway/budgets/rows.py
@@ -11,8 +11,8 @@
 import eliot
 
 from endivepier import errors
-from endivepier.gateway import budget_state
-from endivepier.gateway import rows
+from endivepier.gateway.budgets import state as budget_state
+from endivepier.gateway.store import rows
 from endivepier.internal import codec
 from endivepier.storage import ports
 
--- a/src/endivepier/gateway/turn_tokens.py
+++ b/src/endivepier/gateway/budgets/turn_tokens.py
@@ -6,10 +6,10 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.gateway import budget_owners
-from endivepier.gateway import budget_state
 from endivepier.gateway import calls
-from endivepier.gateway import store_access
+from endivepier.gateway.budgets import owners as budget_owners
+from endivepier.gateway.budgets import state as budget_state
+from endivepier.gateway.store import access as store_access
 
 # How long a turn waits for an uncertain reservation before it is sent to a
 # target. A turn that already runs waits for as long as its route allows.
--- a/src/endivepier/gateway/turn_admission.py
+++ b/src/endivepier/gateway/choice/admission.py
@@ -13,7 +13,7 @@
 import dataclasses
 
 from endivepier.gateway import model
-from endivepier.gateway import placement as placement_lib
+from endivepier.gateway.choice import placement as placement_lib
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/endivepier/gateway/placement.py
+++ b/src/endivepier/gateway/choice/placement.py
@@ -18,8 +18,8 @@
 import random
 
 from endivepier import timers as timers_lib
-from endivepier.gateway import load_reports
 from endivepier.gateway import model
+from endivepier.gateway.choice import load_reports
 from endivepier.internal import bounded_map
 from endivepier.internal import rendezvous
 
--- a/src/endivepier/gateway/target_choice.py
+++ b/src/endivepier/gateway/choice/target_choice.py
@@ -7,13 +7,13 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.gateway import calls
-from endivepier.gateway import catalog as catalog_lib
 from endivepier.gateway import exchange as exchange_lib
-from endivepier.gateway import homes as homes_lib
 from endivepier.gateway import model
-from endivepier.gateway import rate_messages
-from endivepier.gateway import rate_tokens as rate_tokens_lib
-from endivepier.gateway import suspect_guard
+from endivepier.gateway.choice import homes as homes_lib
+from endivepier.gateway.suspects import guard as suspect_guard
+from endivepier.gateway.targets import catalog as catalog_lib
+from endivepier.gateway.targets import messages as rate_messages
+from endivepier.gateway.targets import tokens as rate_tokens_lib
 
 # How long a call waits for a token if all targets limit their rate.
 TOKEN_WAIT_SECONDS = 0.25
--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -12,14 +12,14 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.gateway import cold_targets as cold_targets_lib
-from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import dialect as dialect_lib
-from endivepier.gateway import limit_reports as limit_reports_lib
 from endivepier.gateway import model
-from endivepier.gateway import placement as placement_lib
-from endivepier.gateway import rate_tokens as rate_tokens_lib
-from endivepier.gateway import target_rates
+from endivepier.gateway.choice import placement as placement_lib
+from endivepier.gateway.targets import cold as cold_targets_lib
+from endivepier.gateway.targets import departures as departures_lib
+from endivepier.gateway.targets import limit_reports as limit_reports_lib
+from endivepier.gateway.targets import rates as target_rates
+from endivepier.gateway.targets import tokens as rate_tokens_lib
 from endivepier.http1 import buffers as buffers_lib
 from endivepier.http1 import client
 from endivepier.http1 import errors as http_errors
--- a/src/endivepier/gateway/handler.py
+++ b/src/endivepier/gateway/handler.py
@@ -8,16 +8,16 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.gateway import calls
-from endivepier.gateway import catalog as catalog_lib
 from endivepier.gateway import dialect as dialect_lib
-from endivepier.gateway import homes as homes_lib
 from endivepier.gateway import model
-from endivepier.gateway import share_messages
-from endivepier.gateway import share_refusals
-from endivepier.gateway import shares as shares_lib
-from endivepier.gateway import stream_progress
-from endivepier.gateway import streams as streams_lib
 from endivepier.gateway import unary_calls as unary_calls_lib
+from endivepier.gateway.accounts import messages as share_messages
+from endivepier.gateway.accounts import refusals as share_refusals
+from endivepier.gateway.accounts import shares as shares_lib
+from endivepier.gateway.choice import homes as homes_lib
+from endivepier.gateway.streams import progress as stream_progress
+from endivepier.gateway.streams import stream_calls as streams_lib
+from endivepier.gateway.targets import catalog as catalog_lib
 from endivepier.http1 import errors as http_errors
 from endivepier.http1 import messages
 from endivepier.http1 import responding
--- /dev/null
+++ b/src/endivepier/gateway/hosts/__init__.py
@@ -0,0 +1,1 @@
+"""The other entry hosts, and messages between them."""
--- a/src/endivepier/gateway/isolation.py
+++ b/src/endivepier/gateway/hosts/isolation.py
@@ -14,8 +14,8 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.gateway import peers as peers_lib
-from endivepier.gateway import store_access
+from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.store import access as store_access
 
 # Time without a response of store or peers after which peers are probed. It is
 # longer than a usual response of the store, a lost packet and a probe together.
--- a/src/endivepier/gateway/peers.py
+++ b/src/endivepier/gateway/hosts/peers.py
@@ -20,13 +20,13 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.gateway import departures as departures_lib
-from endivepier.gateway import homes as homes_lib
-from endivepier.gateway import host_rows as host_rows_lib
-from endivepier.gateway import limit_reports as limit_reports_lib
-from endivepier.gateway import load_reports
-from endivepier.gateway import suspects as suspects_lib
-from endivepier.gateway import target_rates
+from endivepier.gateway.choice import homes as homes_lib
+from endivepier.gateway.choice import load_reports
+from endivepier.gateway.hosts import rows as host_rows_lib
+from endivepier.gateway.suspects import suspects as suspects_lib
+from endivepier.gateway.targets import departures as departures_lib
+from endivepier.gateway.targets import limit_reports as limit_reports_lib
+from endivepier.gateway.targets import rates as target_rates
 from endivepier.http1 import buffers as buffers_lib
 from endivepier.http1 import client
 from endivepier.http1 import errors as http_errors
--- a/src/endivepier/gateway/host_rows.py
+++ b/src/endivepier/gateway/hosts/rows.py
@@ -15,8 +15,8 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.gateway import follower as follower_lib
-from endivepier.gateway import rows
+from endivepier.gateway.store import follower as follower_lib
+from endivepier.gateway.store import rows
 from endivepier.internal import codec
 from endivepier.storage import ports
 
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -14,40 +14,40 @@
 
 from endivepier import kernel as kernel_lib
 from endivepier import timers as timers_lib
-from endivepier.gateway import budget_owners
-from endivepier.gateway import budgets
-from endivepier.gateway import catalog as catalog_lib
-from endivepier.gateway import cold_targets
-from endivepier.gateway import decoding
-from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import dialect as dialect_lib
 from endivepier.gateway import exchange
 from endivepier.gateway import handler as handler_lib
-from endivepier.gateway import homes as homes_lib
-from endivepier.gateway import host_rows as host_rows_lib
-from endivepier.gateway import isolation
-from endivepier.gateway import limit_reports
-from endivepier.gateway import load_reports
-from endivepier.gateway import openers
-from endivepier.gateway import peers as peers_lib
-from endivepier.gateway import placement as placement_lib
-from endivepier.gateway import rate_tokens
-from endivepier.gateway import recorded_programs
-from endivepier.gateway import share_renewals
-from endivepier.gateway import shares as shares_lib
-from endivepier.gateway import store_access
-from endivepier.gateway import stream_origins
-from endivepier.gateway import stream_versions
-from endivepier.gateway import streams
-from endivepier.gateway import suspect_guard
-from endivepier.gateway import suspect_trials
-from endivepier.gateway import suspects as suspects_lib
-from endivepier.gateway import target_choice
-from endivepier.gateway import target_ends
-from endivepier.gateway import target_rates
-from endivepier.gateway import turn_tokens
-from endivepier.gateway import turns as turns_lib
 from endivepier.gateway import unary_calls
+from endivepier.gateway.accounts import renewals as share_renewals
+from endivepier.gateway.accounts import shares as shares_lib
+from endivepier.gateway.budgets import ledger as ledger_lib
+from endivepier.gateway.budgets import openers
+from endivepier.gateway.budgets import owners as budget_owners
+from endivepier.gateway.budgets import recorded_programs
+from endivepier.gateway.budgets import turn_tokens
+from endivepier.gateway.choice import homes as homes_lib
+from endivepier.gateway.choice import load_reports
+from endivepier.gateway.choice import placement as placement_lib
+from endivepier.gateway.choice import target_choice
+from endivepier.gateway.hosts import isolation
+from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.hosts import rows as host_rows_lib
+from endivepier.gateway.store import access as store_access
+from endivepier.gateway.streams import origins as stream_origins
+from endivepier.gateway.streams import stream_calls
+from endivepier.gateway.streams import turns as turns_lib
+from endivepier.gateway.streams import versions as stream_versions
+from endivepier.gateway.suspects import guard as suspect_guard
+from endivepier.gateway.suspects import suspects as suspects_lib
+from endivepier.gateway.suspects import trials as suspect_trials
+from endivepier.gateway.targets import catalog as catalog_lib
+from endivepier.gateway.targets import cold as cold_targets
+from endivepier.gateway.targets import decoding
+from endivepier.gateway.targets import departures as departures_lib
+from endivepier.gateway.targets import ends as target_ends
+from endivepier.gateway.targets import limit_reports
+from endivepier.gateway.targets import rates as target_rates
+from endivepier.gateway.targets import tokens as rate_tokens
 from endivepier.http1 import messages
 from endivepier.http1 import pool as pool_lib
 from endivepier.http1 import responding
@@ -177,7 +177,7 @@
         )
         self.ledger = self.kernel.register(
             "budgets",
-            budgets.Ledger(
+            ledger_lib.Ledger(
                 self.incarnation,
                 store,
                 timers,
@@ -235,7 +235,7 @@
             self.catalog,
             shares,
             unary_calls.UnaryCalls(self.dispatcher, choice, guard, timers),
-            streams.StreamCalls(
+            stream_calls.StreamCalls(
                 self.catalog,
                 self.dispatcher,
                 choice,
--- a/src/endivepier/gateway/store_access.py
+++ b/src/endivepier/gateway/store/access.py
@@ -23,8 +23,8 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.gateway import peers as peers_lib
-from endivepier.gateway import store_messages
+from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.store import messages as store_messages
 from endivepier.internal import codec
 from endivepier.storage import ports
 from endivepier.storage import wire
--- /dev/null
+++ b/src/endivepier/gateway/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Calls whose responses are event streams, and the turns they store."""
--- a/src/endivepier/gateway/stream_origins.py
+++ b/src/endivepier/gateway/streams/origins.py
@@ -22,8 +22,8 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.gateway import catalog as catalog_lib
-from endivepier.gateway import peers as peers_lib
+from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.targets import catalog as catalog_lib
 from endivepier.internal import bounded_map
 from endivepier.internal import codec
 from endivepier.internal import rendezvous
--- a/src/endivepier/gateway/streams.py
+++ b/src/endivepier/gateway/streams/stream_calls.py
@@ -16,20 +16,20 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.gateway import budget_owners
 from endivepier.gateway import calls
-from endivepier.gateway import catalog as catalog_lib
-from endivepier.gateway import events
 from endivepier.gateway import exchange as exchange_lib
 from endivepier.gateway import model
-from endivepier.gateway import store_access
-from endivepier.gateway import stream_progress
-from endivepier.gateway import stream_versions
-from endivepier.gateway import suspect_guard
-from endivepier.gateway import target_choice
-from endivepier.gateway import turn_admission
-from endivepier.gateway import turn_tokens
-from endivepier.gateway import turns as turns_lib
+from endivepier.gateway.budgets import owners as budget_owners
+from endivepier.gateway.budgets import turn_tokens
+from endivepier.gateway.choice import admission as turn_admission
+from endivepier.gateway.choice import target_choice
+from endivepier.gateway.store import access as store_access
+from endivepier.gateway.streams import events
+from endivepier.gateway.streams import progress as stream_progress
+from endivepier.gateway.streams import turns as turns_lib
+from endivepier.gateway.streams import versions as stream_versions
+from endivepier.gateway.suspects import guard as suspect_guard
+from endivepier.gateway.targets import catalog as catalog_lib
 from endivepier.http1 import messages
 
 # A resumable stream continues at another target after a silence of this
--- a/src/endivepier/gateway/turns.py
+++ b/src/endivepier/gateway/streams/turns.py
@@ -25,7 +25,7 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.gateway import rows
+from endivepier.gateway.store import rows
 from endivepier.storage import ports
 
 PIECE_BYTES = 44_000  # rows hold 65,536 bytes, and encoding adds a third
--- a/src/endivepier/gateway/stream_versions.py
+++ b/src/endivepier/gateway/streams/versions.py
@@ -6,9 +6,9 @@
 
 from endivepier import errors
 from endivepier.gateway import calls
-from endivepier.gateway import catalog as catalog_lib
 from endivepier.gateway import model
-from endivepier.gateway import stream_origins
+from endivepier.gateway.streams import origins as stream_origins
+from endivepier.gateway.targets import catalog as catalog_lib
 
 # A client may resume a stream until its own deadline, which usually equals the
 # timeout of the route.
--- /dev/null
+++ b/src/endivepier/gateway/suspects/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that were at a target when it ended."""
--- a/src/endivepier/gateway/suspect_guard.py
+++ b/src/endivepier/gateway/suspects/guard.py
@@ -14,12 +14,12 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.gateway import calls
-from endivepier.gateway import fingerprints
 from endivepier.gateway import model
-from endivepier.gateway import placement as placement_lib
-from endivepier.gateway import suspect_trials
-from endivepier.gateway import suspects as suspects_lib
-from endivepier.gateway import target_ends
+from endivepier.gateway.choice import placement as placement_lib
+from endivepier.gateway.suspects import fingerprints
+from endivepier.gateway.suspects import suspects as suspects_lib
+from endivepier.gateway.suspects import trials as suspect_trials
+from endivepier.gateway.targets import ends as target_ends
 from endivepier.internal import rendezvous
 
 ENDS_FOR_TURN = 2  # ended targets after which a request runs only in turn
--- a/src/endivepier/gateway/suspects.py
+++ b/src/endivepier/gateway/suspects/suspects.py
@@ -29,7 +29,7 @@
 import eliot
 
 from endivepier import timers as timers_lib
-from endivepier.gateway import fingerprints
+from endivepier.gateway.suspects import fingerprints
 from endivepier.internal import bounded_map
 from endivepier.telemetry import metrics as metrics_lib
 
--- a/src/endivepier/gateway/catalog.py
+++ b/src/endivepier/gateway/targets/catalog.py
@@ -15,12 +15,12 @@
 import eliot
 
 from endivepier import timers as timers_lib
-from endivepier.gateway import decoding
-from endivepier.gateway import departures as departures_lib
-from endivepier.gateway import evacuations as evacuations_lib
-from endivepier.gateway import follower as follower_lib
 from endivepier.gateway import model
-from endivepier.gateway import version_history
+from endivepier.gateway.store import follower as follower_lib
+from endivepier.gateway.targets import decoding
+from endivepier.gateway.targets import departures as departures_lib
+from endivepier.gateway.targets import evacuations as evacuations_lib
+from endivepier.gateway.targets import version_history
 from endivepier.http1 import messages
 from endivepier.storage import ports
 
--- a/src/endivepier/gateway/cold_targets.py
+++ b/src/endivepier/gateway/targets/cold.py
@@ -17,9 +17,9 @@
 import eliot
 
 from endivepier import timers as timers_lib
-from endivepier.gateway import catalog as catalog_lib
 from endivepier.gateway import model
-from endivepier.gateway import target_rates
+from endivepier.gateway.targets import catalog as catalog_lib
+from endivepier.gateway.targets import rates as target_rates
 from endivepier.internal import bounded_map
 
 # A target that says that it stays cold for longer is asked again by then.
--- a/src/endivepier/gateway/target_ends.py
+++ b/src/endivepier/gateway/targets/ends.py
@@ -11,8 +11,8 @@
 import gevent.event
 
 from endivepier import timers as timers_lib
-from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import model
+from endivepier.gateway.targets import departures as departures_lib
 from endivepier.http1 import errors as http_errors
 from endivepier.http1 import pool as pool_lib
 from endivepier.internal import bounded_map
--- a/src/endivepier/gateway/rate_tokens.py
+++ b/src/endivepier/gateway/targets/tokens.py
@@ -30,9 +30,9 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.gateway import model
-from endivepier.gateway import peers as peers_lib
-from endivepier.gateway import rate_messages
-from endivepier.gateway import target_rates
+from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.targets import messages as rate_messages
+from endivepier.gateway.targets import rates as target_rates
 from endivepier.internal import codec
 from endivepier.internal import rendezvous
 from endivepier.limits import bucket as bucket_lib
--- a/src/endivepier/gateway/unary_calls.py
+++ b/src/endivepier/gateway/unary_calls.py
@@ -7,8 +7,8 @@
 from endivepier.gateway import calls
 from endivepier.gateway import exchange as exchange_lib
 from endivepier.gateway import model
-from endivepier.gateway import suspect_guard
-from endivepier.gateway import target_choice
+from endivepier.gateway.choice import target_choice
+from endivepier.gateway.suspects import guard as suspect_guard
 from endivepier.http1 import messages
 
 # A repeatable call is sent to another target when its target has been silent
--- a/tests/common/engine_load.py
+++ b/tests/common/engine_load.py
@@ -11,11 +11,11 @@
 
 import gevent
 
-from endivepier.gateway import load_reports
 from endivepier.gateway import model
-from endivepier.gateway import placement
-from endivepier.gateway import recent_programs
-from endivepier.gateway import turn_admission
+from endivepier.gateway.accounts import recent_programs
+from endivepier.gateway.choice import admission as turn_admission
+from endivepier.gateway.choice import load_reports
+from endivepier.gateway.choice import placement
 from endivepier.standins import batch_engine
 from endivepier.standins import clock
 from tests.common import gateway_parts
--- a/tests/common/gateway_peers.py
+++ b/tests/common/gateway_peers.py
@@ -6,7 +6,7 @@
 
 
 class SimulatedPeers:
-    """A `gateway.peers.Peers` that calls the other hosts' handlers directly.
+    """A `gateway.hosts.peers.Peers` that calls the handlers of others directly.
 
     Attributes:
         cut: whether the host can't exchange messages with any other.
--- a/tests/common/outage_load.py
+++ b/tests/common/outage_load.py
@@ -7,15 +7,15 @@
 import random
 
 from endivepier import errors
-from endivepier.gateway import budget_owners
-from endivepier.gateway import budgets
 from endivepier.gateway import calls
-from endivepier.gateway import host_rows
 from endivepier.gateway import model
-from endivepier.gateway import openers
-from endivepier.gateway import recorded_programs
-from endivepier.gateway import store_access
-from endivepier.gateway import turn_tokens
+from endivepier.gateway.budgets import ledger as ledger_lib
+from endivepier.gateway.budgets import openers
+from endivepier.gateway.budgets import owners as budget_owners
+from endivepier.gateway.budgets import recorded_programs
+from endivepier.gateway.budgets import turn_tokens
+from endivepier.gateway.hosts import rows as host_rows
+from endivepier.gateway.store import access as store_access
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
 from tests.common import gateway_parts
@@ -89,7 +89,7 @@
             lambda: RETENTION_SECONDS,
             recorded_programs.RecordedPrograms(self.store, fleet.timers),
         )
-        self.ledger = budgets.Ledger(
+        self.ledger = ledger_lib.Ledger(
             f"{name}-{fleet.timers.now()}",
             self.store,
             fleet.timers,
--- a/tests/cover/gateway/test_budget_owners.py
+++ b/tests/cover/gateway/test_budget_owners.py
@@ -5,9 +5,9 @@
 import gevent
 import pytest
 
-from endivepier.gateway import budget_owners
-from endivepier.gateway import budget_state
-from endivepier.gateway import budgets
+from endivepier.gateway.budgets import ledger as ledger_lib
+from endivepier.gateway.budgets import owners as budget_owners
+from endivepier.gateway.budgets import state as budget_state
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
 from tests.common import gateway_peers
@@ -36,7 +36,7 @@
 
     def start(self, name):
         """Starts or restarts a host; a restart loses its memory."""
-        ledger = budgets.Ledger(
+        ledger = ledger_lib.Ledger(
             f"{name}-{len(self.hosts)}-{self.timers.now()}",
             self.table,
             self.timers,
--- a/tests/cover/gateway/test_budgets.py
+++ b/tests/cover/gateway/test_budgets.py
@@ -6,8 +6,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from endivepier.gateway import budget_state
-from endivepier.gateway import budgets
+from endivepier.gateway.budgets import ledger as ledger_lib
+from endivepier.gateway.budgets import state as budget_state
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
 
@@ -32,7 +32,9 @@
         self.states = []
 
     def make(self):
-        ledger = budgets.Ledger(f"p{next(self.names)}", self.table, self.timers)
+        ledger = ledger_lib.Ledger(
+            f"p{next(self.names)}", self.table, self.timers
+        )
         ledger.start()
         return ledger
 
--- a/tests/cover/gateway/test_catalog.py
+++ b/tests/cover/gateway/test_catalog.py
@@ -1,9 +1,9 @@
 import pytest
 
-from endivepier.gateway import catalog as catalog_lib
-from endivepier.gateway import departures as departures_lib
-from endivepier.gateway import follower
 from endivepier.gateway import model
+from endivepier.gateway.store import follower
+from endivepier.gateway.targets import catalog as catalog_lib
+from endivepier.gateway.targets import departures as departures_lib
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
 from endivepier.storage import ports
--- a/tests/cover/gateway/test_cold_targets.py
+++ b/tests/cover/gateway/test_cold_targets.py
@@ -9,12 +9,12 @@
 import gevent
 import pytest
 
-from endivepier.gateway import catalog as catalog_lib
-from endivepier.gateway import cold_targets
-from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import model
-from endivepier.gateway import rate_messages
-from endivepier.gateway import target_rates
+from endivepier.gateway.targets import catalog as catalog_lib
+from endivepier.gateway.targets import cold as cold_targets
+from endivepier.gateway.targets import departures as departures_lib
+from endivepier.gateway.targets import messages as rate_messages
+from endivepier.gateway.targets import rates as target_rates
 from endivepier.internal import rendezvous
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
--- a/tests/cover/gateway/test_deadly_requests.py
+++ b/tests/cover/gateway/test_deadly_requests.py
@@ -3,10 +3,10 @@
 import gevent
 import pytest
 
-from endivepier.gateway import fingerprints
 from endivepier.gateway import model
-from endivepier.gateway import suspect_trials
-from endivepier.gateway import suspects
+from endivepier.gateway.suspects import fingerprints
+from endivepier.gateway.suspects import suspects
+from endivepier.gateway.suspects import trials as suspect_trials
 from endivepier.telemetry import metrics as metrics_lib
 from tests.common import gateway_fleet
 from tests.common import gateway_parts
--- a/tests/cover/gateway/test_engine_load.py
+++ b/tests/cover/gateway/test_engine_load.py
@@ -6,7 +6,7 @@
 programs began too late to end in time.
 """
 
-from endivepier.gateway import turn_admission
+from endivepier.gateway.choice import admission as turn_admission
 from endivepier.standins import batch_engine
 from endivepier.standins import clock
 from tests.common import engine_load
--- a/tests/cover/gateway/test_evacuations.py
+++ b/tests/cover/gateway/test_evacuations.py
@@ -6,10 +6,10 @@
 import pytest
 
 from endivepier import errors
-from endivepier.gateway import catalog as catalog_lib
-from endivepier.gateway import departures as departures_lib
 from endivepier.gateway import model
-from endivepier.gateway import store_access
+from endivepier.gateway.store import access as store_access
+from endivepier.gateway.targets import catalog as catalog_lib
+from endivepier.gateway.targets import departures as departures_lib
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
 from endivepier.storage import ports
--- a/tests/cover/gateway/test_events.py
+++ b/tests/cover/gateway/test_events.py
@@ -1,7 +1,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from endivepier.gateway import events
+from endivepier.gateway.streams import events
 
 STREAM = (
     b"id: 1\ndata: one\n\nid: 2\ndata: two\ndata: more\n\n: note\n\nid: 3\n"
--- a/tests/cover/gateway/test_fingerprints.py
+++ b/tests/cover/gateway/test_fingerprints.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from endivepier.gateway import fingerprints
+from endivepier.gateway.suspects import fingerprints
 from tests.common import gateway_parts
 
 
--- a/tests/cover/gateway/test_flooding_targets.py
+++ b/tests/cover/gateway/test_flooding_targets.py
@@ -3,11 +3,11 @@
 import gevent
 import pytest
 
-from endivepier.gateway import events
-from endivepier.gateway import limit_reports
 from endivepier.gateway import model
-from endivepier.gateway import peers as peers_lib
-from endivepier.gateway import placement as placement_lib
+from endivepier.gateway.choice import placement as placement_lib
+from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.streams import events
+from endivepier.gateway.targets import limit_reports
 from endivepier.http1 import buffers as buffers_lib
 from endivepier.standins import clock
 from tests.common import flooding
--- a/tests/cover/gateway/test_homes.py
+++ b/tests/cover/gateway/test_homes.py
@@ -3,8 +3,8 @@
 import gevent
 import pytest
 
-from endivepier.gateway import homes as homes_lib
 from endivepier.gateway import model
+from endivepier.gateway.choice import homes as homes_lib
 from endivepier_platform import documents
 from tests.common import gateway_fleet
 from tests.common import gateway_parts
--- a/tests/cover/gateway/test_isolation.py
+++ b/tests/cover/gateway/test_isolation.py
@@ -5,7 +5,7 @@
 import pytest
 
 from endivepier import errors
-from endivepier.gateway import isolation
+from endivepier.gateway.hosts import isolation
 from endivepier.standins import clock
 
 
--- a/tests/cover/gateway/test_load_reports.py
+++ b/tests/cover/gateway/test_load_reports.py
@@ -1,7 +1,7 @@
 import pytest
 
 from endivepier import timers as timers_lib
-from endivepier.gateway import load_reports
+from endivepier.gateway.choice import load_reports
 
 
 # A count that is null raised a TypeError, which no caller expects.
--- a/tests/cover/gateway/test_openers.py
+++ b/tests/cover/gateway/test_openers.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from endivepier.gateway import host_rows
-from endivepier.gateway import openers
+from endivepier.gateway.budgets import openers
+from endivepier.gateway.hosts import rows as host_rows
 from endivepier.internal import rendezvous
 from endivepier.standins import clock
 
--- a/tests/cover/gateway/test_peers.py
+++ b/tests/cover/gateway/test_peers.py
@@ -8,15 +8,15 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
-from endivepier.gateway import departures as departures_lib
-from endivepier.gateway import homes
-from endivepier.gateway import host_rows
-from endivepier.gateway import limit_reports
-from endivepier.gateway import load_reports
-from endivepier.gateway import peers as peers_lib
-from endivepier.gateway import rows
-from endivepier.gateway import suspects
-from endivepier.gateway import target_rates
+from endivepier.gateway.choice import homes
+from endivepier.gateway.choice import load_reports
+from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.hosts import rows as host_rows
+from endivepier.gateway.store import rows
+from endivepier.gateway.suspects import suspects
+from endivepier.gateway.targets import departures as departures_lib
+from endivepier.gateway.targets import limit_reports
+from endivepier.gateway.targets import rates as target_rates
 from endivepier.internal import codec
 from endivepier.standins import table as table_lib
 from endivepier.storage import ports
--- a/tests/cover/gateway/test_rate_tokens.py
+++ b/tests/cover/gateway/test_rate_tokens.py
@@ -10,10 +10,10 @@
 import pytest
 
 from endivepier import errors
-from endivepier.gateway import peers as peers_lib
-from endivepier.gateway import rate_messages
-from endivepier.gateway import rate_tokens
-from endivepier.gateway import target_rates
+from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.targets import messages as rate_messages
+from endivepier.gateway.targets import rates as target_rates
+from endivepier.gateway.targets import tokens as rate_tokens
 from endivepier.standins import clock
 from endivepier.telemetry import metrics as metrics_lib
 from tests.common import gateway_parts
@@ -53,7 +53,7 @@
         return super().request(host, operation, body)
 
     def _avoid(self, host):
-        """Avoids a host as `gateway.peers.Peers` does."""
+        """Avoids a host as `gateway.hosts.peers.Peers` does."""
         now = self.timers.now()
         backoff = self.backoffs.setdefault(
             host, peers_lib.Backoff(now, peers_lib.FIRST_AVOID_SECONDS / 2)
--- a/tests/cover/gateway/test_rejoined_streams.py
+++ b/tests/cover/gateway/test_rejoined_streams.py
@@ -11,9 +11,9 @@
 import pytest
 
 from endivepier import errors
-from endivepier.gateway import catalog as catalog_lib
-from endivepier.gateway import departures as departures_lib
-from endivepier.gateway import stream_origins
+from endivepier.gateway.streams import origins as stream_origins
+from endivepier.gateway.targets import catalog as catalog_lib
+from endivepier.gateway.targets import departures as departures_lib
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
 from endivepier.storage import ports
--- a/tests/cover/gateway/test_share_restarts.py
+++ b/tests/cover/gateway/test_share_restarts.py
@@ -7,10 +7,10 @@
 from hypothesis import strategies
 import pytest
 
-from endivepier.gateway import account_owners
-from endivepier.gateway import share_messages
-from endivepier.gateway import share_renewals
-from endivepier.gateway import shares
+from endivepier.gateway.accounts import messages as share_messages
+from endivepier.gateway.accounts import owners as account_owners
+from endivepier.gateway.accounts import renewals as share_renewals
+from endivepier.gateway.accounts import shares
 from tests.common import gateway_parts
 from tests.cover.gateway import test_shares
 
--- a/tests/cover/gateway/test_shares.py
+++ b/tests/cover/gateway/test_shares.py
@@ -6,9 +6,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from endivepier.gateway import share_messages
-from endivepier.gateway import share_renewals
-from endivepier.gateway import shares
+from endivepier.gateway.accounts import messages as share_messages
+from endivepier.gateway.accounts import renewals as share_renewals
+from endivepier.gateway.accounts import shares
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
 from tests.common import gateway_parts
--- a/tests/cover/gateway/test_starts.py
+++ b/tests/cover/gateway/test_starts.py
@@ -2,7 +2,7 @@
 
 import random
 
-from endivepier.gateway import starts
+from endivepier.gateway.accounts import starts
 from endivepier.limits import bucket as bucket_lib
 from tests.common import gateway_parts
 
--- a/tests/cover/gateway/test_store_access.py
+++ b/tests/cover/gateway/test_store_access.py
@@ -7,8 +7,8 @@
 
 from endivepier import errors
 from endivepier.gateway import calls
-from endivepier.gateway import store_access
-from endivepier.gateway import store_messages
+from endivepier.gateway.store import access as store_access
+from endivepier.gateway.store import messages as store_messages
 from endivepier.internal import codec
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
--- a/tests/cover/gateway/test_stream_origins.py
+++ b/tests/cover/gateway/test_stream_origins.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from endivepier.gateway import stream_origins
+from endivepier.gateway.streams import origins as stream_origins
 from endivepier.standins import clock
 from tests.common import gateway_peers
 
--- a/tests/cover/gateway/test_suspects.py
+++ b/tests/cover/gateway/test_suspects.py
@@ -6,8 +6,8 @@
 import pytest
 
 from endivepier import errors
-from endivepier.gateway import suspect_trials
-from endivepier.gateway import suspects as suspects_lib
+from endivepier.gateway.suspects import suspects as suspects_lib
+from endivepier.gateway.suspects import trials as suspect_trials
 from endivepier.standins import clock
 from endivepier.telemetry import metrics as metrics_lib
 from tests.common import gateway_peers
--- a/tests/cover/gateway/test_target_ends.py
+++ b/tests/cover/gateway/test_target_ends.py
@@ -6,8 +6,8 @@
 import pytest
 
 from endivepier import timers as timers_lib
-from endivepier.gateway import departures as departures_lib
-from endivepier.gateway import target_ends
+from endivepier.gateway.targets import departures as departures_lib
+from endivepier.gateway.targets import ends as target_ends
 from endivepier.http1 import errors as http_errors
 from endivepier.http1 import pool as pool_lib
 from endivepier.telemetry import metrics as metrics_lib
--- a/tests/cover/gateway/test_target_limits.py
+++ b/tests/cover/gateway/test_target_limits.py
@@ -4,7 +4,7 @@
 import pytest
 
 from endivepier.gateway import model
-from endivepier.gateway import rate_tokens
+from endivepier.gateway.targets import tokens as rate_tokens
 from tests.common import gateway_fleet
 from tests.common import gateway_parts
 
--- a/tests/cover/gateway/test_target_rates.py
+++ b/tests/cover/gateway/test_target_rates.py
@@ -3,7 +3,7 @@
 import pytest
 
 from endivepier import timers as timers_lib
-from endivepier.gateway import target_rates
+from endivepier.gateway.targets import rates as target_rates
 from endivepier.standins import clock
 from endivepier.telemetry import metrics as metrics_lib
 
--- a/tests/cover/gateway/test_turns.py
+++ b/tests/cover/gateway/test_turns.py
@@ -2,8 +2,8 @@
 import pytest
 
 from endivepier import errors
-from endivepier.gateway import rows
-from endivepier.gateway import turns
+from endivepier.gateway.store import rows
+from endivepier.gateway.streams import turns
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
 
