--- a/src/endivepier/gateway/accounts/recent_programs.py
+++ b/src/endivepier/gateway/accounts/recent_programs.py
@@ -3,7 +3,7 @@
 The request of a turn does not say whether the turn is its program's first,
 and it carries the time that the program has left, not what it had at the
 start. Hosts request a token from an owner of the account for each request
-anyway (see `shares`), so the owner can record both facts.
+anyway (see `accounts.shares`), so the owner can record both facts.
 """
 
 from __future__ import annotations
--- a/src/endivepier/gateway/accounts/renewals.py
+++ b/src/endivepier/gateway/accounts/renewals.py
@@ -1,6 +1,6 @@
 """Renews the leases on this host's shares of the accounts' rates.
 
-An account's owners, see `account_owners`, hold its shares.
+An account's owners, see `accounts.owners`, hold its shares.
 """
 
 from __future__ import annotations
--- a/src/endivepier/gateway/accounts/shares.py
+++ b/src/endivepier/gateway/accounts/shares.py
@@ -1,6 +1,6 @@
 """Rate limits of client accounts, split over a few owner hosts.
 
-A request takes one token. The owners of an account (`share_renewals`) hold
+A request takes one token. The owners of an account (`accounts.renewals`) hold
 shares of its rate and burst, fractions that never add up to more than one.
 The shares of an account are stored in one row, which is written on condition
 that its version is unchanged. All other hosts borrow a token from an owner for
--- a/src/endivepier/gateway/budgets/ledger.py
+++ b/src/endivepier/gateway/budgets/ledger.py
@@ -11,7 +11,8 @@
 idle for some time.
 
 In an outage of the store, a program that has no row yet may be opened with a
-part of its budget (see `openers`), which is recorded when the store is back.
+part of its budget, which is recorded when the store is back; `budgets.openers`
+decides which programs.
 
 A budget is exhausted once the turns that have ended used it up; the last turn
 may exceed it by its own length. If a turn does not fit only because of tokens
--- a/src/endivepier/gateway/calls.py
+++ b/src/endivepier/gateway/calls.py
@@ -43,7 +43,7 @@
         deadline: when the call must be answered, in monotonic seconds.
         last_target: the target that ran the program's previous turn, or empty.
         is_first_turn: whether the call is the first turn of its program, as
-            decided when it got its rate limit token (see `shares`).
+            decided when it got its rate limit token (see `accounts.shares`).
         delayed: whether the program begins so late that it is likely to miss
             its deadline.
         software_version: version that a target must have to run the call, as
--- a/src/endivepier/gateway/hosts/peers.py
+++ b/src/endivepier/gateway/hosts/peers.py
@@ -1,6 +1,6 @@
 """Discovery of the other entry hosts, and requests to them.
 
-Hosts are known by their rows (see `host_rows`). The row of a crashed process
+Hosts are known by their rows (see `hosts.rows`). The row of a crashed process
 stays until its host starts again, so a peer that fails a request is avoided,
 for longer each time.
 
--- a/src/endivepier/gateway/streams/turns.py
+++ b/src/endivepier/gateway/streams/turns.py
@@ -11,8 +11,8 @@
 part is refused is written to a second one. A turn doesn't exist if it is in
 neither.
 
-A turn is durable before the client has received the whole response: `streams`
-ends the response only after `TurnStore.commit` has returned.
+A turn is durable before the client has received the whole response: its stream
+ends only after `TurnStore.commit` has returned.
 """
 
 from __future__ import annotations
--- a/src/endivepier/gateway/suspects/guard.py
+++ b/src/endivepier/gateway/suspects/guard.py
@@ -2,7 +2,7 @@
 
 A request that was at a target when it ended goes on at a target that its
 content selects, so that those that were there together part. One that was at
-two such targets runs only in turn (see `suspect_trials`), where the fewest
+two such targets runs only in turn (see `suspects.trials`), where the fewest
 calls run, and not at the last target of its service. One that has ended three
 is refused on all hosts; those that only begin like it are tried, a few of them.
 """
--- a/src/endivepier/gateway/targets/cold.py
+++ b/src/endivepier/gateway/targets/cold.py
@@ -9,7 +9,7 @@
   since,
 * its data centre has just been taken back after an evacuation.
 
-How many calls all hosts send to a cold target is decided by `rate_tokens`.
+How many calls all hosts send to a cold target is decided by `targets.tokens`.
 """
 
 from __future__ import annotations
--- a/src/endivepier/gateway/targets/rates.py
+++ b/src/endivepier/gateway/targets/rates.py
@@ -4,8 +4,8 @@
 needs it. A response without one ends it. Responses may overtake each other, so
 the one whose request was sent last counts.
 
-A cold target tolerates a declared rate until a stated time (`cold_targets`
-decides which are cold).
+A cold target tolerates a declared rate until a stated time; `targets.cold`
+decides which targets are cold.
 
 Hosts pass on what they learned with the messages that they exchange anyway.
 Of cold targets, a host passes on only what it found out itself: a time that is
@@ -36,9 +36,9 @@
 SEPARATOR = ","
 ASSIGN = "="
 NO_RATE = "-"
-# Of the rate that a cold target tolerates. With COLD_BURST_SECONDS in
-# `rate_tokens`, an owner and two substitutes that know nothing of each other
-# stay below one and a half times the tolerated rate in any second.
+# Of the rate that a cold target tolerates. With `tokens.COLD_BURST_SECONDS`, an
+# owner and two substitutes that know nothing of each other stay below one and a
+# half times the tolerated rate in any second.
 COLD_RATE_SHARE = 0.6
 
 
--- a/src/endivepier/gateway/targets/tokens.py
+++ b/src/endivepier/gateway/targets/tokens.py
@@ -14,7 +14,7 @@
   be serving others, uses half of the rate.
 * A host that has no token from an owner uses half of an equal part.
 
-Cold targets (see `target_rates`) bear no more than their rate in a second, and
+Cold targets (see `targets.rates`) bear no more than their rate in a second, and
 a host that knows too little must not guess. So for their tokens the burst is
 short, only the next hosts in the ranking take the place of an owner, and a host
 that doesn't know the others yet, or has no owner, uses none.
