calls: turns under way wait for the store in the first ten seconds of an outage

Cause: after two seconds of an outage all turns were refused at once.

Change: turns under way wait for the store up to one second in its first ten seconds, for so long do a client's tries last with these waits. First turns are refused at once as before, with a time to come back.

The new test fails with two seconds.

`SHORT_OUTAGE_SECONDS` becomes `OUTLASTED_SECONDS`.

--- a/src/endivepier/gateway/budgets/turn_tokens.py
+++ b/src/endivepier/gateway/budgets/turn_tokens.py
@@ -103,7 +103,7 @@
             if (
                 not ctx.tried
                 and self._store.is_failing()
-                and outage_seconds >= calls.SHORT_OUTAGE_SECONDS
+                and outage_seconds >= calls.OUTLASTED_SECONDS
             ):
                 seconds = min(seconds, OUTAGE_RESERVE_TIMEOUT_SECONDS)
             seconds = min(seconds, ctx.deadline - self._timers.now())
--- a/src/endivepier/gateway/calls.py
+++ b/src/endivepier/gateway/calls.py
@@ -18,8 +18,9 @@
 # How long a call waits for an unavailable store: a quarter of the clients'
 # timeout of 4 s, so that a client's attempts together outlast most outages.
 STORE_WAIT_SECONDS = 1.0
-# An outage that has lasted for this long is likely to last beyond any wait.
-SHORT_OUTAGE_SECONDS = 2.0
+# With these waits, and those that `Retry-After` asks for, a client's attempts
+# last for so long. In a longer outage no call waits.
+OUTLASTED_SECONDS = 10.0
 # Longer values would have no effect: clients wait at most a third of their
 # timeout of 4 s before a retry.
 MAX_STORE_RETRY_SECONDS = 2.0
@@ -120,14 +121,15 @@
 
     A running program loses all its work if its turn is refused too often
     during an outage, so its calls wait. A program that has not begun loses
-    nothing by a later retry, so its first turn does not wait. In a long outage
-    no call waits, so that its client can decide at once what to do.
+    nothing by a later retry, so its first turn does not wait. In an outage that
+    the client's attempts do not outlast no call waits, so that its client can
+    decide at once what to do.
 
     Args:
         ctx: the call.
         outage_seconds: how long the store has been unavailable.
     """
-    if ctx.is_first_turn or outage_seconds >= SHORT_OUTAGE_SECONDS:
+    if ctx.is_first_turn or outage_seconds >= OUTLASTED_SECONDS:
         return 0.0
     return STORE_WAIT_SECONDS
 
--- a/tests/cover/gateway/test_store_outages.py
+++ b/tests/cover/gateway/test_store_outages.py
@@ -90,6 +90,34 @@
     assert max(fleet.sent.values()) <= fleet.budget + outage_load.TURN_TOKENS
 
 
+# After two seconds of an outage turns were refused at once. Their clients had
+# used up all tries after four.
+@pytest.mark.parametrize("fault", FAULTS)
+def test_turns_under_way_outlast_an_outage_of_seven_seconds(fault):
+    fleet = outage_load.Fleet()
+    names = [f"p{number}" for number in range(20)]
+
+    def main():
+        fleet.timers.sleep(1.0)
+        for name in names:  # the hosts that held their tokens are lost
+            assert fleet.request("h0", name, is_first=True) is None
+        for name in list(fleet.hosts):
+            fleet.kill(name)
+            fleet.restart(name)
+        fleet.timers.sleep(3.0)
+        fleet.set_fault(fault)
+        turns = [
+            gevent.spawn(fleet.programs._turn, "h1", name, 0.0, is_first=False)
+            for name in names
+        ]
+        fleet.timers.sleep(7.0)
+        fleet.set_fault("")
+        gevent.joinall(turns)
+        return [turn.value for turn in turns]
+
+    assert all(fleet.timers.run(main))
+
+
 def spend(fleet, seconds, program="p"):
     """Sends turns of a program to all hosts in turn for some seconds."""
     until = fleet.timers.now() + seconds
