Tests: the fleet that shares tokens of targets is a module of its own

Cause: test_cold_targets imported a fleet from test_rate_tokens, and test_homes documents from a test of the adapter. Change: moves to tests/common/rate_token_fleet.py; no assertion differs.

--- a/tests/cover/gateway/test_cold_targets.py
+++ b/tests/cover/gateway/test_cold_targets.py
@@ -23,7 +23,7 @@
 from endivepier_platform import documents
 from tests.common import gateway_fleet
 from tests.common import gateway_parts
-from tests.cover.gateway import test_rate_tokens
+from tests.common import rate_token_fleet
 
 COLD_SECONDS = 3.0
 COLD_RATE = 29.0
@@ -207,7 +207,7 @@
     assert third.cold("t@1") is None
 
 
-class Fleet(test_rate_tokens.Fleet):
+class Fleet(rate_token_fleet.Fleet):
     """Hosts that send calls to cold targets.
 
     Attributes:
--- a/tests/cover/gateway/test_homes.py
+++ b/tests/cover/gateway/test_homes.py
@@ -1,14 +1,16 @@
 """Calls of routes and accounts with homes stay in these regions."""
 
+import json
+
 import gevent
 import pytest
 
 from endivepier.gateway import model
 from endivepier.gateway.choice import homes as homes_lib
+from endivepier.storage import ports
 from endivepier_platform import documents
 from tests.common import gateway_fleet
 from tests.common import gateway_parts
-from tests.cover.platform import test_documents
 
 REGIONS = {"a": "north", "b": "north", "c": "south"}
 TARGETS = [gateway_parts.target(name, data_centre=name) for name in "abcd"]
@@ -70,11 +72,17 @@
 
 
 def test_the_operators_configuration_names_the_regions():
-    routes = [{**test_documents.ROUTE, "allowed_regions": ["dakar"]}]
-    tenants = [{"name": "acme", "allowed_regions": ["ouest"]}]
-    config = {"version": 1, "routes": routes, "tenants": tenants}
+    route = {
+        "name": "r",
+        "hostname": "a.example",
+        "prefix": "/a/",
+        "type": "idempotent",
+        "allowed_regions": ["dakar"],
+    }
+    tenant = {"name": "acme", "allowed_regions": ["ouest"]}
+    config = {"version": 1, "routes": [route], "tenants": [tenant]}
     declaration = documents.Decoder().decode_declaration(
-        test_documents.row("op//config", config)
+        ports.Row("op//config", json.dumps(config).encode(), 1)
     )
     assert declaration.routes[0].homes == ("dakar",)
     assert declaration.accounts["acme"].homes == ("ouest",)
--- a/tests/cover/gateway/test_rate_tokens.py
+++ b/tests/cover/gateway/test_rate_tokens.py
@@ -9,147 +9,16 @@
 import gevent
 import pytest
 
-from endivepier import errors
-from endivepier.gateway.hosts import peers as peers_lib
 from endivepier.gateway.targets import messages as rate_messages
-from endivepier.gateway.targets import rates as target_rates
 from endivepier.gateway.targets import tokens as rate_tokens
-from endivepier.standins import clock
-from endivepier.telemetry import metrics as metrics_lib
-from tests.common import gateway_parts
-from tests.common import gateway_peers
-
-TARGET = gateway_parts.target("t")
-WINDOW_SECONDS = 4.0
-
-
-class Peers(gateway_peers.SimulatedPeers):
-    """Peers of which some can't reach others, and avoid them for a time."""
-
-    def __init__(self, name, fleet):
-        super().__init__(name, fleet.peers, fleet.timers, 0.003)
-        self.fleet = fleet
-        self.is_leaving = False
-        self.backoffs = {}
-
-    def other_hosts(self):
-        return [name for name in self.fleet.listed if name != self.name]
-
-    def available_hosts(self):
-        now = self.timers.now()
-        return [
-            name
-            for name in self.other_hosts()
-            if name not in self.backoffs or self.backoffs[name].until <= now
-        ]
-
-    def request(self, host, operation, body, seconds=None):
-        cut = frozenset((self.name, host)) in self.fleet.cuts
-        if cut or host not in self.hosts:
-            self.timers.sleep(0.08)
-            self._avoid(host)
-            raise errors.PeerUnreachable(host, "cut", sent=True)
-        self.backoffs.pop(host, None)
-        return super().request(host, operation, body)
-
-    def _avoid(self, host):
-        """Avoids a host as `gateway.hosts.peers.Peers` does."""
-        now = self.timers.now()
-        backoff = self.backoffs.setdefault(
-            host, peers_lib.Backoff(now, peers_lib.FIRST_AVOID_SECONDS / 2)
-        )
-        if backoff.until <= now:
-            backoff.seconds = min(
-                backoff.seconds * 2, peers_lib.MAX_AVOID_SECONDS
-            )
-            backoff.until = now + backoff.seconds
-
-
-class Fleet:
-    """Hosts that use one target.
-
-    Attributes:
-        listed: names of all hosts that have a row, lost ones included.
-        cuts: pairs of hosts that can't reach each other.
-        sent: time and host of each call that got a token.
-        tokens: the `RateTokens` by host.
-    """
-
-    def __init__(self, count, rate, seed=0):
-        self.timers = clock.VirtualTimers()
-        self.rng = random.Random(seed)
-        self.rate = rate
-        self.peers = {}
-        self.rates = {}
-        self.tokens = {}
-        self.listed = [f"h{n}" for n in range(count)]
-        self.cuts = set()
-        self.sent = []
-        for name in self.listed:
-            self.start(name)
-
-    def start(self, name):
-        """Starts or restarts a host."""
-        metrics = metrics_lib.Metrics()
-        self.rates[name] = target_rates.TargetRates(self.timers, metrics)
-        self.tokens[name] = rate_tokens.RateTokens(
-            name,
-            self.rates[name],
-            Peers(name, self),
-            self.timers,
-            metrics,
-        )
-
-    def lose(self, name):
-        """Loses a host, whose row stays."""
-        del self.peers[name]
-        del self.tokens[name]
-
-    def tell(self, names, rate):
-        """Tells hosts a rate, as if the target had just responded."""
-        for name in names:
-            self.rates[name].note(
-                TARGET.incarnation, rate, self.timers.now(), "response"
-            )
-
-    def owner(self):
-        return next(
-            name
-            for name, tokens in self.tokens.items()
-            if tokens._owner(TARGET.incarnation) == name
-        )
-
-    def call(self, name, claim=rate_messages.Claim.STAYS):
-        """Sends a call if it gets a token; the target names its rate."""
-        refusal = self.tokens[name].take(TARGET, claim)
-        if refusal is None:
-            self.sent.append((self.timers.now(), name))
-            self.tell([name], self.rate)
-        return refusal
-
-    def load(self, names, per_second, seconds):
-        """Sends calls at a steady rate, from hosts in random order."""
-        tasks = []
-        for _ in range(int(per_second * seconds)):
-            running = [name for name in names if name in self.tokens]
-            tasks.append(gevent.spawn(self.call, self.rng.choice(running)))
-            self.timers.sleep(1.0 / per_second)
-        gevent.joinall(tasks)
-
-    def worst_window(self):
-        times = [at for at, _ in self.sent]
-        return max(
-            sum(begin <= at < begin + WINDOW_SECONDS for at in times)
-            for begin in times
-        )
-
-    def allowed(self):
-        return 1.5 * self.rate * WINDOW_SECONDS + 5
+from tests.common import rate_token_fleet
+
+INCARNATION = rate_token_fleet.TARGET.incarnation
 
 
 # Equal parts would have given each of 84 hosts one call in 21 s.
 def test_the_few_hosts_that_use_a_target_get_its_whole_rate():
-    fleet = Fleet(84, rate=4.0)
+    fleet = rate_token_fleet.Fleet(84, rate=4.0)
 
     def main():
         fleet.tell(fleet.listed, 4.0)
@@ -162,7 +31,7 @@
 
 # The first hosts were told, others were not, and none had a part.
 def test_hosts_that_are_told_one_after_the_other_keep_the_rate():
-    fleet = Fleet(8, rate=4.0)
+    fleet = rate_token_fleet.Fleet(8, rate=4.0)
 
     def main():
         for n, name in enumerate(fleet.listed):
@@ -175,7 +44,7 @@
 
 
 def test_another_host_gives_out_half_of_the_rate_if_the_owner_is_lost():
-    fleet = Fleet(8, rate=4.0)
+    fleet = rate_token_fleet.Fleet(8, rate=4.0)
 
     def main():
         fleet.tell(fleet.listed, 4.0)
@@ -191,7 +60,7 @@
 
 
 def test_a_host_that_is_cut_off_from_all_others_uses_half_of_an_equal_part():
-    fleet = Fleet(8, rate=8.0)
+    fleet = rate_token_fleet.Fleet(8, rate=8.0)
 
     def main():
         fleet.tell(fleet.listed, 8.0)
@@ -207,7 +76,7 @@
 
 
 def test_no_token_is_given_twice_when_all_hosts_restart():
-    fleet = Fleet(8, rate=4.0)
+    fleet = rate_token_fleet.Fleet(8, rate=4.0)
 
     def main():
         fleet.tell(fleet.listed, 4.0)
@@ -227,7 +96,9 @@
 def test_the_rate_holds_through_losses_restarts_and_cuts(seed):
     rng = random.Random(seed)
     count = rng.choice([2, 5, 8, 20])
-    fleet = Fleet(count, rate=rng.choice([2.0, 5.0, 12.0]), seed=seed)
+    fleet = rate_token_fleet.Fleet(
+        count, rate=rng.choice([2.0, 5.0, 12.0]), seed=seed
+    )
 
     def disrupt():
         while True:
@@ -256,7 +127,7 @@
 
 
 def test_programs_that_stay_get_tokens_before_others():
-    fleet = Fleet(1, rate=4.0)
+    fleet = rate_token_fleet.Fleet(1, rate=4.0)
 
     def main():
         fleet.tell(["h0"], 4.0)
@@ -275,7 +146,7 @@
 
 
 def test_retry_after_grows_with_the_calls_that_ask_for_a_token():
-    fleet = Fleet(1, rate=4.0)
+    fleet = rate_token_fleet.Fleet(1, rate=4.0)
     retry_afters = []
 
     def main():
@@ -293,7 +164,7 @@
 
 # The limit had ended at the owner, which the host learned only by asking.
 def test_a_limit_that_the_owner_saw_end_does_not_hold_back_others():
-    fleet = Fleet(8, rate=None)
+    fleet = rate_token_fleet.Fleet(8, rate=None)
 
     def main():
         fleet.tell(fleet.listed, 0.5)
@@ -302,14 +173,14 @@
         fleet.tell([owner], None)
         other = next(name for name in fleet.listed if name != owner)
         assert fleet.call(other) is None
-        assert fleet.rates[other].rate(TARGET.incarnation) is None
+        assert fleet.rates[other].rate(INCARNATION) is None
 
     fleet.timers.run(main)
 
 
 def test_a_draining_host_owns_no_tokens():
-    fleet = Fleet(3, rate=4.0)
+    fleet = rate_token_fleet.Fleet(3, rate=4.0)
     fleet.tell(fleet.listed, 4.0)
     owner = fleet.owner()
     fleet.peers[owner].is_leaving = True
-    assert fleet.tokens[owner]._owner(TARGET.incarnation) != owner
+    assert fleet.tokens[owner]._owner(INCARNATION) != owner
