row_expiry: rows of budgets are deleted when their programs have expired

Cause: nothing deleted the rows of budgets (read in the code while their names were read for programs that open after a loss).

Change: the process that wrote a row last deletes it half a minute after the program's retention, on condition that nobody has written it since.

--- a/src/endivepier/gateway/budgets/ledger.py
+++ b/src/endivepier/gateway/budgets/ledger.py
@@ -28,6 +28,7 @@
 from endivepier import errors
 from endivepier import timers as timers_lib
 from endivepier.gateway.budgets import openers as openers_lib
+from endivepier.gateway.budgets import row_expiry
 from endivepier.gateway.budgets import rows as budget_rows
 from endivepier.gateway.budgets import state as budget_state
 from endivepier.storage import ports
@@ -61,6 +62,7 @@
         table: ports.Table,
         timers: timers_lib.Timers,
         openers: openers_lib.Openers | None = None,
+        expiry: row_expiry.RowExpiry | None = None,
     ) -> None:
         """Initializes without any budgets.
 
@@ -70,7 +72,10 @@
             timers: the timer service.
             openers: tells which programs may begin in an outage of the store;
                 None if none may, at any process.
+            expiry: deletes the rows of programs that have expired; None if
+                they stay.
         """
+        self._expiry = expiry
         self.store_down = False
         self._openers = openers
         self._rows = budget_rows.BudgetRows(holder, table)
@@ -81,6 +86,8 @@
     def start(self) -> None:
         """Starts to release the tokens of idle programs."""
         self._timers.every(IDLE_CHECK_SECONDS, self._release_idle)
+        if self._expiry is not None:
+            self._expiry.start()
 
     def stop(self) -> None:
         """Does nothing: held tokens count as spent."""
@@ -330,6 +337,8 @@
             )
             if now - program.used_at > FORGET_SECONDS and not program.unwritten:
                 del self._programs[name]
+                if self._expiry is not None and program.version:
+                    self._expiry.add(name, program.version, program.used_at)
             elif now - program.used_at > idle_seconds and (
                 program.unwritten or program.spare > 0
             ):
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -24,6 +24,7 @@
 from endivepier.gateway.budgets import openers
 from endivepier.gateway.budgets import owners as budget_owners
 from endivepier.gateway.budgets import recorded_programs
+from endivepier.gateway.budgets import row_expiry
 from endivepier.gateway.budgets import turn_tokens
 from endivepier.gateway.choice import homes as homes_lib
 from endivepier.gateway.choice import load_reports
@@ -188,6 +189,7 @@
                     self.catalog.retention,
                     recorded_programs.RecordedPrograms(store, timers),
                 ),
+                row_expiry.RowExpiry(store, timers, self.catalog.retention),
             ),
         )
         host_rows.has_unrecorded = self.ledger.has_unrecorded
