openers: 26% of a budget without a row, 24% after a loss, so that others count half

Since a host that follows a lost one may open programs with a quarter beside the half of its predecessor, others counted three quarters of a budget as spent.

Change: both parts together are the half that others count, as before.

--- a/src/endivepier/gateway/budgets/openers.py
+++ b/src/endivepier/gateway/budgets/openers.py
@@ -9,11 +9,11 @@
   the others respond to it. It has been the first choice for as long as programs
   come back, and knows all that have come to it. If it was suspended, it reads
   the rows of hosts first.
-* Any other host that begins a program counts that part as spent.
-* So does a process whose predecessor ended without recording everything. It may
-  open a program with half of what is left then, once it has read which programs
-  have a row. Others that begin a program after a loss count that as spent, too.
+* A process whose predecessor ended without recording everything may open a
+  program with a smaller part, once it has read which programs have a row.
   After a second loss, nothing is opened.
+* Any other host that begins a program counts both parts as spent. So does a
+  process after a loss.
 * A host that has joined asks the same of the next choices, down to the first
   one that was there before: one of them was the first choice until then.
 """
@@ -27,9 +27,12 @@
 from endivepier.gateway.hosts import peers as peers_lib
 from endivepier.internal import rendezvous
 
-# The part of a budget that may be granted without a row is 1 / OPEN_DIVISOR. It
-# carries most programs to their end, and so does the rest.
-OPEN_DIVISOR = 2
+# The part of a budget that a process may grant without a row carries most
+# programs to their end. Together with the part that its successor may grant
+# after a loss, it is what others count as spent; so does the rest.
+OPENED_PERCENT = 26
+REOPENED_PERCENT = 24
+ASSUMED_PERCENT = OPENED_PERCENT + REOPENED_PERCENT
 # After this, the other hosts know that a host has joined, and what they opened
 # in an outage that has ended is recorded.
 SETTLE_SECONDS = 3.0
@@ -109,16 +112,16 @@
             return 0
         own = self._peers.rows.own
         if not (self._is_recent(own.since) or self._is_recent(own.lost_at)):
-            return budget // OPEN_DIVISOR
+            return budget * OPENED_PERCENT // 100
         if self._recorded is None or not self._follows_a_loss():
             return 0
         if own.losses != 1 or not self._recorded.rules_out(program):
             return 0
-        return budget // OPEN_DIVISOR**2
+        return budget * REOPENED_PERCENT // 100
 
     def may_open(self, program: str) -> bool:
         """Returns whether this host may begin a program that is new here."""
-        return self.tokens_to_open(program, OPEN_DIVISOR**2) > 0
+        return self.tokens_to_open(program, 100) > 0
 
     def tokens_assumed(self, program: str, budget: int) -> int:
         """Returns the tokens that other processes may have granted.
@@ -127,21 +130,9 @@
             program: a program that is new here.
             budget: its whole budget.
         """
-        part = budget // OPEN_DIVISOR
-        after_loss = part + budget // OPEN_DIVISOR**2
-        if not self._peers.rows.is_settled:
-            return after_loss
         if not self.may_be_open(program):
             return 0
-        former = self._former_choices(program)
-        others = [name for name in former if name != self._host]
-        members = self._peers.rows.members()
-        if former[0] == self._host and self._was_always_listed():
-            is_second_loss = self._peers.rows.own.losses > 1
-            return after_loss if is_second_loss else part
-        if any(self._is_recent(members[name].lost_at) for name in others):
-            return after_loss
-        return part
+        return budget * ASSUMED_PERCENT // 100
 
     def may_be_open(self, program: str) -> bool:
         """Returns whether a process that is lost may have opened a program.
