--- a/src/endivepier/gateway/budgets/openers.py
+++ b/src/endivepier/gateway/budgets/openers.py
@@ -27,9 +27,9 @@
 from endivepier.gateway.hosts import peers as peers_lib
 from endivepier.internal import rendezvous
 
-# The part of a budget that a process may grant without a row carries most
-# programs to their end. Together with the part that its successor may grant
-# after a loss, it is what others count as spent; so does the rest.
+# Parts of a budget that a process may grant without a row, and its successor
+# after a loss. Others count both as spent; what is left carries most programs to
+# their end.
 OPENED_PERCENT = 26
 REOPENED_PERCENT = 24
 ASSUMED_PERCENT = OPENED_PERCENT + REOPENED_PERCENT
