--- a/src/endivepier/gateway/budgets/openers.py
+++ b/src/endivepier/gateway/budgets/openers.py
@@ -28,8 +28,8 @@
 from endivepier.internal import rendezvous
 
 # Parts of a budget that a process may grant without a row, and its successor
-# after a loss. Others count both as spent; what is left carries most programs to
-# their end.
+# after a loss. Others count both as spent. What is left carries most programs
+# to their end.
 OPENED_PERCENT = 26
 REOPENED_PERCENT = 24
 ASSUMED_PERCENT = OPENED_PERCENT + REOPENED_PERCENT
