--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -28,6 +28,7 @@
 from typing import Any
 
 from harness import client
+from harness import proxy
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 ZONES = ("luz-a", "luz-b", "luz-c")
@@ -67,6 +68,7 @@
         self.clients = f"{ip}:{free_port(ip)}"
         self.ready = f"{ip}:{free_port(ip)}"
         self.peers = free_port(ip)
+        self.store: proxy.Proxy | None = None  # None for a direct path
         self.process: subprocess.Popen[bytes] | None = None
         self._fleet = fleet
 
@@ -92,13 +94,13 @@
         second, third = random.randint(16, 250), random.randint(1, 250)
         self._network = f"127.{second}.{third}"
         ip = f"{self._network}.200"
-        self._store = f"{ip}:{free_port(ip)}"
+        self.store = f"{ip}:{free_port(ip)}"
         self._writers = f"{ip}:{free_port(ip)}"
         self._version = 0
 
     def __enter__(self) -> Fleet:
         """Starts the store."""
-        self._start_module("harness.store", self._store, self._writers)
+        self._start_module("harness.store", self.store, self._writers)
         wait_until(lambda: is_listening(self._writers), "the store")
         return self
 
@@ -238,7 +240,11 @@
         return cfg["id"]
 
     def start_entries(
-        self, count: int, outputs: dict[int, int] | None = None
+        self,
+        count: int,
+        *,
+        outputs: dict[int, int] | None = None,
+        proxied: int | None = None,
     ) -> None:
         """Starts entry hosts, all of them for the first time.
 
@@ -246,11 +252,12 @@
             count: how many.
             outputs: by number of a host, the file that its standard output
                 goes to; that of the others is kept.
+            proxied: number of a host that reaches the store by a proxy.
         """
-        self.entries = [
-            Entry(self, number, f"{self._network}.{number + 1}")
-            for number in range(count)
-        ]
+        for _ in range(count):
+            entry = self.add_entry()
+            if len(self.entries) - 1 == proxied:
+                entry.store = proxy.Proxy(entry.ip, self.store)
         for number, entry in enumerate(self.entries):
             output = None if outputs is None else outputs.get(number)
             self.start_entry(entry, is_first_start=True, output=output)
@@ -259,6 +266,13 @@
         time.sleep(1.0)  # until all of them know each other
         self.note(f"platform: {count} entry hosts are ready")
 
+    def add_entry(self) -> Entry:
+        """Adds an entry host, which is not started yet."""
+        number = len(self.entries)
+        entry = Entry(self, number, f"{self._network}.{number + 1}")
+        self.entries.append(entry)
+        return entry
+
     def start_entry(
         self, entry: Entry, *, is_first_start: bool, output: int | None = None
     ) -> None:
@@ -276,7 +290,7 @@
             "data_centre": entry.zone,
             "listen": {"clients": entry.clients, "ready": entry.ready},
             "internal_ports": [entry.peers, entry.peers],
-            "store": self._store,
+            "store": self.store if entry.store is None else entry.store.address,
             "grace_seconds": GRACE_SECONDS,
             "rate_tolerance": QUOTA_SLACK,
             "regions": dict.fromkeys(ZONES, REGION),
