--- a/review/harness/proxy.py
+++ b/review/harness/proxy.py
@@ -44,7 +44,11 @@
 
     def _serve(self, sock: socket.socket) -> None:
         host, _, port = self._upstream.rpartition(":")
-        upstream = socket.create_connection((host, int(port)))
+        try:
+            upstream = socket.create_connection((host, int(port)))
+        except OSError:
+            sock.close()
+            return
         threading.Thread(
             target=self._copy, args=(upstream, sock), daemon=True
         ).start()
