review: case 1: turns of a size that the site's requests have

Cause: one request had 62,000 bytes, the site's largest has 31,000. Change: 88 turns of 12,600 bytes.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,8 +8,8 @@
 from harness import client
 from harness import fleet as fleet_lib
 
-TURNS = 18
-INPUT_BYTES = 62_000  # of one turn; 18 of them have some 260,000 tokens
+TURNS = 88
+INPUT_BYTES = 12_600  # of one turn; 88 of them have some 260,000 tokens
 LAST_INPUT_BYTES = 2_000
 BYTES_PER_TOKEN = 4.3
 BUDGET = 4000
@@ -30,10 +30,11 @@
     previous = ""
     for number in range(1, TURNS + 1):
         attempt, answer = send_turn(fleet, first, program, number, previous)
+        if number % 22 == 0:
+            fleet.say(f"client: {number} turns were answered whole")
         if not (answer.status == 200 and answer.is_complete):
             raise fleet_lib.CaseFailedToRun(f"turn {number}: {answer}")
         previous = attempt
-    fleet.say(f"client: {TURNS} turns were answered whole")
     tried = [first]
     if trouble:
         fleet.kill_entry(first)
@@ -87,7 +88,8 @@
         ),
         text + b"<events=4 ms=20>",
     )
-    fleet.say(
+    say = fleet.note if number <= TURNS else fleet.say
+    say(
         f"client: turn {number}, attempt {attempt}, after {previous or '-'}, at"
         f" {entry.name}: {answer}"
     )
