--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A host that has not heard of a new one grants a budget that is spent."""
+"""A restarted host settles running turns with the results of other ones."""
 
 from __future__ import annotations
 
@@ -10,68 +10,65 @@
 from harness import client
 from harness import fleet as fleet_lib
 
-sys.path[:0] = [
-    str(fleet_lib.ROOT / "src"),
-    str(fleet_lib.ROOT / "target/deps"),
-]
-from endivepier.internal import rendezvous  # noqa: E402
-
-PROGRAMS = 24
-LINES = 3  # turns of a program at a time
+PROGRAMS = 9  # that loop without end, in parallel sub-agents
+SUB_AGENTS = 3
 BUDGET = 1088
-MOST_TOKENS = 136
+MOST_TOKENS = 400  # of a turn of theirs
 EVENTS = MOST_TOKENS // fleet_lib.EVENT_TOKENS
-EVENT_MS = 5
-SILENT_SECONDS = 9.0
-JOIN_SECONDS = 3.6  # from the new host's start until programs begin
-TRIES_AFTER_402 = 2
-TRY_GAP_SECONDS = 0.15  # between the programs that come to the old host
+OTHERS = 24  # programs with one turn each, which run during the kill
+OTHER_EVENTS = 24
+OTHER_EVENT_MS = 140
+PAUSE_SECONDS = 3.5  # of the looping programs, after their first turn
+TOOL_SECONDS = 0.2
 
 
 class Case:
     """The programs and what they got."""
 
-    def __init__(self, fleet: fleet_lib.Fleet) -> None:
+    def __init__(self, fleet: fleet_lib.Fleet, entry: fleet_lib.Entry) -> None:
         self._fleet = fleet
+        self._entry = entry
         self._lock = threading.Lock()
         self.tokens: collections.Counter[str] = collections.Counter()
         self.refused: collections.Counter[str] = collections.Counter()
 
-    def turn(self, program: str, entry: fleet_lib.Entry) -> client.Answer:
+    def turn(
+        self, program: str, budget: int, most: int, events: int, pause: int
+    ) -> client.Answer:
         """Sends a turn and counts the tokens that it brings."""
         attempt = fleet_lib.new_id()
-        headers = fleet_lib.turn_headers(
-            program, attempt, budget=BUDGET, most=MOST_TOKENS
+        answer = client.ask(
+            self._entry.clients,
+            "POST",
+            f"{fleet_lib.READ}4b",
+            fleet_lib.turn_headers(program, attempt, budget=budget, most=most),
+            f"{attempt} <events={events} ms={pause}>".encode(),
         )
-        body = f"{attempt} <events={EVENTS} ms={EVENT_MS}>".encode()
-        path = f"{fleet_lib.READ}4b"
-        answer = client.ask(entry.clients, "POST", path, headers, body)
-        tokens = 0
-        if answer.status == 200:
-            tokens = answer.body.count(b"\n\n") * fleet_lib.EVENT_TOKENS
+        tokens = answer.body.count(b"\n\n") * fleet_lib.EVENT_TOKENS
+        if answer.status != 200:
+            tokens = 0
         with self._lock:
             self.tokens[program] += tokens
             self.refused[program] += answer.status == 402
         self._fleet.note(
-            f"client: program {program}, attempt {attempt} at {entry.name}:"
-            f" {answer}; {tokens} tokens"
+            f"client: program {program}, attempt {attempt}: {answer};"
+            f" {tokens} tokens"
         )
         return answer
 
-    def turns(self, program: str, entry: fleet_lib.Entry, count: int) -> None:
-        """Sends several turns of a program at once."""
-        run_all(
-            [
-                threading.Thread(target=self.turn, args=(program, entry))
-                for _ in range(count)
-            ]
-        )
-
-    def loop(self, program: str, entry: fleet_lib.Entry) -> None:
-        """Runs turns again and again until the budget is spent."""
-        until = time.monotonic() + 10.0
+    def loop(self, program: str) -> None:
+        """Runs sub-agents again and again until the budget is spent."""
+        until = time.monotonic() + 35.0
         while time.monotonic() < until and not self.refused[program]:
-            self.turns(program, entry, LINES)
+            tasks = [
+                threading.Thread(
+                    target=self.turn,
+                    args=(program, BUDGET, MOST_TOKENS, EVENTS, 25),
+                )
+                for _ in range(SUB_AGENTS)
+            ]
+            run_all(tasks)
+            time.sleep(TOOL_SECONDS)
 
 
 def run_all(tasks: list[threading.Thread]) -> None:
@@ -82,67 +79,61 @@
         task.join()
 
 
-def choose_programs(first: str, second: str, others: list[str]) -> list[str]:
-    """Returns ids of programs whose first hosts by hashing are these two."""
-    names = [first, second, *others]
-    programs = []
-    while len(programs) < PROGRAMS:
-        program = fleet_lib.new_id()
-        if rendezvous.rank(program, names, 2) == [first, second]:
-            programs.append(program)
-    return programs
-
-
 def play(fleet: fleet_lib.Fleet, trouble: bool) -> str:
     """Returns how the rule was broken, or nothing."""
     fleet.declare()
     for _ in range(4):
         fleet.start_server(fleet_lib.ENGINES, slots=24)
-    fleet.start_entries(3, proxied=0)
-    refused, entry, other = fleet.entries
-    assert refused.store is not None
-    new = fleet.add_entry()
-    case = Case(fleet)
-    programs = choose_programs(new.name, refused.name, [entry.name, other.name])
-    silent_at = time.monotonic()
-    if trouble:
-        fleet.say(
-            f"store: no response to {refused.name} for {SILENT_SECONDS} s"
-        )
-        refused.store.be_silent()
-        threading.Timer(SILENT_SECONDS, refused.store.go_on).start()
-    fleet.say(f"platform: {new.name} is added")
-    fleet.start_entry(new, is_first_start=False)
-    fleet_lib.wait_until(new.is_ready, new.name)
-    time.sleep(max(silent_at + JOIN_SECONDS - time.monotonic(), 0.0))
-    fleet.say("client: the programs begin, without end")
+    fleet.start_entries(3)
+    entry, killed, _ = fleet.entries
+    case = Case(fleet, entry)
+    looping = [fleet_lib.new_id() for _ in range(PROGRAMS)]
+    fleet.say(f"client: {PROGRAMS} programs begin, with one turn each")
     run_all(
         [
-            threading.Thread(target=case.loop, args=(name, entry))
-            for name in programs
+            threading.Thread(target=case.turn, args=(name, BUDGET, 40, 10, 25))
+            for name in looping
         ]
     )
-    spent = {name: case.tokens[name] for name in programs}
-    fleet.say(
-        f"client: the programs got {min(spent.values())} to"
-        f" {max(spent.values())} tokens of {BUDGET}, and then 402 at"
-        f" {entry.name}; each sends {TRIES_AFTER_402} more turns, at"
-        f" {refused.name}"
-    )
-    tries = []
-    for name in programs:
-        task = threading.Thread(
-            target=case.turns, args=(name, refused, TRIES_AFTER_402)
+    time.sleep(PAUSE_SECONDS)
+    others = [
+        threading.Thread(
+            target=case.turn,
+            args=(
+                fleet_lib.new_id(),
+                BUDGET,
+                136,
+                OTHER_EVENTS,
+                OTHER_EVENT_MS,
+            ),
         )
+        for _ in range(OTHERS)
+    ]
+    for task in others:
         task.start()
-        tries.append(task)
-        time.sleep(TRY_GAP_SECONDS)
-    for task in tries:
+    fleet.say(f"client: {OTHERS} other programs have a turn each")
+    time.sleep(0.5)
+    if trouble:
+        fleet.kill_entry(killed)
+        fleet.start_entry(killed, is_first_start=False)
+        fleet_lib.wait_until(killed.is_ready, killed.name)
+        fleet.say(f"platform: {killed.name} is ready again")
+    time.sleep(0.3)
+    fleet.say("client: the programs go on, without end")
+    run_all(
+        [threading.Thread(target=case.loop, args=(name,)) for name in looping]
+    )
+    for task in others:
         task.join()
     over = []
-    for name in programs:
-        fleet.say(f"client: program {name} got {case.tokens[name]} tokens")
-        if case.tokens[name] > BUDGET + MOST_TOKENS:
+    for name in looping:
+        most = BUDGET + MOST_TOKENS
+        fleet.say(
+            f"client: program {name} got {case.tokens[name]} tokens;"
+            f" budget {BUDGET}, at most {most};"
+            f" refused with 402: {case.refused[name]}"
+        )
+        if case.tokens[name] > most:
             over.append(f"{name}: {case.tokens[name]}")
     if not over:
         return ""
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,8 @@
-"""A reader of the logs that pauses stops a whole entry host."""
+"""A host that has not heard of a new one grants a budget that is spent."""
 
 from __future__ import annotations
 
-import contextlib
-import os
+import collections
 import sys
 import threading
 import time
@@ -11,117 +10,143 @@
 from harness import client
 from harness import fleet as fleet_lib
 
-CLIENTS = 24
-WARM_SECONDS = 4.0
-PAUSE_SECONDS = 8.0
-AFTER_SECONDS = 4.0
-DEADLINE_MS = 1500
-ROUTE_TIMEOUT_MS = 1500
-LATE_MS = 500.0
-READ_BYTES = 65_536
+sys.path[:0] = [
+    str(fleet_lib.ROOT / "src"),
+    str(fleet_lib.ROOT / "target/deps"),
+]
+from endivepier.internal import rendezvous  # noqa: E402
 
-
-class Reader:
-    """The platform's reader of an entry host's standard output."""
-
-    def __init__(self, path: str) -> None:
-        self._path = path
-        self._running = threading.Event()
-        self._running.set()
-        read_end, self.write_end = os.pipe()
-        self._read_end = read_end
-        threading.Thread(target=self._run, daemon=True).start()
-
-    def pause(self) -> None:
-        """Stops reading for now."""
-        self._running.clear()
-
-    def go_on(self) -> None:
-        """Reads again."""
-        self._running.set()
-
-    def _run(self) -> None:
-        with open(self._path, "ab") as file, contextlib.suppress(OSError):
-            while data := os.read(self._read_end, READ_BYTES):
-                file.write(data)
-                self._running.wait()
+PROGRAMS = 24
+LINES = 3  # turns of a program at a time
+BUDGET = 1088
+MOST_TOKENS = 136
+EVENTS = MOST_TOKENS // fleet_lib.EVENT_TOKENS
+EVENT_MS = 5
+SILENT_SECONDS = 9.0
+JOIN_SECONDS = 3.6  # from the new host's start until programs begin
+TRIES_AFTER_402 = 2
+TRY_GAP_SECONDS = 0.15  # between the programs that come to the old host
 
 
 class Case:
-    """The clients, and what they were told."""
+    """The programs and what they got."""
 
     def __init__(self, fleet: fleet_lib.Fleet) -> None:
         self._fleet = fleet
         self._lock = threading.Lock()
-        self._until = (
-            time.monotonic() + WARM_SECONDS + PAUSE_SECONDS + AFTER_SECONDS
+        self.tokens: collections.Counter[str] = collections.Counter()
+        self.refused: collections.Counter[str] = collections.Counter()
+
+    def turn(self, program: str, entry: fleet_lib.Entry) -> client.Answer:
+        """Sends a turn and counts the tokens that it brings."""
+        attempt = fleet_lib.new_id()
+        headers = fleet_lib.turn_headers(
+            program, attempt, budget=BUDGET, most=MOST_TOKENS
+        )
+        body = f"{attempt} <events={EVENTS} ms={EVENT_MS}>".encode()
+        path = f"{fleet_lib.READ}4b"
+        answer = client.ask(entry.clients, "POST", path, headers, body)
+        tokens = 0
+        if answer.status == 200:
+            tokens = answer.body.count(b"\n\n") * fleet_lib.EVENT_TOKENS
+        with self._lock:
+            self.tokens[program] += tokens
+            self.refused[program] += answer.status == 402
+        self._fleet.note(
+            f"client: program {program}, attempt {attempt} at {entry.name}:"
+            f" {answer}; {tokens} tokens"
+        )
+        return answer
+
+    def turns(self, program: str, entry: fleet_lib.Entry, count: int) -> None:
+        """Sends several turns of a program at once."""
+        run_all(
+            [
+                threading.Thread(target=self.turn, args=(program, entry))
+                for _ in range(count)
+            ]
         )
-        # By host: when each call was sent, and its time to a whole answer.
-        self.calls: dict[str, list[tuple[float, float]]] = {}
-
-    def run_client(self, number: int) -> None:
-        """Sends status checks to one entry host, one after the other."""
-        entry = self._fleet.entries[number % len(self._fleet.entries)]
-        while time.monotonic() < self._until:
-            attempt = fleet_lib.new_id()
-            headers = fleet_lib.headers(attempt, DEADLINE_MS)
-            sent_at = time.time()
-            answer = client.ask(
-                entry.clients, "GET", f"{fleet_lib.PING}2f", headers
-            )
-            ms = (time.time() - sent_at) * 1000
-            if not answer.is_complete:
-                ms = max(ms, 1e6)
-            with self._lock:
-                self.calls.setdefault(entry.name, []).append((sent_at, ms))
-            self._fleet.note(
-                f"client: call {attempt} at {entry.name}: {answer}, {ms:.0f} ms"
-            )
-            time.sleep(0.01)
 
+    def loop(self, program: str, entry: fleet_lib.Entry) -> None:
+        """Runs turns again and again until the budget is spent."""
+        until = time.monotonic() + 10.0
+        while time.monotonic() < until and not self.refused[program]:
+            self.turns(program, entry, LINES)
 
-def play(fleet: fleet_lib.Fleet, trouble: bool) -> str:
-    """Returns how the rule was broken, or nothing."""
-    fleet.declare(rate=4000.0, burst=4000.0)
-    for _ in range(3):
-        fleet.start_server(fleet_lib.PLAIN, slots=6, work_ms=39.0)
-    reader = Reader(str(fleet.folder / "read.log"))
-    fleet.start_entries(3, outputs={0: reader.write_end})
-    case = Case(fleet)
-    tasks = [
-        threading.Thread(target=case.run_client, args=(number,))
-        for number in range(CLIENTS)
-    ]
+
+def run_all(tasks: list[threading.Thread]) -> None:
+    """Runs threads and waits for their end."""
     for task in tasks:
         task.start()
-    time.sleep(WARM_SECONDS)
-    paused_at = time.time()
-    if trouble:
-        fleet.say("platform: the reader of one host's logs pauses")
-        reader.pause()
-    time.sleep(PAUSE_SECONDS)
-    reader.go_on()
-    resumed_at = time.time()
-    if trouble:
-        fleet.say("platform: the reader goes on")
     for task in tasks:
         task.join()
-    broken = ""
-    for name, calls in sorted(case.calls.items()):
-        during = [ms for at, ms in calls if paused_at <= at < resumed_at]
-        at_timeout = [ms for ms in during if ms > ROUTE_TIMEOUT_MS]
-        late = [ms for ms in at_timeout if ms > ROUTE_TIMEOUT_MS + LATE_MS]
+
+
+def choose_programs(first: str, second: str, others: list[str]) -> list[str]:
+    """Returns ids of programs whose first hosts by hashing are these two."""
+    names = [first, second, *others]
+    programs = []
+    while len(programs) < PROGRAMS:
+        program = fleet_lib.new_id()
+        if rendezvous.rank(program, names, 2) == [first, second]:
+            programs.append(program)
+    return programs
+
+
+def play(fleet: fleet_lib.Fleet, trouble: bool) -> str:
+    """Returns how the rule was broken, or nothing."""
+    fleet.declare()
+    for _ in range(4):
+        fleet.start_server(fleet_lib.ENGINES, slots=24)
+    fleet.start_entries(3, proxied=0)
+    refused, entry, other = fleet.entries
+    assert refused.store is not None
+    new = fleet.add_entry()
+    case = Case(fleet)
+    programs = choose_programs(new.name, refused.name, [entry.name, other.name])
+    silent_at = time.monotonic()
+    if trouble:
         fleet.say(
-            f"clients: {name}: {len(calls)} calls, {len(during)} of them in the"
-            f" pause; {len(at_timeout)} unanswered at {ROUTE_TIMEOUT_MS} ms,"
-            f" {len(late)} half a second later"
+            f"store: no response to {refused.name} for {SILENT_SECONDS} s"
         )
-        if len(late) > len(at_timeout) / 2:
-            broken = (
-                f"CONFIG: {len(late)} of {len(at_timeout)} calls at {name} were"
-                " unanswered half a second after their route's timeout"
-            )
-    return broken
+        refused.store.be_silent()
+        threading.Timer(SILENT_SECONDS, refused.store.go_on).start()
+    fleet.say(f"platform: {new.name} is added")
+    fleet.start_entry(new, is_first_start=False)
+    fleet_lib.wait_until(new.is_ready, new.name)
+    time.sleep(max(silent_at + JOIN_SECONDS - time.monotonic(), 0.0))
+    fleet.say("client: the programs begin, without end")
+    run_all(
+        [
+            threading.Thread(target=case.loop, args=(name, entry))
+            for name in programs
+        ]
+    )
+    spent = {name: case.tokens[name] for name in programs}
+    fleet.say(
+        f"client: the programs got {min(spent.values())} to"
+        f" {max(spent.values())} tokens of {BUDGET}, and then 402 at"
+        f" {entry.name}; each sends {TRIES_AFTER_402} more turns, at"
+        f" {refused.name}"
+    )
+    tries = []
+    for name in programs:
+        task = threading.Thread(
+            target=case.turns, args=(name, refused, TRIES_AFTER_402)
+        )
+        task.start()
+        tries.append(task)
+        time.sleep(TRY_GAP_SECONDS)
+    for task in tries:
+        task.join()
+    over = []
+    for name in programs:
+        fleet.say(f"client: program {name} got {case.tokens[name]} tokens")
+        if case.tokens[name] > BUDGET + MOST_TOKENS:
+            over.append(f"{name}: {case.tokens[name]}")
+    if not over:
+        return ""
+    return f"BUDGET: tokens over {BUDGET + MOST_TOKENS}: {', '.join(over)}"
 
 
 if __name__ == "__main__":
