--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -167,8 +167,8 @@
                 POST,
                 calls,
                 type="non_idempotent",
-                timeout_ms=5000,
-                target_latency_ms=600,
+                timeout_ms=2500,
+                target_latency_ms=500,
                 max_attempts=2,
             ),
             _route(
