--- a/review/5/case.py
+++ b/review/5/case.py
@@ -18,8 +18,8 @@
 
 PROGRAMS = 24
 LINES = 3  # turns of a program at a time
-BUDGET = 1088
-MOST_TOKENS = 136
+BUDGET = 544
+MOST_TOKENS = 68
 EVENTS = MOST_TOKENS // fleet_lib.EVENT_TOKENS
 EVENT_MS = 5
 SILENT_SECONDS = 9.0
