--- a/review/5/case.py
+++ b/review/5/case.py
@@ -98,12 +98,14 @@
     fleet.declare()
     for _ in range(4):
         fleet.start_server(fleet_lib.ENGINES, slots=24)
-    fleet.start_entries(3, proxied=0)
-    refused, entry, other = fleet.entries
+    fleet.start_entries(4, proxied=0)
+    refused, entry, *others = fleet.entries
     assert refused.store is not None
     new = fleet.add_entry()
     case = Case(fleet)
-    programs = choose_programs(new.name, refused.name, [entry.name, other.name])
+    programs = choose_programs(
+        new.name, refused.name, [entry.name, *(other.name for other in others)]
+    )
     silent_at = time.monotonic()
     if trouble:
         fleet.say(
