scan: say whether more rows follow, and read long turns whole

Cause: a page of the store ends at 500 rows or 1 MB and says whether more follow. PlatformStore.scan ignored that, and TurnStore took the first page for all rows of a turn: KeyError.

Evidence: the line turn.rows_missing, added first and alone, showed at all three hosts "rows 26, missing 2, read_bytes 1024058": the page's limit, not rows that were never written.

Change: Table.scan returns a page with `more`; storage.scans reads all pages. A missing row is a 503 with a line. All callers of scan go by `more` (docs/incidents/long-turns.md lists them); a relayed scan tells it in a new field that a former build ignores, and a former build's reply without it is read until an empty page. No row has changed. Assertions in two tests name the page instead of a list of rows, with the same content and `more` in addition.

--- a/src/endivepier/configuration/snapshots.py
+++ b/src/endivepier/configuration/snapshots.py
@@ -81,7 +81,8 @@
             errors.Unavailable: the table did not reply.
         """
         before = snapshot_key(since - 1)
-        return bool(self._table.scan(SNAPSHOT_PREFIX, after=before, limit=1))
+        page = self._table.scan(SNAPSHOT_PREFIX, after=before, limit=1)
+        return bool(page.rows)
 
     def write(self, state: state_lib.State) -> None:
         """Writes a snapshot, unless this revision has one.
@@ -116,14 +117,14 @@
         """Returns the last row behind the key `after` and up to a revision."""
         newest: Snapshot | None = None
         while True:
-            rows = self._table.scan(
+            page = self._table.scan(
                 SNAPSHOT_PREFIX, after=after, limit=PAGE_ROWS
             )
-            for row in rows:
+            for row in page.rows:
                 snapshot = codec.decode(Snapshot, row.value)
                 if snapshot.revision > upto:
                     return newest
                 newest = snapshot
-            if len(rows) < PAGE_ROWS:
+            if not page.more:
                 return newest
-            after = rows[-1].key
+            after = page.rows[-1].key
--- a/src/endivepier/configuration/store.py
+++ b/src/endivepier/configuration/store.py
@@ -181,18 +181,20 @@
         """
         deltas: list[changes_lib.Delta] = []
         while after < upto:
-            rows = self._table.scan(
+            page = self._table.scan(
                 DELTA_PREFIX,
                 after=delta_key(after),
                 limit=min(PAGE_ROWS, upto - after),
             )
-            if not rows:
+            if not page.rows:
                 break
-            page = [codec.decode(changes_lib.Delta, row.value) for row in rows]
-            if page[0].revision != after + 1:
+            found = [
+                codec.decode(changes_lib.Delta, row.value) for row in page.rows
+            ]
+            if found[0].revision != after + 1:
                 break
-            deltas.extend(page)
-            after = page[-1].revision
+            deltas.extend(found)
+            after = found[-1].revision
         return deltas
 
     def apply(
@@ -353,7 +355,8 @@
             return ()
         snapshot_revision = self._snapshots.newest_revision(oldest_retained)
         writes: list[ports.Write] = []
-        for row in self._table.scan(DELTA_PREFIX, limit=MAX_DELETED_REVISIONS):
+        page = self._table.scan(DELTA_PREFIX, limit=MAX_DELETED_REVISIONS)
+        for row in page.rows:
             delta = codec.decode(changes_lib.Delta, row.value)
             if delta.revision <= snapshot_revision:
                 writes.append(ports.Delete(row.key))
--- a/src/endivepier/effects/resolution.py
+++ b/src/endivepier/effects/resolution.py
@@ -89,17 +89,17 @@
         open_claims: list[ClaimDocument] = []
         for _ in range(MAX_PAGES):
             try:
-                rows = self._table.scan(prefix, after=after, limit=PAGE_ROWS)
+                page = self._table.scan(prefix, after=after, limit=PAGE_ROWS)
             except errors.Unavailable:
                 raise _store_unavailable(errors.Ran.NO) from None
             open_claims.extend(
                 self._to_document(claim)
-                for claim in map(_decode_claim, rows)
+                for claim in map(_decode_claim, page.rows)
                 if claim.row.state is claims_lib.ClaimState.DISPATCHED
             )
-            if len(rows) < PAGE_ROWS:
+            if not page.more:
                 return OpenClaims(tuple(open_claims), "")
-            after = rows[-1].key
+            after = page.rows[-1].key
         return OpenClaims(tuple(open_claims), after)
 
     def show(self, account: str, idempotency_key: str) -> ClaimDocument:
--- a/src/endivepier/effects/retention.py
+++ b/src/endivepier/effects/retention.py
@@ -66,16 +66,17 @@
         if not self._is_sweeper():
             return
         try:
-            rows = self._table.scan(
+            page = self._table.scan(
                 claims_lib.PREFIX, after=self._after, limit=STEP_ROWS
             )
             claims = [
-                codec.decode(claims_lib.ClaimRow, row.value) for row in rows
+                codec.decode(claims_lib.ClaimRow, row.value)
+                for row in page.rows
             ]
             self._delete(
                 [
                     row
-                    for row, claim in zip(rows, claims, strict=True)
+                    for row, claim in zip(page.rows, claims, strict=True)
                     if self._is_expired(claim)
                 ]
             )
@@ -88,7 +89,7 @@
         self._open += sum(
             claim.state is claims_lib.ClaimState.DISPATCHED for claim in claims
         )
-        self._advance(rows)
+        self._advance(page)
 
     def _is_expired(self, claim: claims_lib.ClaimRow) -> bool:
         if claim.state is claims_lib.ClaimState.DISPATCHED:
@@ -104,9 +105,9 @@
         writes = tuple(ports.Delete(row.key) for row in rows)
         self._table.transact(ports.Transaction(conditions, writes))
 
-    def _advance(self, rows: Sequence[ports.Row]) -> None:
-        if len(rows) == STEP_ROWS:
-            self._after = rows[-1].key
+    def _advance(self, page: ports.Page) -> None:
+        if page.more:
+            self._after = page.rows[-1].key
             return
         self._metrics.set("open_claims", self._open)
         self._after = ""
--- a/src/endivepier/gateway/accounts/renewals.py
+++ b/src/endivepier/gateway/accounts/renewals.py
@@ -24,6 +24,7 @@
 from endivepier.limits import leases
 from endivepier.storage import commit
 from endivepier.storage import ports
+from endivepier.storage import scans
 
 # Longer than the store outages stated for the deployments (9 s), so that
 # accounts keep their rates through one.
@@ -210,14 +211,7 @@
             found = [self._table.get(key) for key in keys]
             return {row.key: row for row in found if row is not None}
         prefix = rows.single_part_key(rows.SHARES, "")
-        stored: dict[str, ports.Row] = {}
-        after = ""
-        while True:
-            page = self._table.scan(prefix, after=after, limit=500)
-            stored.update((row.key, row) for row in page)
-            if len(page) < 500:
-                return stored
-            after = page[-1].key
+        return {row.key: row for row in scans.read_all(self._table, prefix)}
 
     def _renew(
         self, accounts: list[model.Account], stored: dict[str, ports.Row]
--- a/src/endivepier/gateway/budgets/recorded_programs.py
+++ b/src/endivepier/gateway/budgets/recorded_programs.py
@@ -62,7 +62,7 @@
                 self._timers.sleep(backoff)
                 backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
                 continue
-            names.extend(row.key.removeprefix(prefix) for row in page)
-            if len(page) < PAGE_ROWS:
+            names.extend(row.key.removeprefix(prefix) for row in page.rows)
+            if not page.more:
                 return names
-            after = page[-1].key
+            after = page.rows[-1].key
--- a/src/endivepier/gateway/store/access.py
+++ b/src/endivepier/gateway/store/access.py
@@ -13,13 +13,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from collections.abc import Sequence
 import random
 from typing import TypeVar
 
 import eliot
 import gevent.event
-import pydantic
 
 from endivepier import errors
 from endivepier import timers as timers_lib
@@ -149,29 +147,29 @@
 
     def get(self, key: str) -> ports.Row | None:
         """Returns a row; see `storage.ports.Table.get`."""
-        rows = self._read(
-            lambda: _as_rows([self._table.get(key)]),
+        return self._read(
+            lambda: self._table.get(key),
+            store_messages.Found.row,
             GET,
             codec.encode(wire.Get(key)),
-        ).rows
-        return rows[0] if rows else None
+        )
 
     def scan(
         self, prefix: str, *, after: str = "", limit: int = 500
-    ) -> Sequence[ports.Row]:
+    ) -> ports.Page:
         """Returns rows in order; see `storage.ports.Table.scan`."""
         return self._read(
-            lambda: _as_rows(
-                self._table.scan(prefix, after=after, limit=limit)
-            ),
+            lambda: self._table.scan(prefix, after=after, limit=limit),
+            store_messages.Found.page,
             SCAN,
             codec.encode(wire.Scan(prefix, after, limit)),
-        ).rows
+        )
 
     def snapshot(self, table: str) -> ports.Changes:
         """Returns a whole table; see `storage.ports.Feed.snapshot`."""
         return self._read(
             lambda: self._feed.snapshot(table),
+            store_messages.Found.changes,
             SNAPSHOT,
             codec.encode(store_messages.Table(table)),
         )
@@ -180,6 +178,7 @@
         """Returns the changes; see `storage.ports.Feed.changes`."""
         return self._read(
             lambda: self._feed.changes(table, after, wait),
+            store_messages.Found.changes,
             CHANGES,
             codec.encode(store_messages.Since(table, after, wait)),
             wait + RELAY_MARGIN_SECONDS,
@@ -206,13 +205,14 @@
 
     def _read(
         self,
-        read: Callable[[], ports.Changes],
+        read: Callable[[], T],
+        decode: Callable[[store_messages.Found], T],
         operation: str,
         body: bytes,
         seconds: float = RELAY_SECONDS,
         *,
         feed: bool = False,
-    ) -> ports.Changes:
+    ) -> T:
         """Reads directly or through a peer; feeds bypass the breaker."""
         if not self._prefers_relay():
             try:
@@ -223,8 +223,7 @@
         reply = self._relay(operation, body, seconds, at_most_once=False)
         if not isinstance(reply, store_messages.Found):
             raise errors.Unavailable(f"unexpected reply of a peer: {reply}")
-        rows = tuple(row.row() for row in reply.rows)
-        return ports.Changes(rows, reply.removed, reply.version)
+        return decode(reply)
 
     def _call_guarded(self, call: Callable[[], T]) -> T:
         """Calls the store directly, subject to the circuit breaker.
@@ -332,13 +331,13 @@
 
     def _serve_get(self, body: bytes) -> bytes:
         req = codec.decode(wire.Get, body)
-        return self._serve(lambda: _as_rows([self._table.get(req.key)]))
+        return self._serve(lambda: self._table.get(req.key))
 
     def _serve_scan(self, body: bytes) -> bytes:
         req = codec.decode(wire.Scan, body)
         return self._serve(
-            lambda: _as_rows(
-                self._table.scan(req.prefix, after=req.after, limit=req.limit)
+            lambda: self._table.scan(
+                req.prefix, after=req.after, limit=req.limit
             )
         )
 
@@ -356,7 +355,7 @@
         txn = codec.decode(wire.Transact, body).transaction()
         return self._serve(lambda: self._table.transact(txn))
 
-    def _serve(self, call: Callable[[], ports.Changes | int]) -> bytes:
+    def _serve(self, call: Callable[[], store_messages.Result]) -> bytes:
         """Makes a call for a peer, over the direct path only."""
         try:
             result = self._call_guarded(call)
@@ -368,24 +367,7 @@
             return _encode(store_messages.Failed("unavailable", str(exc)))
         except errors.OutcomeUnknown as exc:
             return _encode(store_messages.Failed("unknown", str(exc)))
-        if isinstance(result, int):
-            return _encode(wire.Committed(result))
-        rows = tuple(
-            wire.RowDocument(row.key, _base64(row.value), row.version)
-            for row in result.rows
-        )
-        return _encode(
-            store_messages.Found(rows, result.removed, result.version)
-        )
-
-
-def _as_rows(rows: Sequence[ports.Row | None]) -> ports.Changes:
-    return ports.Changes(tuple(row for row in rows if row is not None), (), 0)
-
-
-def _base64(value: bytes) -> pydantic.Base64Bytes:
-    """Returns the value, typed as a field that is serialized as base64."""
-    return value
+        return _encode(store_messages.reply(result))
 
 
 def _encode(reply: store_messages.Reply) -> bytes:
--- a/src/endivepier/gateway/streams/turns.py
+++ b/src/endivepier/gateway/streams/turns.py
@@ -2,10 +2,10 @@
 
 A turn is stored with the full history of its chain: the input that the target
 received, which includes the earlier turns, followed by the output. Any host
-can then continue any turn with one read. A turn that is too long for one row
-is split over several rows of one part of the table. The first row is written
-last, and a turn without its first row doesn't exist, so that readers see a
-turn as a whole or not at all.
+can then continue any turn by reading its rows. A turn that is too long for one
+row is split over several rows of one part of the table. The first row is
+written last, and a turn without its first row doesn't exist, so that readers
+see a turn as a whole or not at all.
 
 The store may refuse some parts of a table while it serves others. A turn whose
 part is refused is written to a second one. A turn doesn't exist if it is in
@@ -27,6 +27,7 @@
 from endivepier import timers as timers_lib
 from endivepier.gateway.store import rows
 from endivepier.storage import ports
+from endivepier.storage import scans
 
 PIECE_BYTES = 44_000  # rows hold 65,536 bytes, and encoding adds a third
 MAX_TRANSACTION_ROWS = 16  # transactions hold 1 MB
@@ -174,7 +175,7 @@
         unavailable: errors.Unavailable | None = None
         for prefix in _prefixes(turn_id):
             try:
-                rows_found = self._table.scan(prefix)
+                rows_found = scans.read_all(self._table, prefix)
             except errors.Unavailable as exc:
                 unavailable = exc
                 continue
@@ -183,7 +184,21 @@
             if first is None:
                 continue
             account, count, history = first.split(b"\n", 2)
-            rest = [values[f"{prefix}{n}"] for n in range(1, int(count))]
+            keys = [f"{prefix}{n}" for n in range(1, int(count))]
+            if missing := [key for key in keys if key not in values]:
+                eliot.log_message(
+                    "turn.rows_missing",
+                    turn=turn_id,
+                    rows=int(count),
+                    missing=len(missing),
+                    first_missing=missing[0],
+                    read_bytes=sum(len(row.value) for row in rows_found),
+                )
+                raise errors.Unavailable(
+                    f"{len(missing)} of the {count.decode()} rows of turn "
+                    f"{turn_id} are missing"
+                )
+            rest = [values[key] for key in keys]
             return Turn(turn_id, account.decode(), b"".join([history, *rest]))
         if unavailable is not None:
             raise unavailable
--- a/src/endivepier/history/turns.py
+++ b/src/endivepier/history/turns.py
@@ -43,12 +43,12 @@
         after = ""
         while len(rows) < row.turn:
             page = self._table.scan(prefix, after=after, limit=SCAN_ROWS)
-            if not page:
-                break
-            for item in page:
+            for item in page.rows:
                 turn = codec.decode(records.TurnRow, item.value)
                 rows.append(self._with_body(item.key, turn))
-            after = page[-1].key
+            if not page.more:
+                break
+            after = page.rows[-1].key
             self._timers.sleep(0.0)
         turns = tuple(rows[: row.turn])
         if not digests_match(records.FIRST_DIGEST, turns, row.digest):
--- a/src/endivepier/sidecar/reaper.py
+++ b/src/endivepier/sidecar/reaper.py
@@ -169,14 +169,14 @@
         cutoff = self._timers.wall() - RETENTION_SECONDS
         while True:
             page = self._table.scan(prefix, after=after, limit=SCAN_PAGE_ROWS)
-            if not page:
-                return
-            for table_row in page:
+            for table_row in page.rows:
                 row = codec.decode(records.ProgramRow, table_row.value)
                 expired = row.created + row.budget.seconds
                 if (row.ended or expired) < cutoff:
                     self._delete_program(table_row, row)
-            after = page[-1].key
+            if not page.more:
+                return
+            after = page.rows[-1].key
 
     def _delete_program(
         self, table_row: ports.Row, row: records.ProgramRow
--- a/src/endivepier/standins/network.py
+++ b/src/endivepier/standins/network.py
@@ -10,7 +10,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
-from collections.abc import Sequence
 from typing import Any
 
 import gevent
@@ -341,12 +340,12 @@
 
     def scan(
         self, prefix: str, *, after: str = "", limit: int = 1000
-    ) -> Sequence[ports.Row]:
+    ) -> ports.Page:
         """Returns rows; see `storage.ports.Table.scan`."""
         self._check_reachable()
-        rows = self._inner.scan(prefix, after=after, limit=limit)
+        page = self._inner.scan(prefix, after=after, limit=limit)
         self._check_reachable()
-        return rows
+        return page
 
     def transact(self, txn: ports.Transaction) -> int:
         """Commits a transaction; see `storage.ports.Table.transact`."""
--- a/src/endivepier/standins/servers.py
+++ b/src/endivepier/standins/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 from typing import Any
 
@@ -60,13 +61,13 @@
 
 def _add_table(app: web.App, table: table_lib.MemoryTable) -> None:
     def rows_response(
-        rows: list[platform_ports.Row],
+        rows: Iterable[platform_ports.Row], *, more: bool = False
     ) -> werkzeug.wrappers.Response:
         documents = tuple(
             platform_wire.RowDocument(row.key, row.value, row.version)
             for row in rows
         )
-        return web.json_response(platform_wire.Rows(documents))
+        return web.json_response(platform_wire.Rows(documents, more))
 
     def get(req: web.Request) -> werkzeug.wrappers.Response:
         query = codec.decode(platform_wire.Get, req.get_data())
@@ -79,12 +80,12 @@
     def scan(req: web.Request) -> werkzeug.wrappers.Response:
         query = codec.decode(platform_wire.Scan, req.get_data())
         try:
-            rows = table.scan(
+            page = table.scan(
                 query.prefix, after=query.after, limit=query.limit
             )
         except errors.Unavailable:
             return werkzeug.wrappers.Response(status=503)
-        return rows_response(list(rows))
+        return rows_response(page.rows, more=page.more)
 
     def transact(req: web.Request) -> werkzeug.wrappers.Response:
         document = codec.decode(platform_wire.Transact, req.get_data())
--- a/src/endivepier/standins/table.py
+++ b/src/endivepier/standins/table.py
@@ -13,6 +13,8 @@
 from endivepier import timers as timers_lib
 from endivepier.storage import ports
 
+PAGE_BYTES = 1_000_000
+
 
 @dataclasses.dataclass(slots=True)
 class TableFaults:
@@ -50,6 +52,7 @@
         reads: number of reads.
         transactions: number of committed transactions.
         rows_written: number of rows that they wrote or deleted.
+        page_bytes: the most bytes of values in one page of a scan.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         self.reads = 0
         self.transactions = 0
         self.rows_written = 0
+        self.page_bytes = PAGE_BYTES
         self._timers = timers
         self._rng = rng or random.Random(0)
         self._rows: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
@@ -75,17 +79,23 @@
 
     def scan(
         self, prefix: str, *, after: str = "", limit: int = 1000
-    ) -> Sequence[ports.Row]:
+    ) -> ports.Page:
         """Returns rows in order; see `storage.ports.Table.scan`."""
         self._read()
         rows: list[ports.Row] = []
+        size = 0
         start = max(prefix, after)
         for key in self._rows.irange(start, inclusive=(True, True)):
-            if not key.startswith(prefix) or len(rows) >= limit:
+            if not key.startswith(prefix):
                 break
-            if key > after:
-                rows.append(self._rows[key])
-        return rows
+            if key <= after:
+                continue
+            row = self._rows[key]
+            size += len(row.value)
+            if len(rows) >= limit or (rows and size > self.page_bytes):
+                return ports.Page(tuple(rows), more=True)
+            rows.append(row)
+        return ports.Page(tuple(rows), more=False)
 
     def transact(self, txn: ports.Transaction) -> int:
         """Commits a transaction; see `storage.ports.Table.transact`."""
--- a/src/endivepier/storage/http_table.py
+++ b/src/endivepier/storage/http_table.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from typing import Any
 
 from endivepier import errors
@@ -33,10 +32,10 @@
 
     def scan(
         self, prefix: str, *, after: str = "", limit: int = 1000
-    ) -> Sequence[ports.Row]:
+    ) -> ports.Page:
         """Returns rows in order; see `storage.ports.Table.scan`."""
-        rows = self._read(wire.SCAN_PATH, wire.Scan(prefix, after, limit)).rows
-        return [row.row() for row in rows]
+        document = self._read(wire.SCAN_PATH, wire.Scan(prefix, after, limit))
+        return wire.page(document.rows, document.more)
 
     def transact(self, txn: ports.Transaction) -> int:
         """Commits a transaction; see `storage.ports.Table.transact`."""
--- a/src/endivepier/storage/ports.py
+++ b/src/endivepier/storage/ports.py
@@ -29,6 +29,19 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """Rows that a scan returned.
+
+    Attributes:
+        rows: the rows, in order of key.
+        more: whether rows may follow the last one.
+    """
+
+    rows: tuple[Row, ...]
+    more: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Absent:
     """Condition: the row `key` does not exist."""
@@ -85,11 +98,12 @@
             errors.Unavailable: the service did not respond.
         """
 
-    def scan(
-        self, prefix: str, *, after: str = "", limit: int = 1000
-    ) -> Sequence[Row]:
+    def scan(self, prefix: str, *, after: str = "", limit: int = 1000) -> Page:
         """Returns rows whose key starts with `prefix`, in order of key.
 
+        Services also limit the bytes of a page, so a page may have fewer rows
+        than `limit` although more follow. See `storage.scans` for all rows.
+
         Args:
             prefix: the prefix of the keys.
             after: returns only keys greater than this one, to read the next
--- a/src/endivepier/storage/wire.py
+++ b/src/endivepier/storage/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 import dataclasses
 from typing import Literal
 
@@ -47,9 +48,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rows:
-    """Response to `Get` and `Scan`."""
+    """Response to `Get` and `Scan`.
+
+    Attributes:
+        rows: the rows.
+        more: whether rows may follow the last one; None if it is not told.
+    """
 
     rows: tuple[RowDocument, ...]
+    more: bool | None = None
+
+
+def page(rows: Sequence[RowDocument], more: bool | None) -> ports.Page:
+    """Returns the page of a scan.
+
+    Args:
+        rows: the rows.
+        more: whether rows may follow; if None, only an empty page is the last.
+    """
+    return ports.Page(
+        tuple(row.row() for row in rows), bool(rows) if more is None else more
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/cover/gateway/test_share_restarts.py
+++ b/tests/cover/gateway/test_share_restarts.py
@@ -33,7 +33,7 @@
 
     def scan(self, prefix, **options):
         page = self._table.scan(prefix, **options)
-        self.rows_read += len(page)
+        self.rows_read += len(page.rows)
         return page
 
 
--- a/tests/cover/gateway/test_store_access.py
+++ b/tests/cover/gateway/test_store_access.py
@@ -1,5 +1,6 @@
 """Access to a store that rejects or does not answer some or all hosts."""
 
+import json
 import random
 
 import gevent
@@ -13,6 +14,7 @@
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
 from endivepier.storage import ports
+from endivepier.storage import scans
 from tests.common import gateway_parts
 
 PUT = ports.Transaction((ports.Absent("t//a"),), (ports.Put("t//a", b"x"),))
@@ -96,9 +98,9 @@
             store.is_unavailable(),
         )
 
-    version, row, rows, unavailable = timers.run(main)
+    version, row, page, unavailable = timers.run(main)
     assert row == ports.Row("t//a", b"x", version)
-    assert rows == (row,)
+    assert page == ports.Page((row,), more=False)
     assert not unavailable
 
 
@@ -114,6 +116,52 @@
     assert timers.run(main) == b"x"
 
 
+def put_rows(table, count):
+    puts = tuple(ports.Put(f"t//{n}", b"x" * 100) for n in range(count))
+    table.transact(ports.Transaction((), puts))
+
+
+# A host that reached the store through a peer took the first page of a turn
+# that is longer than a page for the whole turn.
+def test_a_peer_tells_whether_more_rows_follow(timers):
+    table = table_lib.MemoryTable(timers)
+    table.page_bytes = 250
+    store = make_with_peer(timers, table, UnreachableTable())
+
+    def main():
+        put_rows(table, 5)
+        first = store.scan("t//")
+        last = store.scan("t//", after="t//3")
+        return first, last, scans.read_all(store, "t//")
+
+    first, last, rows = timers.run(main)
+    assert (len(first.rows), first.more) == (2, True)
+    assert (len(last.rows), last.more) == (1, False)
+    assert [row.key for row in rows] == [f"t//{n}" for n in range(5)]
+
+
+# A peer of a former build sends one page, and does not tell whether it is the
+# last one.
+def test_a_scan_through_a_former_build_ends_with_an_empty_page(timers):
+    table = table_lib.MemoryTable(timers)
+    table.page_bytes = 250
+    store = make_with_peer(timers, table, UnreachableTable())
+    scan = store._peers.other[store_access.SCAN]
+
+    def scan_without_more(body):
+        reply = json.loads(scan(body))
+        del reply["more"]
+        return json.dumps(reply).encode()
+
+    store._peers.other[store_access.SCAN] = scan_without_more
+
+    def main():
+        put_rows(table, 5)
+        return scans.read_all(store, "t//")
+
+    assert len(timers.run(main)) == 5
+
+
 def test_lost_history_is_reported_through_a_peer(timers):
     table = table_lib.MemoryTable(timers)
     store = make_with_peer(timers, table, UnreachableTable())
--- a/tests/cover/platform/test_store.py
+++ b/tests/cover/platform/test_store.py
@@ -1,5 +1,6 @@
 """Client of the platform's store, run against a scripted HTTP server."""
 
+import base64
 import json
 import urllib.parse
 
@@ -8,6 +9,7 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
+from endivepier.gateway.streams import turns
 from endivepier.http1 import messages
 from endivepier.http1 import server as server_lib
 from endivepier.storage import ports
@@ -136,3 +138,71 @@
     snapshot = store.snapshot("t")
     assert [row.key for row in snapshot.rows] == ["t/p/k", "t/p/m"]
     assert snapshot.version == 9
+
+
+def page_of_rows(rows, first, end, more):
+    """Returns a page of the rows with the numbers from `first` to `end`."""
+    table, part, prefix = rows.prefix.split("/", 2)
+    entries = [
+        {
+            "table": table,
+            "part": part,
+            "key": f"{prefix}{number}",
+            "value": base64.b64encode(rows.values[number]).decode(),
+            "ver": 5,
+        }
+        for number in range(first, end)
+    ]
+    return 200, {"rows": entries, "ver": 9, "more_pages": more}
+
+
+class StoredTurn:
+    """The rows of a turn of account "a", in its first part."""
+
+    def __init__(self, turn_id, history):
+        turn = turns.Turn(turn_id, "a", history)
+        self.prefix = turns._prefixes(turn_id)[0]
+        self.values = turns._split(turn)
+
+
+# A turn of over 1 MB, which is what a page of the store holds, could be read by
+# no host: the client's connection was closed without a response.
+def test_a_turn_longer_than_a_page_of_the_store_is_read_whole(scripted, store):
+    history = b"x" * 6 * turns.PIECE_BYTES
+    stored = StoredTurn("abc", history)
+    scripted.responses = [
+        page_of_rows(stored, 0, 4, more=True),
+        page_of_rows(stored, 4, 6, more=False),
+    ]
+    turn_store = turns.TurnStore(store, timers_lib.SystemTimers())
+    assert turn_store.find("abc", "a").history == history
+    _, query, _ = scripted.requests[1]
+    assert query["from"] == stored.prefix.split("/", 2)[2] + "3\0"
+
+
+# A row that is missing raised a `KeyError`, which closed the connection.
+def test_a_turn_with_a_missing_row_is_unavailable(scripted, store, monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        turns.eliot,
+        "log_message",
+        lambda kind, **fields: lines.append((kind, fields)),
+    )
+    stored = StoredTurn("abc", b"x" * 6 * turns.PIECE_BYTES)
+    scripted.responses = [page_of_rows(stored, 0, 4, more=False)]
+    turn_store = turns.TurnStore(store, timers_lib.SystemTimers())
+    with pytest.raises(errors.Unavailable):
+        turn_store.find("abc", "a")
+    assert [(kind, f["rows"], f["missing"]) for kind, f in lines] == [
+        ("turn.rows_missing", 6, 2)
+    ]
+
+
+# Otherwise a scan would never end, or end early.
+def test_an_empty_page_that_is_not_the_last_is_unavailable(scripted, store):
+    page = (200, {"rows": [], "ver": 9, "more_pages": True})
+    scripted.responses = [page, page]
+    with pytest.raises(errors.Unavailable):
+        store.scan("t/p/")
+    with pytest.raises(errors.Unavailable):
+        store.snapshot("t")
