budgets: number reservations apart from those of a host's former process

Cause: each process numbered its reservations from 1. The ends of turns that the lost process had granted settled turns of other programs at the new one.

Change: numbers start at a random one in each process, so that a former one's are unknown; an end that names another program settles nothing. The number stays a JSON integer that a former build sends back, and the new field is optional.

--- a/src/endivepier/gateway/budgets/owners.py
+++ b/src/endivepier/gateway/budgets/owners.py
@@ -15,7 +15,7 @@
 
 from collections.abc import Callable
 import dataclasses
-import itertools
+import random
 
 import eliot
 import gevent
@@ -28,6 +28,7 @@
 from endivepier.gateway.hosts import peers as peers_lib
 from endivepier.internal import bounded_map
 from endivepier.internal import codec
+from endivepier.internal import numbering
 from endivepier.internal import rendezvous
 
 BEGIN = "budget-begin"
@@ -84,11 +85,14 @@
         number: number of the reservation, from `Begun`.
         used: tokens that were sent to the client.
         last_target: incarnation of the target that ran the turn, or empty.
+        program: the program's id; empty from a former build, which does not
+            tell.
     """
 
     number: int
     used: int
     last_target: str = ""
+    program: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,12 +149,22 @@
         ledger: ledger_lib.Ledger,
         peers: peers_lib.Peers,
         timers: timers_lib.Timers,
+        rng: random.Random,
     ) -> None:
+        """Initializes without reservations.
+
+        Args:
+            host: name of this host, the same after a restart.
+            ledger: the budgets of the programs that this host owns.
+            peers: the other hosts.
+            timers: the timer service.
+            rng: must differ between the processes of a host.
+        """
         self._host = host
         self._ledger = ledger
         self._peers = peers
         self._timers = timers
-        self._numbers = itertools.count(1)
+        self._numbers = numbering.numbers(rng)
         self._granted: dict[int, tuple[budget_state.Reservation, float]] = {}
         self._last_targets: bounded_map.BoundedMap[str] = (
             bounded_map.BoundedMap(MAX_LAST_TARGETS)
@@ -267,7 +281,7 @@
         reservation.decide(
             begun.state,
             lambda used, last_target: self._end_at_owner(
-                owner, begun, used, last_target
+                owner, request.program, begun, used, last_target
             ),
         )
 
@@ -287,10 +301,15 @@
         self._copy_decision(reservation, local)
 
     def _end_at_owner(
-        self, owner: str, begun: Begun, used: int, last_target: str
+        self,
+        owner: str,
+        program: str,
+        begun: Begun,
+        used: int,
+        last_target: str,
     ) -> None:
         if begun.state is budget_state.State.GRANTED:
-            end = End(begun.number, used, last_target)
+            end = End(begun.number, used, last_target, program)
             gevent.spawn(self._send_end, owner, end)
 
     def _send_end(self, owner: str, end: End) -> None:
@@ -328,8 +347,19 @@
 
     def _handle_end(self, body: bytes) -> bytes:
         end: End = codec.decode(End, body)
-        granted = self._granted.pop(end.number, None)
-        if granted is not None:
+        granted = self._granted.get(end.number)
+        reserved_for = "" if granted is None else granted[0].program.name
+        if granted is None or end.program not in ("", reserved_for):
+            # Granted by a former process of this host, or settled as overdue.
+            eliot.log_message(
+                "budget.unknown_reservation",
+                number=end.number,
+                program=end.program,
+                reserved_for=reserved_for,
+                used=end.used,
+            )
+        else:
+            del self._granted[end.number]
             self._end_locally(granted[0], end.used, end.last_target)
         return codec.encode(Ended())
 
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -195,7 +195,9 @@
         host_rows.has_unrecorded = self.ledger.has_unrecorded
         self.budgets = self.kernel.register(
             "budget_owners",
-            budget_owners.Budgets(cfg.host, self.ledger, self.peers, timers),
+            budget_owners.Budgets(
+                cfg.host, self.ledger, self.peers, timers, rng
+            ),
         )
         self.turns = self.kernel.register(
             "turns", turns_lib.TurnStore(store, timers)
--- a/tests/common/outage_load.py
+++ b/tests/common/outage_load.py
@@ -97,7 +97,11 @@
         )
         self.rows.has_unrecorded = self.ledger.has_unrecorded
         self.budgets = budget_owners.Budgets(
-            name, self.ledger, peers, fleet.timers
+            name,
+            self.ledger,
+            peers,
+            fleet.timers,
+            random.Random(f"{name} {fleet.timers.now()}"),
         )
         self.tokens = turn_tokens.TurnTokens(
             self.budgets, self.store, fleet.timers
--- a/tests/cover/gateway/test_budget_owners.py
+++ b/tests/cover/gateway/test_budget_owners.py
@@ -1,5 +1,6 @@
 """Token budgets when the turns of a program arrive at several hosts."""
 
+import json
 import random
 
 import gevent
@@ -8,6 +9,7 @@
 from endivepier.gateway.budgets import ledger as ledger_lib
 from endivepier.gateway.budgets import owners as budget_owners
 from endivepier.gateway.budgets import state as budget_state
+from endivepier.internal import codec
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
 from tests.common import gateway_peers
@@ -27,6 +29,7 @@
         self.table = table_lib.MemoryTable(self.timers, random.Random(seed))
         self.peers = {}
         self.hosts = {}
+        self.ledgers = []
         self.sent_tokens = 0
         for number in range(count):
             name = f"h{number}"
@@ -42,14 +45,19 @@
             self.timers,
         )
         self.hosts[name] = budget_owners.Budgets(
-            name, ledger, self.peers[name], self.timers
+            name,
+            ledger,
+            self.peers[name],
+            self.timers,
+            random.Random(f"{name} {len(self.ledgers)}"),
         )
+        self.ledgers.append(ledger)
         ledger.start()
         self.hosts[name].start()
 
-    def turn(self, name, budget, used, seconds=0.2):
+    def turn(self, name, budget, used, seconds=0.2, program="p"):
         host = self.hosts[name]
-        reservation = host.begin("p", budget, MAX_TURN_TOKENS, first=False)
+        reservation = host.begin(program, budget, MAX_TURN_TOKENS, first=False)
         self.timers.wait(reservation.decided, 3.0)
         state = reservation.state
         if state is budget_state.State.GRANTED:
@@ -126,6 +134,75 @@
     )
 
 
+# The owner numbered its reservations from 1 after each start, so that the ends
+# of turns that its former process had granted settled turns of other programs,
+# which then got up to twice their budget.
+def test_turns_granted_before_a_restart_settle_no_turn_of_another_program(
+    fleet,
+):
+    budget = 150
+
+    def begin(host, program, count):
+        reservations = [
+            host.begin(program, budget, MAX_TURN_TOKENS, first=False)
+            for _ in range(count)
+        ]
+        for reservation in reservations:
+            fleet.timers.wait(reservation.decided, 3.0)
+            assert reservation.state is budget_state.State.GRANTED
+        return reservations
+
+    def main():
+        owner = fleet.hosts["h0"]._owner("p0")
+        other = fleet.hosts[next(h for h in fleet.hosts if h != owner)]
+        owned = [f"p{n}" for n in range(20) if other._owner(f"p{n}") == owner]
+        before = begin(other, owned[0], 2)
+        fleet.start(owner)
+        running = begin(other, owned[1], 2)
+        for reservation in before:
+            other.end(reservation, 0)
+        fleet.timers.sleep(0.1)
+        for reservation in running:
+            other.end(reservation, MAX_TURN_TOKENS)
+        fleet.timers.sleep(0.1)
+        return fleet.turn(owner, budget, MAX_TURN_TOKENS, program=owned[1])
+
+    assert fleet.timers.run(main) is budget_state.State.DENIED
+
+
+# A former build refers to a reservation by its number only.
+def test_a_turn_that_a_former_build_ends_is_settled(fleet):
+    def main():
+        owner = fleet.hosts["h0"]._owner("p")
+        begin = budget_owners.Begin("p", 150, MAX_TURN_TOKENS, False)
+        handlers = fleet.peers[owner].handlers
+        for _ in range(2):
+            reply = handlers[budget_owners.BEGIN](codec.encode(begin))
+            number = json.loads(reply)["number"]
+            end = {"number": number, "used": 80, "last_target": ""}
+            handlers[budget_owners.END](json.dumps(end).encode())
+        return fleet.turn(owner, 150, 1)
+
+    assert fleet.timers.run(main) is budget_state.State.DENIED
+
+
+def test_an_end_that_names_another_program_settles_nothing(fleet):
+    def main():
+        owner = fleet.hosts["h0"]._owner("p")
+        begin = budget_owners.Begin("p", 150, MAX_TURN_TOKENS, False)
+        handlers = fleet.peers[owner].handlers
+        reply = handlers[budget_owners.BEGIN](codec.encode(begin))
+        number = json.loads(reply)["number"]
+        for program, used in (("q", 0), ("p", 100)):
+            end = budget_owners.End(number, used, "", program)
+            handlers[budget_owners.END](codec.encode(end))
+        return [fleet.turn(owner, 150, 60) for _ in range(2)]
+
+    granted, denied = fleet.timers.run(main)
+    assert granted is budget_state.State.GRANTED
+    assert denied is budget_state.State.DENIED
+
+
 def test_a_turn_that_ends_before_its_decision_uses_nothing(fleet):
     def main():
         for name in fleet.hosts:
