openers: a host that joins counts only on hosts that know it

Cause: a host that had joined took for granted that the others knew it after 3 s if they responded. One that the store turns away responds, and reads no rows. As the first choice among the hosts that it knows, it opened the programs again.

Evidence: with the hosts and the age of their rows in the line, budget.opened showed exactly the three programs, at that host, chosen among four hosts without the new one, with rows 7 to 10 s old.

Change: a host that has joined introduces itself; it counts what another may have opened as spent until that one has confirmed that it knows it. A host counts those that it knows by their messages only among the possible first choices. A former build answers the new message with 404, and counts as not knowing. The simulated peers of the tests know a host by its row now, as the real ones do.

Ruled out: following the rows of hosts through peers.

--- a/src/endivepier/gateway/budgets/ledger.py
+++ b/src/endivepier/gateway/budgets/ledger.py
@@ -179,7 +179,10 @@
         program.held_here = program.opened
         program.needs_write = True
         eliot.log_message(
-            "budget.opened", program=program.name, tokens=program.opened
+            "budget.opened",
+            program=program.name,
+            tokens=program.opened,
+            **self._openers.basis(),
         )
         self._grant_spare(program)
 
--- a/src/endivepier/gateway/budgets/openers.py
+++ b/src/endivepier/gateway/budgets/openers.py
@@ -15,7 +15,9 @@
 * Any other host that begins a program counts both parts as spent. So does a
   process after a loss.
 * A host that has joined asks the same of the next choices, down to the first
-  one that was there before: one of them was the first choice until then.
+  one that was there before: one of them was the first choice until then. It
+  counts on one only once that host has confirmed that it knows of the new one:
+  the store may turn a host away, so that it reads no rows.
 """
 
 from __future__ import annotations
@@ -98,6 +100,7 @@
         if now - self._ticked_at > SUSPENDED_SECONDS:
             self._awake_since = now
         self._ticked_at = now
+        self._introduce()
         if self._recorded is not None and self._follows_a_loss():
             self._recorded.start()
 
@@ -119,6 +122,15 @@
             return 0
         return budget * REOPENED_PERCENT // 100
 
+    def basis(self) -> dict[str, object]:
+        """Returns what the choice among the hosts rests on, for the log."""
+        rows = self._peers.rows
+        return {
+            "hosts": len(rows.members()),
+            "unlisted": len(rows.unlisted(self._horizon())),
+            "rows_age": round(self._timers.now() - rows.read_at, 3),
+        }
+
     def may_open(self, program: str) -> bool:
         """Returns whether this host may begin a program that is new here."""
         return self.tokens_to_open(program, 100) > 0
@@ -145,14 +157,16 @@
         members = rows.members()
         is_first = True
         for name in self._former_choices(program):
-            member = members[name]
-            if self._is_recent(member.lost_at):
+            member = members.get(name)
+            if member is None or self._is_recent(member.lost_at):
                 return True
             if member.has_left:
                 continue
             if name != self._host:
                 if is_first or not self._peers.is_available(name):
                     return True
+                if not self._peers.is_known_to(name):
+                    return True
             elif self._is_joining():
                 return True
             is_first = False
@@ -162,14 +176,17 @@
         """Returns the hosts that lately may have been the first choice.
 
         These are the first choice now, and the next ones down to the first
-        that was there before.
+        that was there before. Hosts without a row here count as new.
         """
         members = self._peers.rows.members()
+        names = {*members, *self._peers.rows.unlisted(self._horizon())}
         former = []
-        for name in rendezvous.rank(program, members, len(members)):
+        for name in rendezvous.rank(program, names, len(names)):
             former.append(name)
-            member = members[name]
-            if not (member.has_left or self._is_recent(member.since)):
+            member = members.get(name)
+            if member is not None and not (
+                member.has_left or self._is_recent(member.since)
+            ):
                 break
         return former
 
@@ -211,7 +228,8 @@
             for host, at in rows.departed.items()
             if now - at < self._horizon()
         }
-        names = {*members, *departed, self._host}
+        unlisted = rows.unlisted(self._horizon())
+        names = {*members, *departed, *unlisted, self._host}
         return rendezvous.choose(program, names) == self._host
 
     def _is_recent(self, at: float | None) -> bool:
@@ -221,6 +239,20 @@
     def _horizon(self) -> float:
         return self._retention() + CLOCK_MARGIN_SECONDS
 
+    def _introduce(self) -> None:
+        """Has the other hosts confirm that they know this process.
+
+        Only a host that has joined counts on that. A process that follows a
+        lost one counts on no other host anyway.
+        """
+        rows = self._peers.rows
+        if not rows.is_settled or rows.is_leaving:
+            return
+        if self._is_recent(rows.own.since) and not self._is_recent(
+            rows.own.lost_at
+        ):
+            self._peers.introduce()
+
     def _is_joining(self) -> bool:
         """Returns whether other hosts may not know this process yet."""
         if not self._peers.rows.own.since:
--- a/src/endivepier/gateway/hosts/rows.py
+++ b/src/endivepier/gateway/hosts/rows.py
@@ -25,6 +25,9 @@
 # Losses count together if there is no more between them. Turns are retained for
 # less.
 LOSSES_SECONDS = 3600.0
+# Longer than any grace period: a process that leaves sends messages for a while
+# after it has deleted its row.
+LEAVING_SECONDS = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +70,8 @@
         left: the rows of hosts that have left.
         departed: when a host was last found to have no row any more, or one
             that says that it has left, monotonic seconds.
+        heard: when a message last came from a host that was not listed then,
+            monotonic seconds.
         is_leaving: whether this process has been told to stop.
         has_unrecorded: returns whether this process has granted something that
             is recorded nowhere, so that its row must stay if it stops.
@@ -97,6 +102,7 @@
         self.entries: dict[str, Entry] = {}
         self.left: dict[str, Entry] = {}
         self.departed: dict[str, float] = {}
+        self.heard: dict[str, float] = {}
         self.is_leaving = False
         self.has_unrecorded: Callable[[], bool] = lambda: False
         self._host = host
@@ -130,6 +136,44 @@
         contact = self._follower.last_contact
         return float("-inf") if contact is None else contact
 
+    def hear(self, host: str, *, introduces_itself: bool = False) -> None:
+        """Notes a message of a host, whose row may not have been read yet.
+
+        Args:
+            host: the host.
+            introduces_itself: whether the message comes from a process that
+                has joined; others of an unlisted host may come from one that
+                leaves.
+        """
+        if host in self.listed or host == self._host:
+            return
+        departed_at = self.departed.get(host, float("-inf"))
+        is_leaving = self._timers.now() - departed_at < LEAVING_SECONDS
+        if is_leaving and not introduces_itself:
+            return
+        if host not in self.heard:
+            eliot.log_message(
+                "peers.unlisted_host",
+                peer=host,
+                hosts=len(self.listed),
+                rows_age=round(self._timers.now() - self.read_at, 3),
+            )
+        self.heard[host] = self._timers.now()
+
+    def unlisted(self, seconds: float) -> set[str]:
+        """Returns the hosts that exist but whose rows were not read yet.
+
+        Args:
+            seconds: how long a host counts if the rows that were read since
+                its message don't list it either.
+        """
+        now = self._timers.now()
+        return {
+            host
+            for host, at in self.heard.items()
+            if now - at < seconds or self.read_at < at
+        }
+
     def members(self) -> dict[str, Entry]:
         """Returns the rows of all hosts, this one and those left included."""
         return {**self.left, **self.listed, self._host: self.own}
@@ -236,6 +280,7 @@
                     self._tasks.append(gevent.spawn(self._announce))
                 continue
             self.left.pop(host, None)
+            self.heard.pop(host, None)
             self.listed[host] = self.entries[host] = entry
             for callback in self._listeners:
                 callback(host)
--- a/tests/common/gateway_peers.py
+++ b/tests/common/gateway_peers.py
@@ -1,5 +1,9 @@
 """Peers of an entry host, in the same process and in simulated time."""
 
+import contextlib
+
+import gevent
+
 from endivepier import errors
 
 AVOID_SECONDS = 1.0  # after a failed request
@@ -32,6 +36,8 @@
         self.sees_no_peers = False
         self.is_settled = True
         self.avoided_until = {}
+        self.known_to = set()
+        self.rows = None  # the rows of hosts, if they limit whom it knows
         hosts[name] = self
 
     def register(self, operation, handler):
@@ -51,13 +57,36 @@
     def is_available(self, host):
         if host == self.name or host not in self.hosts:
             return False
+        if self.rows is not None and host not in self.rows.listed:
+            return False
         until = self.avoided_until.get(host, 0.0)
         return until <= self.timers.now()
 
+    def is_known_to(self, host):
+        return host in self.known_to
+
+    def introduce(self):
+        for host in self.available_hosts():
+            if host not in self.known_to:
+                gevent.spawn(self._introduce, host)
+
+    def _introduce(self, host):
+        with contextlib.suppress(errors.PeerUnreachable):
+            other = self._send(host)
+            if other.rows is not None:
+                other.rows.hear(self.name, introduces_itself=True)
+            self.known_to.add(host)
+
     def request(self, host, operation, body, seconds=None):
+        return self._send(host).handlers[operation](body)
+
+    def _send(self, host):
+        """Takes the time of a request, and returns the host that gets it."""
         other = self.hosts[host]
         self.timers.sleep(self.request_seconds)
         if self.cut or other.cut:
             self.avoided_until[host] = self.timers.now() + AVOID_SECONDS
             raise errors.PeerUnreachable(host, "cut", sent=True)
-        return other.handlers[operation](body)
+        if other.rows is not None:
+            other.rows.hear(self.name)
+        return other
--- a/tests/cover/gateway/test_openers.py
+++ b/tests/cover/gateway/test_openers.py
@@ -23,6 +23,7 @@
         self.is_settled = True
         self.read_at = timers.now()
         self.departed = {}
+        self.heard = set()
         self.by_host = {
             name: host_rows.Entry(name, "a", since=0.0, listed_since=0.0)
             for name in NAMES
@@ -36,6 +37,9 @@
     def members(self):
         return dict(self.by_host)
 
+    def unlisted(self, seconds):
+        return self.heard
+
     def change(self, host, **changes):
         entry = self.by_host.get(host, host_rows.Entry(host, "a"))
         self.by_host[host] = dataclasses.replace(entry, **changes)
@@ -45,6 +49,14 @@
     def __init__(self, rows):
         self.rows = rows
         self.silent = set()
+        self.known_to = set(NAMES)
+        self.introductions = 0
+
+    def is_known_to(self, host):
+        return host in self.known_to
+
+    def introduce(self):
+        self.introductions += 1
 
     def is_available(self, host):
         return host in self.rows.by_host and host not in self.silent
@@ -116,6 +128,42 @@
     assert world.openers.may_be_open("p")
 
 
+# The store turned the former first choice away, so that it did not read the new
+# host's row, and opened programs whose budgets were spent.
+def test_a_host_that_joined_counts_on_no_host_that_may_not_know_it(world):
+    world.rows.change(world.first, since=world.timers.wall())
+    world.timers.advance(openers.SETTLE_SECONDS)
+    world.peers.known_to.discard(world.second)
+    assert world.openers.may_be_open("p")
+    world.timers.advance(HORIZON_SECONDS)
+    assert not world.openers.may_be_open("p")
+
+
+def test_nothing_is_opened_in_the_place_of_a_host_that_is_not_listed_yet(world):
+    other, rows, _ = world.at(world.second)
+    del rows.by_host[world.first]
+    assert other.may_open("p")
+    assert not other.may_be_open("p")
+    rows.heard.add(world.first)
+    assert not other.may_open("p")
+    assert other.may_be_open("p")
+
+
+def test_only_a_host_that_joined_introduces_itself(world):
+    world.openers.tick()
+    assert world.peers.introductions == 0
+    now = world.timers.wall()
+    world.rows.change(world.first, since=now, lost_at=now)
+    world.openers.tick()
+    assert world.peers.introductions == 0
+    world.rows.change(world.first, lost_at=0.0)
+    world.openers.tick()
+    assert world.peers.introductions == 1
+    world.rows.is_leaving = True
+    world.openers.tick()
+    assert world.peers.introductions == 1
+
+
 def test_a_host_opens_nothing_in_the_place_of_one_that_left(world):
     other, rows, _ = world.at(world.second)
     del rows.by_host[world.first]
--- a/tests/cover/gateway/test_peers.py
+++ b/tests/cover/gateway/test_peers.py
@@ -184,3 +184,49 @@
             )
     assert one.peers.request("h1", "echo", b"x" * 10) == b"x" * 10
     assert other.rates.rate("i-00000001f3@1787173836376") == 4.5
+
+
+def test_a_host_that_introduces_itself_is_known_before_its_row_is_read(hosts):
+    newcomer, other = hosts["h0"].peers, hosts["h1"].peers
+    del other.rows.listed["h0"]
+    assert not newcomer.is_known_to("h1")
+    newcomer.introduce()
+    gevent.sleep(0.1)
+    assert newcomer.is_known_to("h1")
+    assert other.rows.unlisted(60.0) == {"h0"}
+
+
+# Otherwise the hosts would count for a while as if it had joined.
+def test_a_host_that_leaves_is_not_taken_for_one_that_joins(hosts):
+    leaving, other = hosts["h0"].peers, hosts["h1"].peers
+    leaving.drain()
+    with gevent.Timeout(5):
+        while "h0" in other.rows.listed:
+            gevent.sleep(0.01)
+    leaving.request("h1", "echo", b"x")
+    assert other.rows.unlisted(60.0) == set()
+    del other.rows.departed["h0"]
+    leaving.request("h1", "echo", b"x")
+    assert other.rows.unlisted(60.0) == {"h0"}
+
+
+# A former build responds with status 404.
+def test_a_host_of_a_former_build_does_not_count_as_knowing_others(hosts):
+    newcomer, other = hosts["h0"].peers, hosts["h1"].peers
+    del other._handlers[peers_lib.INTRODUCE]
+    for _ in range(2):
+        newcomer.introduce()
+        gevent.sleep(0.1)
+    assert not newcomer.is_known_to("h1")
+    assert newcomer.is_available("h1")
+    assert newcomer._can_not_tell == {"h1"}
+
+
+def test_an_unlisted_host_counts_until_rows_are_read_and_time_has_passed(hosts):
+    rows_read = hosts["h0"].peers.rows
+    rows_read.hear("new")
+    assert rows_read.unlisted(60.0) == {"new"}
+    rows_read._follower.last_contact = rows_read._timers.now() - 1.0
+    assert rows_read.unlisted(0.0) == {"new"}
+    rows_read._follower.last_contact = rows_read._timers.now()
+    assert rows_read.unlisted(0.0) == set()
--- a/tests/cover/gateway/test_store_outages.py
+++ b/tests/cover/gateway/test_store_outages.py
@@ -14,6 +14,7 @@
 OUTAGE_SECONDS = 5.0
 PROGRAMS_PER_SECOND = 6.0
 FAULTS = ("busy", "silent")
+MOST_EVENTS = outage_load.TURN_TOKENS // outage_load.EVENT_TOKENS
 EVENTS = [
     *["outage"] * 2,
     *["start"] * 2,
@@ -348,3 +349,38 @@
     fleet.timers.run(main)
     most = fleet.budget + outage_load.TURN_TOKENS
     assert fleet.sent.get("p", 0) <= most
+
+
+# The store did not answer one host, which went on to take itself for the first
+# choice after another had joined, and granted budgets that were spent there.
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_host_that_is_turned_away_grants_no_budget_that_is_spent(fault):
+    fleet = outage_load.Fleet(budget=500)
+    names = [*fleet.hosts, "new"]
+    programs = [
+        name
+        for name in (f"p{number}" for number in range(2000))
+        if rendezvous.rank(name, names, 2) == ["new", "h0"]
+    ][:20]
+
+    def turns(host, program, count):
+        for _ in range(count):
+            fleet.request(host, program, used=MOST_EVENTS)
+
+    def main():
+        fleet.timers.sleep(1.0)
+        fleet.set_fault(fault, ["h0"])
+        fleet.hosts["h0"].rows.stop()  # the store does not answer its poll
+        fleet.add("new")
+        fleet.timers.sleep(4.0)
+        gevent.joinall([gevent.spawn(turns, "h1", p, 6) for p in programs])
+        for program in programs:
+            gevent.spawn(turns, "h0", program, 2)
+            fleet.timers.sleep(0.15)
+        fleet.timers.sleep(3.0)
+
+    fleet.timers.run(main)
+    assert len(programs) == 20
+    assert min(fleet.sent.values()) >= fleet.budget
+    most = fleet.budget + outage_load.TURN_TOKENS
+    assert max(fleet.sent.values()) <= most
