shares: tell the entries of two processes of a host apart

In the model two hosts held 1.5 times the rate of an account (rule QUOTA).

Cause: an entry's renewals are counted from 0 if others have dropped the entry of the host's lost process. A host that had seen the former 0 took the new lease for the old one, which had ended, and gave the share to itself.

Change: hosts know a renewal by the entry's random write. A new entry begins with a random number, so that a former build, which goes by the number, notices it too.

Measured: test_a_restarted_host_with_a_new_entry_keeps_its_share_to_itself failed before (1.5, 1.0 allowed) and passes; test_shares, test_starts and test_share_restarts pass.

--- a/src/endivepier/gateway/accounts/renewals.py
+++ b/src/endivepier/gateway/accounts/renewals.py
@@ -102,8 +102,8 @@
         )
         self._restart_credit = tolerance * (1.0 - TOLERANCE_FRACTION)
         self._committer = commit.Committer(table, timers, rng)
-        # By account and holder: its `renewals`, and when it was first read.
-        self._last_renewals: dict[tuple[str, str], tuple[int, float]] = {}
+        # By account and holder: its last write, and when it was first read.
+        self._last_writes: dict[tuple[str, str], tuple[str, float]] = {}
         self._read_at: dict[str, float] = {}  # by account: its last read
         self._is_failing = False
         self._wake = gevent.event.Event()
@@ -274,7 +274,11 @@
             and now - share.written_at < RENEW_INTERVAL_SECONDS
         ):
             return None
-        renewals = 0 if own_entry is None else own_entry.renewals + 1
+        # Former builds know a renewal by its number, so a new entry must not
+        # begin with that of an entry which a former process had.
+        renewals = int(write_id, 16) >> 2
+        if own_entry is not None:
+            renewals = own_entry.renewals + 1
         credited_at = 0.0 if own_entry is None else own_entry.credited_at
         released = before.released
         tokens = 0.0
@@ -306,17 +310,17 @@
         """Returns the entries of other hosts whose leases may not be over.
 
         A lease is timed by this host's clock, from when it first read the
-        latest renewal.
+        latest write of the entry.
         """
         live = {}
         for holder, entry in row.holders.items():
             if holder == self.holder:
                 continue
-            last_renewal = self._last_renewals.get((account, holder))
-            if last_renewal is None or last_renewal[0] != entry.renewals:
-                last_renewal = (entry.renewals, now)
-                self._last_renewals[account, holder] = last_renewal
-            if now - last_renewal[1] <= leases.expired_after(LEASE_SECONDS):
+            last_write = self._last_writes.get((account, holder))
+            if last_write is None or last_write[0] != entry.write:
+                last_write = (entry.write, now)
+                self._last_writes[account, holder] = last_write
+            if now - last_write[1] <= leases.expired_after(LEASE_SECONDS):
                 live[holder] = entry
         return live
 
--- a/src/endivepier/gateway/accounts/rows.py
+++ b/src/endivepier/gateway/accounts/rows.py
@@ -19,10 +19,10 @@
 
     Attributes:
         fraction: fraction of the account's rate and burst, 0 to 1.
-        renewals: number of writes of this entry; other hosts notice a renewal
-            when it changes.
-        write: random id of the write, by which its host recognizes it if the
-            reply was lost.
+        renewals: number of the write, one more than that of the write before;
+            former builds notice a renewal when it changes.
+        write: random id of the write, by which other hosts notice a renewal,
+            and its own recognizes it if the reply was lost.
         credited_at: wall-clock time, in seconds, at which a restarted process
             of the host last got tokens that its former one may have used.
     """
--- a/tests/cover/gateway/test_share_restarts.py
+++ b/tests/cover/gateway/test_share_restarts.py
@@ -10,7 +10,10 @@
 from endivepier.gateway.accounts import messages as share_messages
 from endivepier.gateway.accounts import owners as account_owners
 from endivepier.gateway.accounts import renewals as share_renewals
+from endivepier.gateway.accounts import rows as share_rows
 from endivepier.gateway.accounts import shares
+from endivepier.gateway.store import rows
+from endivepier.internal import codec
 from tests.common import gateway_parts
 from tests.cover.gateway import test_shares
 
@@ -267,3 +270,44 @@
         return delayed
 
     assert fleet.timers.run(main) == [False, False, False]
+
+
+def stored_entry(fleet, account, host):
+    """Returns the entry of a host in the stored row of an account."""
+    row = fleet.table.peek(rows.single_part_key(rows.SHARES, account.name))[0]
+    return codec.decode(share_rows.Row, row.value).holders[host]
+
+
+# The entry of a lost host had been dropped from the row, so that its new
+# process counted its renewals from 0 again. Hosts that had seen the former 0
+# took the new lease for the old one, which had ended, and used the same share.
+def test_a_restarted_host_with_a_new_entry_keeps_its_share_to_itself():
+    account = gateway_parts.account(**SMALL)
+    fleet = test_shares.Fleet(2, [account])
+
+    def fraction(name):
+        share = fleet.renewals[name].local.find(account.name)
+        held = share is not None and fleet.timers.now() < share.lease_until
+        return share.fraction if held else 0.0
+
+    def main():
+        fleet.timers.sleep(2.0)  # both hold a share, and have not renewed it
+        assert min(fraction("h0"), fraction("h1")) > 0
+        former = stored_entry(fleet, account, "h1")
+        fleet.renewals["h1"].stop()
+        del fleet.peers["h1"]
+        fleet.timers.sleep(2.0 * share_renewals.LEASE_SECONDS)
+        assert fraction("h0") == pytest.approx(1.0)
+        fleet.start("h1")
+        while not fraction("h1"):
+            fleet.timers.sleep(0.05)
+        # A former build knows a renewal by its number.
+        assert stored_entry(fleet, account, "h1").renewals != former.renewals
+        fleet.peers["h0"].sees_no_peers = True  # and wants the whole rate
+        sums = []
+        for _ in range(100):
+            fleet.timers.sleep(0.1)
+            sums.append(fraction("h0") + fraction("h1"))
+        return max(sums)
+
+    assert fleet.timers.run(main) <= 1.0 + 1e-9
