lending: number loans apart from those of a host's former process

Cause: each process numbered the loans that it grants from 1, and borrowers name a loan by the lender's address and the number. The return of a loan of the former process ended another one, whose borrower went on to use it.

Borrowers of a former build return the number as it came.

--- a/src/endivepier/limits/lending.py
+++ b/src/endivepier/limits/lending.py
@@ -12,11 +12,13 @@
 
 from collections.abc import Callable
 import math
+import random
 from typing import Any
 from typing import TypeVar
 
 from endivepier import errors
 from endivepier import timers as timers_lib
+from endivepier.internal import numbering
 from endivepier.internal import peers as peers_lib
 from endivepier.limits import bucket as bucket_lib
 from endivepier.limits import leases
@@ -60,7 +62,10 @@
         self._updated_bucket = updated_bucket
         self._rights = rights
         self._timers = timers
-        self._last_loan_number = 0
+        # Borrowers refer to a loan by this host's address and the number.
+        self._loan_numbers = numbering.numbers(
+            random.Random(rights.me.incarnation)
+        )
         self._loans_end_at = -math.inf
 
     def register(self, inbox: peers_lib.Inbox) -> None:
@@ -162,12 +167,12 @@
         seconds: float,
     ) -> messages.Lent:
         until = self._timers.now() + leases.expired_after(seconds)
-        self._last_loan_number += 1
-        bucket.lent[self._last_loan_number] = bucket_lib.Lent(fraction, until)
+        number = next(self._loan_numbers)
+        bucket.lent[number] = bucket_lib.Lent(fraction, until)
         bucket.level -= tokens
         bucket.counts.lent += tokens
         self._loans_end_at = max(self._loans_end_at, until)
-        return messages.Lent(self._last_loan_number, fraction, tokens, seconds)
+        return messages.Lent(number, fraction, tokens, seconds)
 
 
 class Borrower:
