Truncated responses of peers, engines and the host list are not a bad request

Seen by callers: nothing reported; looked for, since any answer may come without a length and chunks and end with its connection.

Cause: such a response can be truncated without an error of HTTP. Its body was decoded like a request, so that an invalid one raised a refusal with status 400 that says "not run" (messages and streams of our own interface), or ended the task that had asked (load reports, host list, peers of entry hosts).

Change: an invalid body is a failure of its sender: unreachable after it was sent, a failure of the target, or unavailable. Entry hosts send the length of each response, so that one without it is not used.

--- a/src/endivepier/gateway/hosts/peers.py
+++ b/src/endivepier/gateway/hosts/peers.py
@@ -300,6 +300,10 @@
             finally:
                 if probe is not None:
                     probe.cancel()
+        if head.until_close:
+            raise http_errors.ExchangeBroken(
+                f"a response of {address} without a length may be truncated"
+            )
         self._note_contact(host)
         self._receive_news(host, head.headers)
         if head.status != 200:
--- a/src/endivepier/internal/http_peers.py
+++ b/src/endivepier/internal/http_peers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 import functools
@@ -14,6 +15,7 @@
 from typing import Annotated
 from typing import Any
 from typing import Literal
+from typing import TypeVar
 
 import eliot
 import gevent
@@ -33,6 +35,7 @@
 PATH_PREFIX = "/internal/v1/"
 SECRET_HEADER = "X-Endivepier-Fleet"
 LINES_TYPE = "application/x-ndjson"
+T = TypeVar("T")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,7 +89,7 @@
         response.release()
         if response.status >= 400:
             raise _response_error(address, response, body)
-        return codec.decode(reply, body)
+        return _decode(address, codec.decoder(reply), body)
 
     def stream(
         self, address: str, req: Any, event: Any, *, seconds: float
@@ -103,7 +106,7 @@
                 raise _response_error(address, response, response.read())
             decode = codec.decoder(_line_type(event))
             for line in response.lines():
-                item = decode(line)
+                item = _decode(address, decode, line)
                 match item:
                     case StreamEnd():
                         complete = True
@@ -175,7 +178,23 @@
         return errors.PeerUnreachable(
             address, f"HTTP status {response.status}", sent=True
         )
-    return problems.decode_refusal(body)
+    return _decode(address, problems.decode_refusal, body)
+
+
+def _decode(address: str, decode: Callable[[bytes], T], data: bytes) -> T:
+    """Decodes what a peer sent.
+
+    A response may end with its connection, so that it may be truncated.
+
+    Raises:
+        errors.PeerUnreachable: it is invalid.
+    """
+    try:
+        return decode(data)
+    except errors.Refused as exc:
+        raise errors.PeerUnreachable(
+            address, f"invalid response: {exc.detail}", sent=True
+        ) from exc
 
 
 class InboxRoute:
--- a/src/endivepier/storage/http_hosts.py
+++ b/src/endivepier/storage/http_hosts.py
@@ -33,5 +33,10 @@
             raise errors.Unavailable(
                 f"the host list returned status {response.status}"
             )
-        document: wire.Hosts = codec.decode(wire.Hosts, response.body)
+        try:
+            document: wire.Hosts = codec.decode(wire.Hosts, response.body)
+        except errors.Refused as exc:
+            raise errors.Unavailable(
+                f"invalid response with the host list: {exc.detail}"
+            ) from exc
         return document.hosts
--- a/src/endivepier/targets/http_engine.py
+++ b/src/endivepier/targets/http_engine.py
@@ -136,7 +136,12 @@
             raise errors.TargetFailed(
                 self._name, f"it returned status {response.status}", sent=True
             )
-        return codec.decode(reply_type, body)
+        try:
+            return codec.decode(reply_type, body)
+        except errors.Refused as exc:
+            raise errors.TargetFailed(
+                self._name, f"invalid response: {exc.detail}", sent=True
+            ) from exc
 
     def _open(self, path: str, document: Any) -> http_client.StreamedResponse:
         headers = {
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -133,10 +133,27 @@
     def stream_until_close(self, request, responder, events=EVENTS):
         """Streams without a length or chunks; the close ends the body."""
         after = int(messages.find(request.headers, b"last-event-id") or 0)
-        lines = [b"HTTP/1.1 200 OK"]
-        lines += [name + b": " + v for name, v in self.headers(request)]
-        lines += [b"", b"".join(events[after:])]
-        responder.connection.write(b"\r\n".join(lines))
+        body = b"".join(events[after:])
+        self._close_after(responder, b"200 OK", self.headers(request), body)
+
+    def reject_until_close(self, request, responder):
+        """Like `reject`, without a length or chunks."""
+        self._close_after(responder, b"503 Busy", [(b"Not-Executed", b"1")])
+
+    def fail_until_close(self, request, responder):
+        """Sends an error without a length or chunks."""
+        headers = self.headers(request)
+        self._close_after(responder, b"500 Error", headers, b"broken")
+
+    def answer_other_call_until_close(self, request, responder):
+        """Like `answer_other_call`, without a length or chunks."""
+        headers = [(b"Attempt-Id", b"other")]
+        self._close_after(responder, b"200 OK", headers, b"not yours")
+
+    def _close_after(self, responder, status, headers, body=b""):
+        lines = [b"HTTP/1.1 " + status]
+        lines += [name + b": " + value for name, value in headers]
+        responder.connection.write(b"\r\n".join([*lines, b"", body]))
 
     def close_within_an_event(self, request, responder):
         """Like `stream_until_close`, but closes within the third event."""
--- a/tests/cover/gateway/test_peers.py
+++ b/tests/cover/gateway/test_peers.py
@@ -21,6 +21,7 @@
 from endivepier.standins import table as table_lib
 from endivepier.storage import ports
 from endivepier.telemetry import metrics as metrics_lib
+from tests.common import closing_server
 
 
 class Host:
@@ -109,6 +110,18 @@
         assert "v@1" not in host.departures
 
 
+# Hosts send the length of each response: one without it is not theirs, and its
+# end may be missing.
+def test_a_response_without_a_length_is_not_used(hosts):
+    server = closing_server.Server(closing_server.HEAD + b"{}")
+    peers = hosts["h0"].peers
+    peers.rows.entries["h1"] = host_rows.Entry(server.address, "a")
+    with pytest.raises(errors.PeerUnreachable) as caught:
+        peers.request("h1", "echo", b"{}")
+    server.stop()
+    assert caught.value.sent
+
+
 def test_a_slow_response_of_a_live_peer_is_awaited(hosts):
     assert hosts["h0"].peers.request("h1", "slow", b"x", 2.0) == b"x"
 
--- a/tests/cover/gateway/test_truncated_streams.py
+++ b/tests/cover/gateway/test_truncated_streams.py
@@ -103,6 +103,43 @@
     assert fleet.request("turn-2", Previous_Turn="turn-1").status == 404
 
 
+def test_a_turn_whose_stream_ends_with_its_connection_is_stored(start):
+    fleet = start(resumable=False, retained=True)
+    gateway_fleet.set_handlers(fleet, "stream_until_close")
+    assert fleet.request("turn-1").complete
+    assert fleet.request("turn-2", Previous_Turn="turn-1").status == 200
+    outputs = b"".join(b"word%d\n" % n for n in range(1, 6))
+    assert fleet.received()[-1].body == b"in" + outputs + b"in"
+
+
+# Both kinds of calls, on a target that says "not run" without a length.
+@pytest.mark.parametrize("kind", list(model.RouteKind))
+def test_a_rejection_may_end_with_its_connection(start, kind):
+    fleet = start(kind=kind, resumable=False)
+    others = "stream" if kind is model.RouteKind.STREAM else "respond"
+    gateway_fleet.set_handlers(fleet, "reject_until_close", others)
+    assert fleet.request().status == 200
+    assert len(fleet.received()) == 2
+
+
+@pytest.mark.parametrize("kind", list(model.RouteKind))
+def test_an_error_may_end_with_its_connection(start, kind):
+    fleet = start(kind=kind, resumable=False)
+    gateway_fleet.set_handlers(fleet, "fail_until_close")
+    response = fleet.request()
+    assert (response.status, response.body) == (500, b"broken")
+
+
+# It is the answer to another call, up to the end of the connection.
+@pytest.mark.parametrize("kind", list(model.RouteKind))
+def test_another_calls_answer_without_a_length_is_not_relayed(start, kind):
+    fleet = start(kind=kind, resumable=False)
+    gateway_fleet.set_handlers(fleet, "answer_other_call_until_close")
+    response = fleet.request()
+    assert (response.status == 200) == (kind is model.RouteKind.IDEMPOTENT)
+    assert b"not yours" not in response.raw_body
+
+
 def test_a_plain_response_may_end_with_its_connection(start):
     fleet = start(kind=model.RouteKind.NON_IDEMPOTENT)
     gateway_fleet.set_handlers(fleet, "stream_until_close")
--- a/tests/cover/platform/test_store.py
+++ b/tests/cover/platform/test_store.py
@@ -14,6 +14,7 @@
 from endivepier.http1 import server as server_lib
 from endivepier.storage import ports
 from endivepier_platform import store as store_lib
+from tests.common import closing_server
 
 
 class ScriptedStore:
@@ -206,3 +207,34 @@
         store.scan("t/p/")
     with pytest.raises(errors.Unavailable):
         store.snapshot("t")
+
+
+def connect_to(body):
+    """Returns the client of a store whose responses end with the connection."""
+    server = closing_server.Server(closing_server.HEAD + body)
+    return store_lib.PlatformStore(server.address, timers_lib.SystemTimers())
+
+
+def test_a_whole_response_may_end_with_its_connection():
+    page = json.dumps({"rows": [ROW], "ver": 9, "more_pages": False}).encode()
+    assert connect_to(page).get("t/p/k") == ports.Row("t/p/k", b"x", 5)
+    assert connect_to(b'{"ver":12}').transact(ports.Transaction((), ())) == 12
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b'{"ver":1', b'{"ver":12'])
+def test_a_truncated_response_to_a_transaction_has_an_unknown_outcome(body):
+    with pytest.raises(errors.OutcomeUnknown):
+        connect_to(body).transact(ports.Transaction((), ()))
+
+
+@pytest.mark.parametrize("body", [b"", b'{"rows":[', b'{"rows":[],"ver":9'])
+def test_a_truncated_page_is_unavailable(body):
+    store = connect_to(body)
+    with pytest.raises(errors.Unavailable):
+        store.get("t/p/k")
+    with pytest.raises(errors.Unavailable):
+        store.scan("t/p/")
+    with pytest.raises(errors.Unavailable):
+        store.snapshot("t")
+    with pytest.raises(errors.Unavailable):
+        store.changes("t", 3, 0.1)
--- a/tests/cover/test_unframed_responses.py
+++ b/tests/cover/test_unframed_responses.py
@@ -10,48 +10,26 @@
 from gevent import ssl as gevent_ssl
 import gevent.server
 import gevent.socket
-import httptools
 import pytest
 import trustme
 
 from endivepier import errors
+from endivepier.history import messages as history_messages
 from endivepier.internal import http_client
+from endivepier.internal import http_peers
+from endivepier.limits import messages
+from endivepier.storage import http_hosts
 from endivepier.storage import http_objects
 from endivepier.storage import http_table
 from endivepier.storage import ports as storage_ports
 from endivepier.targets import http_engine
+from endivepier.targets import http_service
 from endivepier.targets import ports as target_ports
 from endivepier.telemetry import spans
+from tests.common import closing_server
 
-HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
 TRACER = spans.Tracer("test")
-
-
-class Server:
-    """Sends the same bytes for each request, and closes the connection."""
-
-    def __init__(self, data):
-        self._data = data
-        self._server = gevent.server.StreamServer(("127.0.0.1", 0), self._serve)
-        self._server.start()
-        self.url = f"http://127.0.0.1:{self._server.server_port}"
-
-    def stop(self):
-        self._server.stop()
-
-    def _serve(self, sock, address):
-        del address
-        complete = []
-
-        class Protocol:
-            def on_message_complete(self):
-                complete.append(True)
-
-        parser = httptools.HttpRequestParser(Protocol())
-        while not complete:
-            parser.feed_data(sock.recv(65536))
-        sock.sendall(self._data)
-        sock.shutdown(gevent.socket.SHUT_WR)
+TAKE = messages.Take("acme")
 
 
 @pytest.fixture
@@ -59,7 +37,7 @@
     servers = []
 
     def start(body):
-        servers.append(Server(HEAD + body))
+        servers.append(closing_server.Server(closing_server.HEAD + body))
         return servers[-1].url
 
     yield start
@@ -90,6 +68,72 @@
         objects.get("answer/1")
 
 
+# The host list of a response that was truncated ended the task that reads it.
+@pytest.mark.parametrize("body", [b"", b'{"hosts":[', b'{"hosts":[]'])
+def test_a_truncated_host_list_counts_as_unavailable(serve, body):
+    with pytest.raises(errors.Unavailable):
+        http_hosts.HttpHostList(serve(body)).hosts()
+
+
+def test_a_whole_host_list_may_end_with_its_connection(serve):
+    assert http_hosts.HttpHostList(serve(b'{"hosts":[]}')).hosts() == ()
+
+
+# A truncated response of a peer was taken for a refusal of the caller's
+# request, as not run.
+@pytest.mark.parametrize("body", [b"", b"{", b'{"loan":1'])
+def test_a_truncated_response_of_a_peer_does_not_mean_that_nothing_ran(
+    serve, body
+):
+    peers = http_peers.HttpPeers("secret", TRACER)
+    address = serve(body).removeprefix("http://")
+    with pytest.raises(errors.PeerUnreachable) as caught:
+        peers.call(address, TAKE, messages.Lent, seconds=1.0)
+    assert caught.value.sent
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b'{"kind":"en', b'{"text":"a","kind":"chunk"']
+)
+def test_a_truncated_stream_of_a_peer_does_not_mean_that_nothing_ran(
+    serve, body
+):
+    peers = http_peers.HttpPeers("secret", TRACER)
+    address = serve(body).removeprefix("http://")
+    with pytest.raises(errors.PeerUnreachable) as caught:
+        list(peers.stream(address, TAKE, history_messages.Chunk, seconds=1.0))
+    assert caught.value.sent
+
+
+def test_a_whole_stream_of_a_peer_may_end_with_its_connection(serve):
+    peers = http_peers.HttpPeers("secret", TRACER)
+    lines = b'{"text":"a","kind":"chunk"}\n{"kind":"end"}'
+    address = serve(lines).removeprefix("http://")
+    items = list(
+        peers.stream(address, TAKE, history_messages.Chunk, seconds=1.0)
+    )
+    assert items == [history_messages.Chunk("a")]
+
+
+# A truncated load report ended the task that asks for it.
+@pytest.mark.parametrize("body", [b"", b'{"models":['])
+def test_a_truncated_response_of_an_engine_counts_as_its_failure(serve, body):
+    engine = http_engine.HttpEngine("e", serve(body), TRACER)
+    with pytest.raises(errors.TargetFailed):
+        engine.models()
+
+
+def test_a_whole_response_of_an_engine_may_end_with_its_connection(serve):
+    engine = http_engine.HttpEngine("e", serve(b'{"models":["m"]}'), TRACER)
+    assert list(engine.models()) == ["m"]
+
+
+def test_an_answer_of_a_service_may_end_with_its_connection(serve):
+    service = http_service.HttpService("s", serve(b"done"), TRACER)
+    request = target_ports.ServiceRequest("r", "POST", "/", b"", "text/plain")
+    assert service.call(request, seconds=1.0).body == b"done"
+
+
 EVENTS = [
     b'{"request_id":"r","index":0,"text":"a","kind":"token"}\n',
     b'{"request_id":"r","prompt_tokens":1,"cached_tokens":0,'
@@ -120,7 +164,7 @@
         del address
         tls = server_context.wrap_socket(sock, server_side=True)
         tls.recv(65536)
-        tls.sendall(HEAD + b"body")
+        tls.sendall(closing_server.HEAD + b"body")
         if closes_properly:
             tls.unwrap()
         else:
