budgets: do not tell a restarted owner of turns that it has not granted

Cause: the owner of the former build numbers its reservations from 1 after each start, and settles what others name.

Change: a host remembers the row of the process that granted a turn, and sends no end if the owner has another one. Introductions have a module of their own.

--- a/src/endivepier/gateway/budgets/openers.py
+++ b/src/endivepier/gateway/budgets/openers.py
@@ -165,7 +165,7 @@
             if name != self._host:
                 if is_first or not self._peers.is_available(name):
                     return True
-                if not self._peers.is_known_to(name):
+                if not self._peers.introductions.is_known_to(name):
                     return True
             elif self._is_joining():
                 return True
@@ -251,7 +251,7 @@
         if self._is_recent(rows.own.since) and not self._is_recent(
             rows.own.lost_at
         ):
-            self._peers.introduce()
+            self._peers.introductions.introduce()
 
     def _is_joining(self) -> bool:
         """Returns whether other hosts may not know this process yet."""
--- a/src/endivepier/gateway/budgets/owners.py
+++ b/src/endivepier/gateway/budgets/owners.py
@@ -26,6 +26,7 @@
 from endivepier.gateway.budgets import ledger as ledger_lib
 from endivepier.gateway.budgets import state as budget_state
 from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.hosts import rows as host_rows
 from endivepier.internal import bounded_map
 from endivepier.internal import codec
 from endivepier.internal import numbering
@@ -261,6 +262,7 @@
     def _begin_at_owner(
         self, owner: str, request: Begin, reservation: Reservation
     ) -> None:
+        process = self._peers.process(owner)
         try:
             reply = self._peers.request(
                 owner, BEGIN, codec.encode(request), OWNER_TIMEOUT_SECONDS
@@ -281,7 +283,7 @@
         reservation.decide(
             begun.state,
             lambda used, last_target: self._end_at_owner(
-                owner, request.program, begun, used, last_target
+                owner, process, request.program, begun, used, last_target
             ),
         )
 
@@ -303,14 +305,25 @@
     def _end_at_owner(
         self,
         owner: str,
+        process: host_rows.Entry | None,
         program: str,
         begun: Begun,
         used: int,
         last_target: str,
     ) -> None:
-        if begun.state is budget_state.State.GRANTED:
-            end = End(begun.number, used, last_target, program)
-            gevent.spawn(self._send_end, owner, end)
+        """Has the process that granted a turn settle it, if it still runs."""
+        if begun.state is not budget_state.State.GRANTED:
+            return
+        if self._peers.process(owner) != process:
+            # A process of a former build would take the number for its own.
+            eliot.log_message(
+                "budget.not_settled",
+                owner=owner,
+                reason="the host has started again since the turn was granted",
+            )
+            return
+        end = End(begun.number, used, last_target, program)
+        gevent.spawn(self._send_end, owner, end)
 
     def _send_end(self, owner: str, end: End) -> None:
         try:
--- a/src/endivepier/gateway/hosts/peers.py
+++ b/src/endivepier/gateway/hosts/peers.py
@@ -22,6 +22,7 @@
 from endivepier import timers as timers_lib
 from endivepier.gateway.choice import homes as homes_lib
 from endivepier.gateway.choice import load_reports
+from endivepier.gateway.hosts import introductions as introductions_lib
 from endivepier.gateway.hosts import rows as host_rows_lib
 from endivepier.gateway.suspects import suspects as suspects_lib
 from endivepier.gateway.targets import departures as departures_lib
@@ -41,8 +42,6 @@
 MAX_AVOID_SECONDS = 8.0  # a frozen or cut-off host recovers in some seconds
 PROBE_AFTER_SECONDS = 0.25  # most responses come within a few milliseconds
 PROBE = "probe"
-INTRODUCE = "introduce"  # the host that is asked knows the sender from then on
-MAX_INTRODUCTIONS = 32  # requests at a time
 # News that can't wait for the next message are collected for this long.
 NEWS_DELAY_SECONDS = 0.02
 MAX_TOLD = 100  # hosts that get such news at once; they pass it on
@@ -83,6 +82,7 @@
         last_contact_at: when a request or a response of a peer last arrived,
             monotonic seconds.
         rows: the rows of all hosts.
+        introductions: which hosts know this process.
     """
 
     def __init__(
@@ -111,14 +111,12 @@
         self._pool = pool_lib.Pool(timers)
         self._buffers = buffers_lib.Buffers()
         self._is_telling = False
-        # Hosts that know this process, those that are being asked, and those of
-        # a former build, which can't tell.
-        self._known_to: set[str] = set()
-        self._introducing: set[str] = set()
-        self._can_not_tell: set[str] = set()
+        self.introductions = introductions_lib.Introductions(
+            self.request, self.available_hosts
+        )
         self._handlers: dict[str, Handler] = {
             PROBE: lambda _: b"{}",
-            INTRODUCE: lambda _: b"{}",
+            introductions_lib.INTRODUCE: lambda _: b"{}",
         }
         host_rows.subscribe(self._reset)
         self._server = server_lib.Server(
@@ -174,6 +172,10 @@
         entry = self.rows.entries.get(host)
         return entry is not None and self._homes.is_near(entry.data_centre)
 
+    def process(self, host: str) -> host_rows_lib.Entry | None:
+        """Returns the row of a host's current process; None if unknown."""
+        return self.rows.entries.get(host)
+
     def other_hosts(self) -> list[str]:
         """Returns all listed hosts but this one, including avoided ones."""
         return [host for host in self.rows.listed if host != self._host]
@@ -201,34 +203,6 @@
             sent = not isinstance(exc, http_errors.ConnectFailed)
             raise errors.PeerUnreachable(host, str(exc), sent=sent) from exc
 
-    def is_known_to(self, host: str) -> bool:
-        """Returns whether a host has confirmed that it knows this process."""
-        return host in self._known_to
-
-    def introduce(self) -> None:
-        """Asks hosts that may not know this process to confirm that they do.
-
-        A host reads the rows of others from the store, which may turn it away.
-        """
-        asked = self._known_to | self._introducing | self._can_not_tell
-        hosts = [host for host in self.available_hosts() if host not in asked]
-        for host in hosts[: MAX_INTRODUCTIONS - len(self._introducing)]:
-            self._introducing.add(host)
-            gevent.spawn(self._introduce, host)
-
-    def _introduce(self, host: str) -> None:
-        try:
-            self.request(host, INTRODUCE, b"{}")
-            self._known_to.add(host)
-        except errors.PeerUnreachable as exc:
-            if self.is_available(host):
-                self._can_not_tell.add(host)
-                eliot.log_message(
-                    "peer.not_introduced", peer=host, reason=str(exc)
-                )
-        finally:
-            self._introducing.discard(host)
-
     def tell_news(self) -> None:
         """Sends what hosts tell each other to other hosts, shortly."""
         if not self._is_telling:
@@ -374,7 +348,9 @@
             return
         host = (req.header(HOST_HEADER) or b"").decode("latin-1")
         if host:
-            self.rows.hear(host, introduces_itself=operation == INTRODUCE)
+            self.rows.hear(
+                host, introduces_itself=operation == introductions_lib.INTRODUCE
+            )
         self._note_contact(host)
         self._receive_news(host, req.headers)
         try:
@@ -391,6 +367,5 @@
     def _reset(self, host: str) -> None:
         """Forgets what was found of a host that has started again."""
         self._backoffs.pop(host, None)
-        self._known_to.discard(host)
-        self._can_not_tell.discard(host)
+        self.introductions.forget(host)
         self._pool.close_idle(host)
--- a/tests/common/gateway_peers.py
+++ b/tests/common/gateway_peers.py
@@ -37,6 +37,8 @@
         self.is_settled = True
         self.avoided_until = {}
         self.known_to = set()
+        self.introductions = self
+        self.processes = {}  # the row of each host's process, if it is known
         self.rows = None  # the rows of hosts, if they limit whom it knows
         hosts[name] = self
 
@@ -48,6 +50,9 @@
             return []
         return [name for name in self.hosts if self.is_available(name)]
 
+    def process(self, host):
+        return self.processes.get(host)
+
     def other_hosts(self):
         return [name for name in self.hosts if name != self.name]
 
--- a/tests/cover/gateway/test_budget_owners.py
+++ b/tests/cover/gateway/test_budget_owners.py
@@ -170,6 +170,29 @@
     assert fleet.timers.run(main) is budget_state.State.DENIED
 
 
+# A process of a former build counts its reservations from 1, as did the one
+# that granted the turn, and settles whatever has that number.
+def test_the_end_of_a_turn_is_sent_to_the_process_that_granted_it(fleet):
+    ends = []
+
+    def main():
+        owner = fleet.hosts["h0"]._owner("p")
+        name = next(host for host in fleet.hosts if host != owner)
+        other, peers = fleet.hosts[name], fleet.peers[name]
+        fleet.peers[owner].handlers[budget_owners.END] = ends.append
+        for restarted in (False, True):
+            peers.processes[owner] = "first"
+            turn = other.begin("p", 1000, MAX_TURN_TOKENS, first=False)
+            fleet.timers.wait(turn.decided, 3.0)
+            if restarted:
+                peers.processes[owner] = "second"
+            other.end(turn, 10)
+            fleet.timers.sleep(0.1)
+        return len(ends)
+
+    assert fleet.timers.run(main) == 1
+
+
 # A former build refers to a reservation by its number only.
 def test_a_turn_that_a_former_build_ends_is_settled(fleet):
     def main():
--- a/tests/cover/gateway/test_openers.py
+++ b/tests/cover/gateway/test_openers.py
@@ -50,13 +50,14 @@
         self.rows = rows
         self.silent = set()
         self.known_to = set(NAMES)
-        self.introductions = 0
+        self.introductions = self
+        self.rounds = 0  # of introductions
 
     def is_known_to(self, host):
         return host in self.known_to
 
     def introduce(self):
-        self.introductions += 1
+        self.rounds += 1
 
     def is_available(self, host):
         return host in self.rows.by_host and host not in self.silent
@@ -151,17 +152,17 @@
 
 def test_only_a_host_that_joined_introduces_itself(world):
     world.openers.tick()
-    assert world.peers.introductions == 0
+    assert world.peers.rounds == 0
     now = world.timers.wall()
     world.rows.change(world.first, since=now, lost_at=now)
     world.openers.tick()
-    assert world.peers.introductions == 0
+    assert world.peers.rounds == 0
     world.rows.change(world.first, lost_at=0.0)
     world.openers.tick()
-    assert world.peers.introductions == 1
+    assert world.peers.rounds == 1
     world.rows.is_leaving = True
     world.openers.tick()
-    assert world.peers.introductions == 1
+    assert world.peers.rounds == 1
 
 
 def test_a_host_opens_nothing_in_the_place_of_one_that_left(world):
--- a/tests/cover/gateway/test_peers.py
+++ b/tests/cover/gateway/test_peers.py
@@ -10,6 +10,7 @@
 from endivepier import timers as timers_lib
 from endivepier.gateway.choice import homes
 from endivepier.gateway.choice import load_reports
+from endivepier.gateway.hosts import introductions
 from endivepier.gateway.hosts import peers as peers_lib
 from endivepier.gateway.hosts import rows as host_rows
 from endivepier.gateway.store import rows
@@ -202,10 +203,10 @@
 def test_a_host_that_introduces_itself_is_known_before_its_row_is_read(hosts):
     newcomer, other = hosts["h0"].peers, hosts["h1"].peers
     del other.rows.listed["h0"]
-    assert not newcomer.is_known_to("h1")
-    newcomer.introduce()
+    assert not newcomer.introductions.is_known_to("h1")
+    newcomer.introductions.introduce()
     gevent.sleep(0.1)
-    assert newcomer.is_known_to("h1")
+    assert newcomer.introductions.is_known_to("h1")
     assert other.rows.unlisted(60.0) == {"h0"}
 
 
@@ -226,13 +227,13 @@
 # A former build responds with status 404.
 def test_a_host_of_a_former_build_does_not_count_as_knowing_others(hosts):
     newcomer, other = hosts["h0"].peers, hosts["h1"].peers
-    del other._handlers[peers_lib.INTRODUCE]
+    del other._handlers[introductions.INTRODUCE]
     for _ in range(2):
-        newcomer.introduce()
+        newcomer.introductions.introduce()
         gevent.sleep(0.1)
-    assert not newcomer.is_known_to("h1")
+    assert not newcomer.introductions.is_known_to("h1")
     assert newcomer.is_available("h1")
-    assert newcomer._can_not_tell == {"h1"}
+    assert newcomer.introductions._can_not_tell == {"h1"}
 
 
 def test_an_unlisted_host_counts_until_rows_are_read_and_time_has_passed(hosts):
