drain: wait for requests that are still being received

Cause: the drain waited for requests that were being handled, not for those that were being received, and ended the process while these were passed on. An idle connection was shut down although its next request had arrived at the socket.

Change: the drain waits until there is no connection or the grace period ends; a connection with unread data counts as busy; data read after a shutdown is not handled.

--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -321,13 +321,17 @@
         self.server.stop()
         self.server.close_idle()
         drain_deadline = drain_started + self.cfg.grace_seconds - EXIT_SECONDS
-        while (
-            self.server.active_requests and self.timers.now() < drain_deadline
-        ):
+        # A connection that is not idle has a request that is being received or
+        # served.
+        while self.server.connections and self.timers.now() < drain_deadline:
             self.timers.sleep(0.05)
             self.server.close_idle()
         self.kernel.stop()
-        eliot.log_message("process.stop", cut_off=self.server.active_requests)
+        eliot.log_message(
+            "process.stop",
+            cut_off=self.server.active_requests,
+            connections=len(self.server.connections),
+        )
         # Gives the task that writes the log time for the last messages.
         self.timers.sleep(0.1)
 
--- a/src/endivepier/http1/server.py
+++ b/src/endivepier/http1/server.py
@@ -51,6 +51,7 @@
         self._reader = requests.RequestReader(self._limits)
         self._receiver = receiving.Receiver(sock)
         self._task = gevent.getcurrent()
+        self._is_closed = False
 
     @property
     def socket(self) -> socket.socket:
@@ -158,13 +159,27 @@
         if idle:
             self.server.idle_connections.add(self)
         try:
-            return self._receiver.receive(seconds)
+            data = self._receiver.receive(seconds)
         except TimeoutError:
             if not idle:
                 self._send_error(408, "timeout while receiving the request")
             return b""
         finally:
             self.server.idle_connections.discard(self)
+        # What arrives on a socket that is shut down can't be answered.
+        return b"" if self._is_closed else data
+
+    def has_unread_data(self) -> bool:
+        """Returns whether the client has sent data that were not read yet."""
+        try:
+            data = socket_lib.socket.recv(
+                self._sock._sock,
+                1,
+                socket_lib.MSG_PEEK | socket_lib.MSG_DONTWAIT,
+            )
+        except OSError:
+            return False
+        return bool(data)
 
     def _serve(self, req: messages.Request) -> bool:
         """Handles one request; returns whether to read another one."""
@@ -247,6 +262,7 @@
 
     def close(self) -> None:
         """Shuts the socket down, which makes the connection's task end."""
+        self._is_closed = True
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket_lib.SHUT_RDWR)
 
@@ -326,9 +342,13 @@
             conn.close()
 
     def close_idle(self) -> None:
-        """Closes the connections that wait for a request."""
+        """Closes the connections that wait for a request.
+
+        One whose request has arrived and is about to be read stays open.
+        """
         for conn in list(self.idle_connections):
-            conn.close()
+            if not conn.has_unread_data():
+                conn.close()
 
     def _accept(self, sock: socket.socket, peer: object) -> None:
         del peer
--- a/tests/cover/gateway/test_path.py
+++ b/tests/cover/gateway/test_path.py
@@ -259,6 +259,31 @@
     assert b"endivepier_request_seconds_bucket" in page
 
 
+# The process ended while a request that was still being received when the last
+# other one had ended was passed on.
+def test_draining_waits_for_requests_that_are_being_received(start):
+    fleet = start([gateway_parts.route(kind=model.RouteKind.NON_IDEMPOTENT)])
+    for target in fleet.targets:
+        target.handler = lambda request, responder, t=target: (
+            gevent.sleep(0.3),
+            t.respond(request, responder),
+        )
+    sock = fleet.connect()
+    head = "POST /a/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: c1\r\n"
+    sock.sendall(f"{head}Content-Length: 4\r\n\r\nbo".encode())
+    gevent.sleep(0.05)
+    drain = gevent.spawn(fleet.gateway.drain)
+    gevent.sleep(fleet.gateway.cfg.grace_seconds / 2 + 0.1)
+    sock.sendall(b"dy")
+    data = b""
+    while b"done by" not in data and (piece := sock.recv(65536)):
+        data += piece
+    assert not drain.ready()
+    assert data.startswith(b"HTTP/1.1 200")
+    drain.join(timeout=5)
+    assert drain.ready()
+
+
 def test_a_draining_host_stops_accepting_before_its_grace_period_ends(
     start, monkeypatch
 ):
--- a/tests/cover/http1/test_server.py
+++ b/tests/cover/http1/test_server.py
@@ -123,6 +123,34 @@
     assert sock.recv(1) == b""
 
 
+# The request was passed on, and its response could not be written.
+def test_a_request_that_has_arrived_is_served_before_its_connection_closes(
+    serve,
+):
+    server = serve(lambda req, res: res.send(200, [], b"ok"))
+    server.closing = True
+    sock = connect(server)
+    gevent.sleep(0.05)
+    sock.sendall(GET)
+    server.close_idle()
+    assert read_until(sock, b"ok").startswith(b"HTTP/1.1 200")
+    gevent.sleep(0.05)
+    assert not server.connections
+
+
+def test_a_request_that_arrives_after_the_close_is_not_handled(serve):
+    handled = []
+    server = serve(lambda req, res: handled.append(req))
+    sock = connect(server)
+    gevent.sleep(0.05)
+    server.close_idle()
+    sock.sendall(GET)
+    assert sock.recv(1) == b""
+    gevent.sleep(0.05)
+    assert not handled
+    assert not server.connections
+
+
 def test_a_closing_server_still_serves_new_connections(serve):
     server = serve(lambda req, res: res.send(200, [], b"ok"))
     server.closing = True
