origins: ask the store before taking the only known version of a service

Cause: a host whose list of targets lags takes the only version that it knows for that of a stream if no peer contradicts, also if no peer is left to reply.

Change: it reads first what has changed in the store since its list was updated, in one read for all calls at the time, and does not resume if that shows another version, a target that came and went, or nothing.

--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -49,6 +49,7 @@
 from endivepier.gateway.targets import limit_reports
 from endivepier.gateway.targets import rates as target_rates
 from endivepier.gateway.targets import tokens as rate_tokens
+from endivepier.gateway.targets import version_check
 from endivepier.http1 import messages
 from endivepier.http1 import pool as pool_lib
 from endivepier.http1 import responding
@@ -203,7 +204,13 @@
             "turns", turns_lib.TurnStore(store, timers)
         )
         origins = stream_origins.StreamOrigins(
-            cfg.host, self.catalog, self.peers, timers
+            cfg.host,
+            self.catalog,
+            version_check.VersionCheck(
+                self.catalog, store, adapters.decoder, timers
+            ),
+            self.peers,
+            timers,
         )
         self.pool = pool_lib.Pool(timers)
         self.placement = placement_lib.Placement(
--- a/src/endivepier/gateway/streams/origins.py
+++ b/src/endivepier/gateway/streams/origins.py
@@ -24,6 +24,7 @@
 from endivepier import timers as timers_lib
 from endivepier.gateway.hosts import peers as peers_lib
 from endivepier.gateway.targets import catalog as catalog_lib
+from endivepier.gateway.targets import version_check
 from endivepier.internal import bounded_map
 from endivepier.internal import codec
 from endivepier.internal import rendezvous
@@ -100,11 +101,13 @@
         self,
         host: str,
         catalog: catalog_lib.Catalog,
+        check: version_check.VersionCheck,
         peers: peers_lib.Peers,
         timers: timers_lib.Timers,
     ) -> None:
         self._host = host
         self._catalog = catalog
+        self._check = check
         self._peers = peers
         self._timers = timers
         self._origins: bounded_map.BoundedMap[Origin] = bounded_map.BoundedMap(
@@ -160,9 +163,20 @@
         seen = self._catalog.recent_versions(service, seconds)
         for reply in replies:
             seen.update(reply.versions)
-        if only_versions and len(seen | only_versions) == 1:
-            return Origin(service, only_versions.pop() or "")
-        return None
+        if not only_versions or len(seen | only_versions) != 1:
+            return None
+        version = only_versions.pop() or ""
+        # All hosts that knew of a later version may be lost.
+        if not self._check.has_only(service, version):
+            eliot.log_message(
+                "origins.not_certain",
+                call=call,
+                service=service,
+                version=version,
+                replies=len(replies),
+            )
+            return None
+        return Origin(service, version)
 
     def _publish(self, call: str, origin: Origin) -> None:
         """Sends an origin to the peers that are asked for it."""
--- a/src/endivepier/gateway/targets/catalog.py
+++ b/src/endivepier/gateway/targets/catalog.py
@@ -168,6 +168,15 @@
             return None
         return self.declaration.services.get(name)
 
+    @property
+    def targets_version(self) -> int | None:
+        """Version of the store up to which the targets were read, or None."""
+        return self._target_follower.version
+
+    def is_listed(self, key: str) -> bool:
+        """Returns whether the target with this row is known."""
+        return key in self._targets
+
     def listed(self, data_centre: str) -> list[model.Target]:
         """Returns all targets of a data centre, including draining ones."""
         return [
--- a/tests/cover/gateway/test_rejoined_streams.py
+++ b/tests/cover/gateway/test_rejoined_streams.py
@@ -14,6 +14,7 @@
 from endivepier.gateway.streams import origins as stream_origins
 from endivepier.gateway.targets import catalog as catalog_lib
 from endivepier.gateway.targets import departures as departures_lib
+from endivepier.gateway.targets import version_check
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
 from endivepier.storage import ports
@@ -120,8 +121,11 @@
             departures_lib.Departures(self.timers, metrics_lib.Metrics()),
         )
         catalog.start()
+        check = version_check.VersionCheck(
+            catalog, access, Decoder(), self.timers
+        )
         self.origins[name] = stream_origins.StreamOrigins(
-            name, catalog, peers, self.timers
+            name, catalog, check, peers, self.timers
         )
 
     def put(self, *keys, value=b"ready"):
@@ -198,6 +202,32 @@
     assert fleet.outcomes["joined"] == 0
 
 
+# Its feed was silent for a second when a second version was added, and all
+# other hosts were lost: it took the only version that it knew for that of the
+# streams.
+@pytest.mark.parametrize("silence", ["late", "refused"])
+def test_a_host_alone_does_not_take_a_stream_for_one_of_its_only_version(
+    silence,
+):
+    fleet = Fleet()
+    fleet.timers.advance(2 * PERIOD)
+    lagging = fleet.access["h4"]
+    lagging.late_until = fleet.timers.now() + 1.0
+    fleet.timers.advance(0.1)
+    fleet.put("targets//v2-0")
+    fleet.timers.advance(0.1)
+    for n in range(20):
+        fleet.begin(f"c{n}", "h0")
+    for name in fleet.hosts[:4]:
+        del fleet.peers[name]
+    if silence == "refused":
+        lagging.late_until = 0.0
+        lagging.refused_until = fleet.timers.now() + 5.0
+    fleet.take_up_all("h4")
+    assert fleet.outcomes["joined"] == 0
+    assert sum(fleet.outcomes.values()) == 20
+
+
 # It still believed that there was one version, and asked nobody.
 def test_a_host_that_learns_of_a_version_late_asks_its_peers():
     fleet = Fleet()
--- a/tests/cover/gateway/test_stream_origins.py
+++ b/tests/cover/gateway/test_stream_origins.py
@@ -17,11 +17,13 @@
     Attributes:
         listed: versions of the listed targets.
         only: the only version of the last seconds, or None.
+        in_store: versions of the targets in the store.
     """
 
     def __init__(self):
         self.listed = {"v1"}
         self.only = "v1"
+        self.in_store = {"v1"}
 
     def versions(self, service):
         return set(self.listed)
@@ -32,6 +34,10 @@
     def only_version(self, service, seconds):
         return self.only
 
+    def has_only(self, service, version):
+        """Returns whether the store has no other version."""
+        return self.in_store == {version}
+
 
 class CountingPeers(gateway_peers.SimulatedPeers):
     """Peers that count the requests by operation."""
@@ -61,7 +67,11 @@
         """Starts or restarts a host; a restart loses its memory."""
         self.catalogs[name] = FakeCatalog()
         self.origins[name] = stream_origins.StreamOrigins(
-            name, self.catalogs[name], self.peers[name], self.timers
+            name,
+            self.catalogs[name],
+            self.catalogs[name],
+            self.peers[name],
+            self.timers,
         )
 
     def mix_versions(self):
@@ -177,6 +187,15 @@
     assert hosts.find("h0", "unknown") is None
 
 
+# All hosts that knew the second version were lost.
+def test_the_only_version_is_not_taken_if_the_store_has_another():
+    hosts = Hosts(count=2)
+    hosts.peers["h0"].cut = True
+    assert hosts.find("h0", "unknown") == V1
+    hosts.catalogs["h0"].in_store = {"v1", "v2"}
+    assert hosts.find("h0", "unknown") is None
+
+
 def test_a_host_without_peers_finds_no_origin():
     hosts = Hosts(count=2)
     hosts.mix_versions()
