make setup: install pbr before hdrhistogram is built

Cause: hdrhistogram 0.10.8 has no wheel for arm64. Built without pbr, its metadata says version 0.0.0, which the pin rejects ("ResolutionImpossible"). It worked only with a wheel of it in pip's cache.

Change: pbr, which is pinned already, is installed beside setuptools.

--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,10 @@
 
 setup: $(STAMP)
 
+# hdrhistogram has no wheel for arm64; its build takes the version from pbr.
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt setuptools
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt setuptools pbr
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation -c constraints.txt -e '.[dev]'
 	touch $(STAMP)
 
