--- a/src/endivepier/gateway/accounts/renewals.py
+++ b/src/endivepier/gateway/accounts/renewals.py
@@ -276,7 +276,7 @@
             return None
         # Former builds know a renewal by its number, so a new entry must not
         # begin with that of an entry which a former process had.
-        renewals = int(write_id, 16) >> 2
+        renewals = int(write_id, 16) >> 2  # fits 64 bits with a sign
         if own_entry is not None:
             renewals = own_entry.renewals + 1
         credited_at = 0.0 if own_entry is None else own_entry.credited_at
--- a/tests/common/gateway_peers.py
+++ b/tests/common/gateway_peers.py
@@ -37,7 +37,7 @@
         self.is_settled = True
         self.avoided_until = {}
         self.known_to = set()
-        self.introductions = self
+        self.introductions = self  # has the methods of `Introductions` itself
         self.processes = {}  # the row of each host's process, if it is known
         self.rows = None  # the rows of hosts, if they limit whom it knows
         hosts[name] = self
--- a/tests/cover/gateway/test_openers.py
+++ b/tests/cover/gateway/test_openers.py
@@ -50,7 +50,7 @@
         self.rows = rows
         self.silent = set()
         self.known_to = set(NAMES)
-        self.introductions = self
+        self.introductions = self  # has the methods of `Introductions` itself
         self.rounds = 0  # of introductions
 
     def is_known_to(self, host):
