hosts: no line about unlisted hosts before the rows were read

Cause: a host that starts may get messages before it has read any row; the line peers.unlisted_host then said an infinite age, which is no JSON. Change: no line until the rows were read once. Measured: tests/cover/gateway/test_peers.py and test_openers.py pass.

--- a/src/endivepier/gateway/hosts/rows.py
+++ b/src/endivepier/gateway/hosts/rows.py
@@ -151,14 +151,15 @@
         is_leaving = self._timers.now() - departed_at < LEAVING_SECONDS
         if is_leaving and not introduces_itself:
             return
-        if host not in self.heard:
+        now = self._timers.now()
+        if host not in self.heard and self._follower.last_contact is not None:
             eliot.log_message(
                 "peers.unlisted_host",
                 peer=host,
                 hosts=len(self.listed),
-                rows_age=round(self._timers.now() - self.read_at, 3),
+                rows_age=round(now - self.read_at, 3),
             )
-        self.heard[host] = self._timers.now()
+        self.heard[host] = now
 
     def unlisted(self, seconds: float) -> set[str]:
         """Returns the hosts that exist but whose rows were not read yet.
