--- a/src/endivepier/telemetry/logs.py
+++ b/src/endivepier/telemetry/logs.py
@@ -1,20 +1,17 @@
 """Logs: JSON lines by eliot, rate-limited and non-blocking.
 
-A separate task writes the lines from a queue, to a file descriptor that does
-not block, so that a pipe which nobody reads stops only that task. Lines beyond
-the rate limit or the queue's capacity are dropped; a `logs.left_out` line
-reports their number.
+A separate task writes the lines from a queue, so that a slow pipe does not
+block the tasks that log. Lines beyond the rate limit or the queue's capacity
+are dropped; a `logs.left_out` line reports their number.
 """
 
 from __future__ import annotations
 
-import os
 import sys
 import time
 from typing import TextIO
 
 import eliot
-import gevent.fileobject
 import gevent.queue
 
 QUEUE_LINES = 10000
@@ -28,11 +25,7 @@
 
     def __init__(self, file: TextIO) -> None:
         self._queue: gevent.queue.Queue = gevent.queue.Queue(QUEUE_LINES)
-        # Sets O_NONBLOCK, and waits in the event loop while the pipe is full.
-        nonblocking = gevent.fileobject.FileObjectPosix(
-            os.dup(file.fileno()), "wb", buffering=0
-        )
-        self._file_destination = eliot.FileDestination(file=nonblocking)
+        self._file_destination = eliot.FileDestination(file=file)
         self._second = 0
         self._lines_this_second = 0
         self._dropped = 0
