budgets: tell owners of this build of all turns that end

Cause: the row of an owner's new process may be read after its first reply, so that the ends of turns which it granted were not sent, and counted with all their tokens for 12 s. Only owners of a former build, whose numbers are small, need that check.

Change: the check applies to numbers up to 2**32.

Measured: test_a_process_of_a_former_build_is_told_only_of_turns_that_it_granted, two cases in place of one; the case of this build failed before (1 end, 2 wanted).

--- a/src/endivepier/gateway/budgets/owners.py
+++ b/src/endivepier/gateway/budgets/owners.py
@@ -42,6 +42,8 @@
 # A granted turn that is not settled within this time never will be, since its
 # client has given up by then. All tokens reserved for it count as spent.
 SETTLE_TIMEOUT_SECONDS = 12.0
+# Former builds number their reservations from 1; see `internal.numbering`.
+MAX_FORMER_NUMBER = 2**32
 MAX_LAST_TARGETS = 20_000  # programs; an entry takes some 200 bytes
 
 
@@ -314,8 +316,9 @@
         """Has the process that granted a turn settle it, if it still runs."""
         if begun.state is not budget_state.State.GRANTED:
             return
-        if self._peers.process(owner) != process:
-            # A process of a former build would take the number for its own.
+        is_former_build = begun.number <= MAX_FORMER_NUMBER
+        if is_former_build and self._peers.process(owner) != process:
+            # Another process of that build would take the number for its own.
             eliot.log_message(
                 "budget.not_settled",
                 owner=owner,
--- a/tests/cover/gateway/test_budget_owners.py
+++ b/tests/cover/gateway/test_budget_owners.py
@@ -1,5 +1,6 @@
 """Token budgets when the turns of a program arrive at several hosts."""
 
+import itertools
 import json
 import random
 
@@ -171,14 +172,20 @@
 
 
 # A process of a former build counts its reservations from 1, as did the one
-# that granted the turn, and settles whatever has that number.
-def test_the_end_of_a_turn_is_sent_to_the_process_that_granted_it(fleet):
+# that granted the turn, and settles whatever has that number. The row of a new
+# process may be read after its first reply, so others are told in any case.
+@pytest.mark.parametrize(("is_former_build", "told"), [(True, 1), (False, 2)])
+def test_a_process_of_a_former_build_is_told_only_of_turns_that_it_granted(
+    fleet, is_former_build, told
+):
     ends = []
 
     def main():
         owner = fleet.hosts["h0"]._owner("p")
         name = next(host for host in fleet.hosts if host != owner)
         other, peers = fleet.hosts[name], fleet.peers[name]
+        if is_former_build:
+            fleet.hosts[owner]._numbers = itertools.count(1)
         fleet.peers[owner].handlers[budget_owners.END] = ends.append
         for restarted in (False, True):
             peers.processes[owner] = "first"
@@ -190,7 +197,7 @@
             fleet.timers.sleep(0.1)
         return len(ends)
 
-    assert fleet.timers.run(main) == 1
+    assert fleet.timers.run(main) == told
 
 
 # A former build refers to a reservation by its number only.
