Log whether a target still runs when its response ends with its connection

After a response with neither a length nor chunks, the target is asked for its status, and target.status_asked tells whether this run of it responded. What the caller gets does not depend on it yet.

--- a/src/endivepier/gateway/dialect.py
+++ b/src/endivepier/gateway/dialect.py
@@ -32,6 +32,19 @@
     def decode_head(self, head: messages.Head) -> model.Verdict:
         """Decodes what the head of a target's response says about the call."""
 
+    def encode_status_request(self, target: model.Target, path: str) -> bytes:
+        """Encodes a request for a target's status, which runs no call.
+
+        Args:
+            target: the target that is meant; another one says so.
+            path: the `status_path` of its service.
+        """
+
+    def decode_status(
+        self, head: messages.Head, body: bytes
+    ) -> model.TargetStatus:
+        """Decodes a response to a request for a target's status."""
+
     def encode_refusal(
         self, call: model.Call | None, exc: errors.Refused
     ) -> tuple[list[messages.Header], bytes]:
--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -18,6 +18,7 @@
 from endivepier.gateway.targets import cold as cold_targets_lib
 from endivepier.gateway.targets import departures as departures_lib
 from endivepier.gateway.targets import limit_reports as limit_reports_lib
+from endivepier.gateway.targets import liveness as liveness_lib
 from endivepier.gateway.targets import rates as target_rates
 from endivepier.gateway.targets import tokens as rate_tokens_lib
 from endivepier.http1 import buffers as buffers_lib
@@ -54,7 +55,9 @@
         target: model.Target,
         conn: client.Connection,
         uncached_tokens: int,
+        deadline: float,
     ) -> None:
+        self._deadline = deadline
         self._uncached_tokens = uncached_tokens
         self.target = target
         self.head = messages.Head(0, [])
@@ -123,6 +126,7 @@
             case responses.Data(content=content):
                 return content
             case responses.End():
+                self._check_end()
                 self._complete = True
                 return None
             case _:
@@ -147,6 +151,7 @@
             )
         except http_errors.HttpError as exc:
             raise self.failure(str(exc), exc) from exc
+        self._check_end()
         self._complete = True
         return body
 
@@ -198,6 +203,16 @@
         if self._exceeded_limit:
             self._dispatcher.avoid_flooding(self.target)
 
+    def _check_end(self) -> None:
+        """Asks the target whether it still runs, if its connection ended.
+
+        A rejection is complete with its head.
+        """
+        if self.head.until_close and not self.not_run:
+            self._dispatcher.liveness.is_running(
+                self.target, self._deadline, request=self._call.id
+            )
+
     def _read(self, deadline: float) -> responses.Part:
         try:
             return self._conn.read(deadline)
@@ -246,6 +261,7 @@
         rates: records the rates that targets name in their responses.
         rate_tokens: gives the tokens for calls to targets that name a rate.
         cold_targets: records which targets were unreachable.
+        liveness: asks targets whether they still run.
         metrics: counts responses that exceed a limit.
         buffers: the memory for responses that are read as a whole.
     """
@@ -260,11 +276,13 @@
         rates: target_rates.TargetRates,
         rate_tokens: rate_tokens_lib.RateTokens,
         cold_targets: cold_targets_lib.ColdTargets,
+        liveness: liveness_lib.TargetLiveness,
+        buffers: buffers_lib.Buffers,
         timers: timers_lib.Timers,
         metrics: metrics_lib.Metrics,
     ) -> None:
         self.metrics = metrics
-        self.buffers = buffers_lib.Buffers()
+        self.buffers = buffers
         self.dialect = dialect
         self.pool = pool
         self.placement = placement
@@ -273,6 +291,7 @@
         self.rates = rates
         self.rate_tokens = rate_tokens
         self.cold_targets = cold_targets
+        self.liveness = liveness
         self._timers = timers
 
     def now(self) -> float:
@@ -332,9 +351,9 @@
             rate=self.rates.rate(target.incarnation),
             contents=dispatch.contents,
         )
-        exchange = Exchange(self, call, target, conn, uncached_tokens)
-        data = self.dialect.encode_request(call, dispatch)
         deadline = self._timers.now() + dispatch.seconds_left
+        exchange = Exchange(self, call, target, conn, uncached_tokens, deadline)
+        data = self.dialect.encode_request(call, dispatch)
         try:
             conn.send(data, deadline)
         except http_errors.ExchangeBroken as exc:
--- a/src/endivepier/gateway/model.py
+++ b/src/endivepier/gateway/model.py
@@ -107,6 +107,8 @@
         cold_seconds: how long a target is cold after its start.
         cold_rate: requests a second from all hosts together that a cold
             target tolerates; 0 if that is not limited.
+        status_path: path at which a target states its status; empty if there
+            is none.
     """
 
     name: str
@@ -114,6 +116,7 @@
     engine: Engine | None
     cold_seconds: float = 0.0
     cold_rate: float = 0.0
+    status_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -301,3 +304,18 @@
     not_run: bool
     leaving: bool = False
     rate: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetStatus:
+    """What a target states about itself.
+
+    Attributes:
+        name: its name, as `Target.name`; empty if not stated.
+        started: its start, as `Target.started`; 0 if not stated.
+        misdirected: whether it is not the target that was meant.
+    """
+
+    name: str = ""
+    started: int = 0
+    misdirected: bool = False
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -47,9 +47,11 @@
 from endivepier.gateway.targets import departures as departures_lib
 from endivepier.gateway.targets import ends as target_ends
 from endivepier.gateway.targets import limit_reports
+from endivepier.gateway.targets import liveness as target_liveness
 from endivepier.gateway.targets import rates as target_rates
 from endivepier.gateway.targets import tokens as rate_tokens
 from endivepier.gateway.targets import version_check
+from endivepier.http1 import buffers as buffers_lib
 from endivepier.http1 import messages
 from endivepier.http1 import pool as pool_lib
 from endivepier.http1 import responding
@@ -217,6 +219,7 @@
             cfg.data_centre, timers, rng, reports, self.pool.has_idle
         )
         limits_exceeded.set_sink(self.placement.avoid)
+        buffers = buffers_lib.Buffers()
         self.dispatcher = exchange.Dispatcher(
             adapters.dialect,
             self.pool,
@@ -228,6 +231,14 @@
                 cfg.host, rates, self.peers, timers, self.metrics
             ),
             cold_targets.ColdTargets(self.catalog, rates, timers),
+            target_liveness.TargetLiveness(
+                adapters.dialect,
+                self.pool,
+                buffers,
+                self.catalog.service,
+                timers,
+            ),
+            buffers,
             timers,
             self.metrics,
         )
--- /dev/null
+++ b/src/endivepier/gateway/targets/liveness.py
@@ -0,0 +1,139 @@
+"""Tells whether a target still runs when the end of its response doesn't.
+
+A response with neither a length nor chunks ends with its connection. The
+connections of a process that is killed are closed in the same way, by its
+kernel, so that the end of the connection can't tell a complete response from
+one that was cut off. A process that responds to a request that was sent after
+that end has not been killed before it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import eliot
+
+from endivepier import timers as timers_lib
+from endivepier.gateway import dialect as dialect_lib
+from endivepier.gateway import model
+from endivepier.http1 import buffers as buffers_lib
+from endivepier.http1 import client
+from endivepier.http1 import errors as http_errors
+from endivepier.http1 import pool as pool_lib
+
+# To open a connection and to read a response that needs no slot of the target.
+# Clients give up a stream that is silent for two seconds.
+CHECK_SECONDS = 1.0
+CONNECT_SECONDS = 0.4
+
+
+class TargetLiveness:
+    """Asks targets for their status after the end of a response."""
+
+    def __init__(
+        self,
+        dialect: dialect_lib.Dialect,
+        pool: pool_lib.Pool,
+        buffers: buffers_lib.Buffers,
+        service: Callable[[str], model.Service | None],
+        timers: timers_lib.Timers,
+    ) -> None:
+        """Creates the check.
+
+        Args:
+            dialect: encodes the requests and decodes the responses.
+            pool: the connections to targets.
+            buffers: limits the memory for the responses.
+            service: returns the declared service of a name, if any.
+            timers: the timer service.
+        """
+        self._dialect = dialect
+        self._pool = pool
+        self._buffers = buffers
+        self._service = service
+        self._timers = timers
+
+    def is_running(
+        self, target: model.Target, deadline: float, *, request: str
+    ) -> bool:
+        """Returns whether this run of a target responds now.
+
+        Args:
+            target: the target.
+            deadline: when to give up, in monotonic seconds.
+            request: id of the call whose response has ended, for the log.
+        """
+        began_at = self._timers.now()
+        reason = self._find_doubt(
+            target, min(deadline, began_at + CHECK_SECONDS)
+        )
+        eliot.log_message(
+            "target.status_asked",
+            request=request,
+            target=target.incarnation,
+            running=not reason,
+            reason=reason,
+            seconds=round(self._timers.now() - began_at, 3),
+        )
+        return not reason
+
+    def _find_doubt(self, target: model.Target, deadline: float) -> str:
+        """Returns why a target may not be running, or an empty string."""
+        service = self._service(target.service)
+        if service is None or not service.status_path:
+            return f"service {target.service!r} has no path for its status"
+        data = self._dialect.encode_status_request(target, service.status_path)
+        try:
+            status = self._ask(target, data, deadline)
+        except http_errors.HttpError as exc:
+            return str(exc)
+        # A target that does not state when it started may be a later run under
+        # the same name.
+        if status.misdirected or status.name not in ("", target.name):
+            return f"another target responds: {status.name!r}"
+        if status.started not in (0, target.started):
+            return f"the target has started again, at {status.started}"
+        return ""
+
+    def _ask(
+        self, target: model.Target, data: bytes, deadline: float
+    ) -> model.TargetStatus:
+        """Sends a request for the status, and returns the response.
+
+        Raises:
+            http_errors.HttpError: no response arrived in time.
+        """
+        conn = self._pool.acquire(
+            target.incarnation,
+            target.address,
+            connect_seconds=CONNECT_SECONDS,
+        )
+        kept = conn.request_count > 0
+        try:
+            return self._exchange(conn, target, data, deadline)
+        except http_errors.ExchangeTimeout:
+            raise
+        except http_errors.ExchangeBroken:
+            if not kept:
+                raise
+        # The target may have closed the connection since it was idle.
+        conn = self._pool.open(target.address, CONNECT_SECONDS)
+        return self._exchange(conn, target, data, deadline)
+
+    def _exchange(
+        self,
+        conn: client.Connection,
+        target: model.Target,
+        data: bytes,
+        deadline: float,
+    ) -> model.TargetStatus:
+        try:
+            conn.send(data, deadline)
+            head, body = client.read_whole(
+                conn, deadline, self._buffers, target.incarnation
+            )
+        except BaseException:
+            conn.close()
+            raise
+        self._pool.release(target.incarnation, conn)
+        return self._dialect.decode_status(head, body)
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -1,6 +1,7 @@
 """A gateway on loopback sockets, with targets that tests can control."""
 
 import dataclasses
+import json
 import random
 import struct
 
@@ -44,6 +45,9 @@
 
     Attributes:
         crashes: how often it has crashed.
+        started: its start, as it states it.
+        status_handler: called for each request for its status.
+        status_requests: how many of these it received.
     """
 
     def __init__(self, name, version="v1"):
@@ -51,6 +55,9 @@
         self.version = version
         self.received = []
         self.crashes = 0
+        self.started = 1
+        self.status_handler = self.state_start
+        self.status_requests = 0
         self._placeholder = None
         self.handler = self.stream
         self._listen("127.0.0.1:0")
@@ -85,6 +92,10 @@
         gevent.spawn_later(seconds, self._listen, address)
 
     def _handle(self, req, responder):
+        if req.target == gateway_parts.STATUS_PATH.encode():
+            self.status_requests += 1
+            self.status_handler(req, responder)
+            return
         call = (req.header(b"attempt-id") or b"").decode()
         request = ReceivedRequest(
             call, req.headers, req.body, path=req.target, at=req.received
@@ -96,6 +107,10 @@
             request.cancelled = True
             raise
 
+    def state_start(self, request, responder):
+        body = json.dumps({"born": self.started}).encode()
+        responder.send(200, [], body)
+
     def headers(self, request):
         return [(b"Attempt-Id", request.call.encode()), (b"Server-Seal", b"s")]
 
@@ -165,6 +180,11 @@
         """Like `stream_until_close`, but closes after the head."""
         self.stream_until_close(request, responder, [])
 
+    def crash_after_two_events(self, request, responder):
+        """Like `stream_until_close`, but the target ends between two events."""
+        self.stream_until_close(request, responder, EVENTS[:2])
+        self.crash()
+
     def reset_after_two_events(self, request, responder):
         """Like `stream_until_close`, but resets the connection."""
         self.stream_until_close(request, responder, EVENTS[:2])
@@ -295,6 +315,7 @@
     def list_targets(self, targets, started=1):
         """Registers targets, which started at the given time."""
         for target in targets:
+            target.started = started
             self._rows[target.name] = gateway_parts.target(
                 target.name,
                 target.server.address,
--- a/tests/common/gateway_parts.py
+++ b/tests/common/gateway_parts.py
@@ -3,6 +3,8 @@
 from endivepier.gateway import model
 from endivepier.http1 import messages
 
+STATUS_PATH = "/status"
+
 
 def route(**changes):
     values = {
@@ -36,7 +38,9 @@
     return model.Declaration(
         revision=revision,
         routes=tuple(routes),
-        services={"s": model.Service("s", 100, engine, *cold)},
+        services={
+            "s": model.Service("s", 100, engine, *cold, status_path=STATUS_PATH)
+        },
         accounts={account.name: account for account in accounts},
         limits=messages.ClientLimits(),
     )
