Failing tests: responses of targets that are killed between two events

What callers see: a stream of a killed target is complete after some of its events (ORDER), its turn is stored and continued from, and a part of a plain response looks whole, if the response has neither a length nor chunks.

--- a/tests/cover/gateway/test_target_liveness.py
+++ b/tests/cover/gateway/test_target_liveness.py
@@ -3,9 +3,12 @@
 import gevent
 import pytest
 
+from endivepier.gateway import model
 from tests.common import gateway_fleet
 from tests.common import gateway_parts
 
+STREAM_BODY = b"".join(gateway_fleet.EVENTS)
+
 
 @pytest.fixture
 def start():
@@ -29,6 +32,53 @@
     )
 
 
+# The kernel of a target that was killed between two events closed its
+# connection, and callers took the stream for complete.
+def test_a_stream_is_not_complete_if_its_target_was_killed(start):
+    fleet = start()
+    gateway_fleet.set_handlers(fleet, "crash_after_two_events")
+    response = fleet.request()
+    assert (response.status, response.complete) == (200, False)
+    assert response.body == b"".join(gateway_fleet.EVENTS[:2])
+
+
+# As above, for a target that listens again at once under its name.
+def test_a_stream_is_not_complete_if_its_target_has_started_again(start):
+    fleet = start()
+    (target,) = fleet.targets
+
+    def restart(request, responder):
+        target.started = 2
+        target.stream_until_close(request, responder, gateway_fleet.EVENTS[:2])
+
+    target.handler = restart
+    assert not fleet.request().complete
+
+
+# As above, when its address belongs to another target by now.
+def test_a_stream_is_not_complete_if_another_target_has_its_address(start):
+    fleet = start()
+    stop_after_two_events(
+        fleet.targets[0],
+        handle_status=lambda _, responder: responder.send(
+            421, [(b"Instance-Id", b"other")], b""
+        ),
+    )
+    assert not fleet.request().complete
+
+
+# A target that was paused at the end of its response may have been killed.
+def test_a_stream_is_not_complete_while_its_target_does_not_respond(start):
+    fleet = start()
+    stop_after_two_events(
+        fleet.targets[0], handle_status=lambda *_: gevent.sleep(3)
+    )
+    began = fleet.timers.now()
+    assert not fleet.request().complete
+    # Clients give up a stream that is silent for two seconds.
+    assert fleet.timers.now() - began < 2
+
+
 def test_a_stream_that_ends_at_a_target_that_is_full_is_complete(start):
     fleet = start()
     stop_after_two_events(
@@ -67,3 +117,19 @@
     fleet = start()
     assert fleet.request().complete
     assert fleet.targets[0].status_requests == 0
+
+
+# As for streams: part of a plain response looked like the whole of it.
+def test_a_plain_response_is_not_relayed_if_its_target_was_killed(start):
+    fleet = start(kind=model.RouteKind.NON_IDEMPOTENT)
+    gateway_fleet.set_handlers(fleet, "crash_after_two_events")
+    assert fleet.request().status == 502
+
+
+def test_a_repeatable_call_is_repeated_if_its_target_was_killed(start):
+    fleet = start(targets=2, kind=model.RouteKind.IDEMPOTENT)
+    gateway_fleet.set_handlers(fleet, "crash_after_two_events", "respond")
+    response = fleet.request()
+    assert response.status == 200
+    assert response.body.startswith(b"done by t")
+    assert len(fleet.received()) == 2
--- a/tests/cover/gateway/test_truncated_streams.py
+++ b/tests/cover/gateway/test_truncated_streams.py
@@ -13,6 +13,7 @@
     "close_within_an_event",
     "close_before_an_event",
     "finish_within_an_event",
+    "crash_after_two_events",
 ]
 
 
