--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -151,7 +151,6 @@
             )
         except http_errors.HttpError as exc:
             raise self.failure(str(exc), exc) from exc
-        self._check_end()
         self._complete = True
         return body
 
@@ -204,13 +203,20 @@
             self._dispatcher.avoid_flooding(self.target)
 
     def _check_end(self) -> None:
-        """Asks the target whether it still runs, if its connection ended.
+        """Checks that the target ended a response that has no end of its own.
 
         A rejection is complete with its head.
+
+        Raises:
+            errors.TargetFailed: the target may have been killed.
         """
-        if self.head.until_close and not self.not_run:
-            self._dispatcher.liveness.is_running(
-                self.target, self._deadline, request=self._call.id
+        if not self.head.until_close or self.not_run:
+            return
+        if not self._dispatcher.liveness.is_running(
+            self.target, self._deadline, request=self._call.id
+        ):
+            raise self.failure(
+                "the connection closed, and the target does not respond"
             )
 
     def _read(self, deadline: float) -> responses.Part:
--- a/src/endivepier/gateway/streams/stream_calls.py
+++ b/src/endivepier/gateway/streams/stream_calls.py
@@ -231,8 +231,8 @@
     ) -> None:
         """Relays one target's response, without events that the client has.
 
-        A close of the connection may be the regular end of a body, so only
-        the events tell whether the stream is complete.
+        The end of the response may lie within an event. The stream is cut off
+        then, however the response ended.
 
         Raises:
             errors.TargetFailed: the stream was cut off.
