Plain responses of killed targets are not relayed

What callers saw: a part of a plain response with neither a length nor chunks looked like the whole of it, if its target was killed after it had sent that part.

--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -151,6 +151,7 @@
             )
         except http_errors.HttpError as exc:
             raise self.failure(str(exc), exc) from exc
+        self._check_end()
         self._complete = True
         return body
 
