Streams whose ids go back are not complete (ORDER)

What callers saw: if a target repeated an event, went back or swapped two, its caller got them so in a stream that was complete, and the turn was stored.

Cause: the relay compared ids only with the one after which a stream is resumed, not with each other.

Fix: events.Sequence keeps the last id of a response.

--- a/src/endivepier/gateway/streams/events.py
+++ b/src/endivepier/gateway/streams/events.py
@@ -4,6 +4,8 @@
 return may precede. The splitter returns complete events only, byte for byte as
 received, so that a stream that is cut off within an event can be resumed from
 another target.
+
+The ids of a stream's events increase, but need not be consecutive.
 """
 
 from __future__ import annotations
@@ -66,6 +68,52 @@
         return len(self._buffer)
 
 
+class Sequence:
+    """The events of one response, without those that its client has.
+
+    Attributes:
+        fault: why the place of an event in the stream is wrong, or an empty
+            string. It and those after it are left out.
+    """
+
+    def __init__(self, resume_after: int | None) -> None:
+        """Begins a response.
+
+        Args:
+            resume_after: id of the last event that the client has, or None.
+        """
+        self.fault = ""
+        self._resume_after = resume_after
+        self._last_id: int | None = None
+
+    def add(self, received: list[Event]) -> list[Event]:
+        """Returns those of the next events that the client doesn't have."""
+        new_events = []
+        for event in received:
+            self.fault = self.fault or self._find_fault(event)
+            if self.fault:
+                break
+            if event.id is not None:
+                self._last_id = event.id
+            if self._is_new(event):
+                new_events.append(event)
+        return new_events
+
+    def _is_new(self, event: Event) -> bool:
+        return (
+            self._resume_after is None
+            or event.id is None
+            or event.id > self._resume_after
+        )
+
+    def _find_fault(self, event: Event) -> str:
+        if event.id is None or self._last_id is None:
+            return ""
+        if event.id > self._last_id:
+            return ""
+        return f"event {event.id} came after {self._last_id}"
+
+
 def _decode(raw: bytes) -> Event:
     event_id: int | None = None
     data = []
--- a/src/endivepier/gateway/streams/stream_calls.py
+++ b/src/endivepier/gateway/streams/stream_calls.py
@@ -244,7 +244,7 @@
         if progress.head is None:
             progress.head = head
         splitter = events.Splitter()
-        resume_after = progress.last_event_id
+        sequence = events.Sequence(progress.last_event_id)
         has_event = False  # from this target
         deadline = self._event_deadline(ctx, first=progress.events_sent == 0)
         while True:
@@ -254,13 +254,7 @@
             received = splitter.feed(data)
             if splitter.partial_length > MAX_EVENT_BYTES:
                 raise exchange.limit_exceeded("event", MAX_EVENT_BYTES)
-            new_events = [
-                event
-                for event in received
-                if resume_after is None
-                or event.id is None
-                or event.id > resume_after
-            ]
+            new_events = sequence.add(received)
             if new_events and not has_event:
                 has_event = True
                 exchange.report_first_event()
@@ -270,6 +264,8 @@
                 if not progress.events_sent:
                     self._versions.set_begun(ctx, exchange.target)
                 self._forward(ctx, new_events, progress)
+            if sequence.fault:
+                raise exchange.failure(sequence.fault)
             # Neither comments nor parts of an event are progress.
             if not all(event.is_comment for event in received):
                 deadline = self._event_deadline(
--- /dev/null
+++ b/tests/cover/gateway/test_event_order.py
@@ -0,0 +1,97 @@
+"""Streams whose events a target repeats or swaps."""
+
+import pytest
+
+from tests.common import gateway_fleet
+from tests.common import gateway_parts
+
+EVENTS = gateway_fleet.EVENTS
+STREAM_BODY = b"".join(EVENTS)
+
+
+@pytest.fixture
+def start():
+    fleets = []
+
+    def make(targets=2, versions=(), **changes):
+        route = gateway_parts.route(**changes)
+        fleets.append(
+            gateway_fleet.Fleet([route], targets=targets, versions=versions)
+        )
+        return fleets[-1]
+
+    yield make
+    for fleet in fleets:
+        fleet.stop()
+
+
+def respond_in_turn(fleet, *answers):
+    """Makes the nth request, at any target, get the nth of some answers.
+
+    Each is a list of events, and whether the response ends properly.
+    """
+    left = list(answers)
+
+    def choose(target):
+        def handle(request, responder):
+            sent, ends_properly = left.pop(0)
+            responder.start(200, target.headers(request))
+            for event in sent:
+                responder.write(event)
+            if ends_properly:
+                responder.finish()
+
+        return handle
+
+    for target in fleet.targets:
+        target.handler = choose(target)
+
+
+def is_whole(response):
+    """Returns whether a client takes a response for a complete stream."""
+    return response.status == 200 and response.complete
+
+
+# A target that repeats an event or goes back has lost its place. Its stream was
+# relayed as it was, and was complete.
+@pytest.mark.parametrize(
+    "numbers", [(1, 2, 2, 3, 4, 5), (1, 2, 3, 2, 4, 5), (1, 3, 2, 4, 5)]
+)
+@pytest.mark.parametrize("resumable", [False, True])
+def test_a_stream_whose_ids_go_back_is_not_complete(start, numbers, resumable):
+    fleet = start(targets=1, resumable=resumable)
+    respond_in_turn(fleet, ([EVENTS[n - 1] for n in numbers], True))
+    assert not is_whole(fleet.request())
+
+
+def test_a_stream_whose_ids_go_back_is_resumed_at_another_target(start):
+    fleet = start()
+    respond_in_turn(
+        fleet, ([EVENTS[0], EVENTS[0], *EVENTS[1:]], True), (EVENTS, True)
+    )
+    response = fleet.request()
+    assert (response.complete, response.body) == (True, STREAM_BODY)
+
+
+def test_a_turn_whose_ids_go_back_is_not_stored(start):
+    fleet = start(targets=1, resumable=False, retained=True)
+    respond_in_turn(fleet, ([*EVENTS, EVENTS[0]], True), (EVENTS, True))
+    assert not is_whole(fleet.request("turn-1"))
+    assert fleet.request("turn-2", Previous_Turn="turn-1").status == 404
+
+
+def test_ids_may_skip_numbers(start):
+    fleet = start(targets=1)
+    respond_in_turn(fleet, (EVENTS[::2], True))
+    response = fleet.request()
+    assert (response.complete, response.body) == (True, b"".join(EVENTS[::2]))
+
+
+def test_a_resumed_stream_goes_on_after_what_the_client_has(start):
+    fleet = start()
+    respond_in_turn(
+        fleet, (EVENTS[:2], False), ([b": comment\n\n", *EVENTS], True)
+    )
+    response = fleet.request()
+    assert response.complete
+    assert response.body.replace(b": comment\n\n", b"") == STREAM_BODY
