--- a/src/endivepier/gateway/calls.py
+++ b/src/endivepier/gateway/calls.py
@@ -52,6 +52,8 @@
         tried: incarnations of the targets that the call was sent to.
         unreachable: incarnations of the targets that accepted no connection.
         may_have_run: whether any target may have run the call.
+        may_continue: whether another target can go on after the events that
+            the client has: the last of them has an id.
         contents: fingerprints of the request, the same for each retry.
         sent_at: when it was last sent to a target, monotonic seconds.
         has_turn: whether it has the turn of a suspected request.
@@ -72,6 +74,7 @@
     tried: list[str] = dataclasses.field(default_factory=list)
     unreachable: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
+    may_continue: bool = True
     contents: tuple[str, ...] = ()
     sent_at: float = 0.0
     has_turn: bool = False
@@ -87,7 +90,9 @@
 
     def may_run_again(self, now: float) -> bool:
         """Returns whether the call may be resent although it may have run."""
-        return self.route.repeatable and self.may_retry(now)
+        return (
+            self.route.repeatable and self.may_continue and self.may_retry(now)
+        )
 
     def response_deadline(self, now: float, seconds: float) -> float:
         """Returns until when to wait for a silent target.
--- a/src/endivepier/gateway/streams/events.py
+++ b/src/endivepier/gateway/streams/events.py
@@ -5,7 +5,8 @@
 received, so that a stream that is cut off within an event can be resumed from
 another target.
 
-The ids of a stream's events increase, but need not be consecutive.
+The ids of a stream's events increase, but need not be consecutive. They alone
+tell which events of a resumed stream its client has.
 """
 
 from __future__ import annotations
@@ -72,8 +73,8 @@
     """The events of one response, without those that its client has.
 
     Attributes:
-        fault: why the place of an event in the stream is wrong, or an empty
-            string. It and those after it are left out.
+        fault: why the place of an event in the stream is wrong or unknown, or
+            an empty string. It and those after it are left out.
     """
 
     def __init__(self, resume_after: int | None) -> None:
@@ -85,6 +86,7 @@
         self.fault = ""
         self._resume_after = resume_after
         self._last_id: int | None = None
+        self._has_new = resume_after is None
 
     def add(self, received: list[Event]) -> list[Event]:
         """Returns those of the next events that the client doesn't have."""
@@ -95,23 +97,25 @@
                 break
             if event.id is not None:
                 self._last_id = event.id
-            if self._is_new(event):
+                self._has_new = self._has_new or self._is_new(event.id)
+            if self._has_new or event.is_comment:
                 new_events.append(event)
         return new_events
 
-    def _is_new(self, event: Event) -> bool:
-        return (
-            self._resume_after is None
-            or event.id is None
-            or event.id > self._resume_after
-        )
+    def _is_new(self, event_id: int) -> bool:
+        return self._resume_after is None or event_id > self._resume_after
 
     def _find_fault(self, event: Event) -> str:
-        if event.id is None or self._last_id is None:
-            return ""
-        if event.id > self._last_id:
-            return ""
-        return f"event {event.id} came after {self._last_id}"
+        if event.id is None:
+            if self._has_new or event.is_comment:
+                return ""
+            return (
+                "an event without an id came before the first one after "
+                f"{self._resume_after}"
+            )
+        if self._last_id is not None and event.id <= self._last_id:
+            return f"event {event.id} came after {self._last_id}"
+        return ""
 
 
 def _decode(raw: bytes) -> Event:
--- a/src/endivepier/gateway/streams/stream_calls.py
+++ b/src/endivepier/gateway/streams/stream_calls.py
@@ -301,6 +301,8 @@
         for event in new_events:
             if event.id is not None:
                 progress.last_event_id = event.id
+            if not event.is_comment:
+                ctx.may_continue = event.id is not None
             if ctx.route.retained:
                 progress.output.append(event.data + b"\n")
                 progress.output_bytes += len(event.data) + 1
--- a/tests/cover/gateway/test_event_order.py
+++ b/tests/cover/gateway/test_event_order.py
@@ -1,4 +1,4 @@
-"""Streams whose events a target repeats or swaps."""
+"""Streams whose events a target repeats, swaps or does not number."""
 
 import pytest
 
@@ -7,6 +7,7 @@
 
 EVENTS = gateway_fleet.EVENTS
 STREAM_BODY = b"".join(EVENTS)
+UNNUMBERED = [b"data: word%d\n\n" % n for n in range(1, 6)]
 
 
 @pytest.fixture
@@ -87,6 +88,28 @@
     assert (response.complete, response.body) == (True, b"".join(EVENTS[::2]))
 
 
+# A second target began anew, and what the client had came twice.
+@pytest.mark.parametrize("events", [UNNUMBERED, [EVENTS[0], *UNNUMBERED[1:]]])
+def test_a_stream_does_not_go_on_after_an_event_without_an_id(start, events):
+    fleet = start()
+    respond_in_turn(fleet, (events[:2], False), (events, True))
+    response = fleet.request()
+    assert not response.complete
+    assert response.body == b"".join(events[:2])
+
+
+# A target that sends the whole stream again sends events without ids before
+# the place where it is to be resumed.
+def test_events_without_ids_are_not_repeated_where_a_stream_goes_on(start):
+    events = [EVENTS[0], UNNUMBERED[1], *EVENTS[2:]]
+    fleet = start()
+    respond_in_turn(fleet, (events[:3], False), (events, True))
+    response = fleet.request()
+    body = b"".join(events)
+    assert body.startswith(response.body)
+    assert response.body == body or not is_whole(response)
+
+
 def test_a_resumed_stream_goes_on_after_what_the_client_has(start):
     fleet = start()
     respond_in_turn(
