--- a/src/endivepier/gateway/streams/progress.py
+++ b/src/endivepier/gateway/streams/progress.py
@@ -20,7 +20,8 @@
         output: data of the sent events, each followed by a line feed; only
             collected if the turn is to be stored.
         output_bytes: length of `output` in bytes.
-        head: the head of the first target's response; the client gets it.
+        head: the head that the client gets: of the response that brings its
+            first event, or ends without any.
     """
 
     started: bool = False
--- a/src/endivepier/gateway/streams/stream_calls.py
+++ b/src/endivepier/gateway/streams/stream_calls.py
@@ -241,7 +241,7 @@
         if head.status != 200 or not exchange.verdict.sealed:
             self._relay_response(ctx, exchange, progress)
             return
-        if progress.head is None:
+        if not progress.started:
             progress.head = head
         splitter = events.Splitter()
         sequence = events.Sequence(progress.last_event_id)
--- a/tests/cover/gateway/test_mixed_versions.py
+++ b/tests/cover/gateway/test_mixed_versions.py
@@ -7,6 +7,7 @@
 import gevent
 import pytest
 
+from endivepier.http1 import messages
 from tests.common import gateway_fleet
 from tests.common import gateway_parts
 
@@ -139,6 +140,60 @@
     assert (response.complete, response.body) == (True, STREAM_BODY)
 
 
+def name_targets_in_heads(fleet, events_of_first):
+    """Makes heads name their targets; the first response is cut off.
+
+    Returns:
+        The names of the targets that were called, in order.
+    """
+    called = []
+
+    def choose(target):
+        def handle(request, responder):
+            called.append(target.name)
+            after = int(messages.find(request.headers, b"last-event-id") or 0)
+            is_first = len(called) == 1
+            end = events_of_first if is_first else len(gateway_fleet.EVENTS)
+            headers = [
+                (b"Attempt-Id", request.call.encode()),
+                (b"Server-Seal", target.name.encode()),
+                (b"Weight-Versions", target.version[1:].encode()),
+            ]
+            responder.start(200, headers)
+            for event in gateway_fleet.EVENTS[after:end]:
+                responder.write(event)
+            if not is_first:
+                responder.finish()
+
+        return handle
+
+    for target in fleet.targets:
+        target.handler = choose(target)
+    return called
+
+
+# A target that sent a head only was followed by one of another version, and the
+# client got the signature and version of the first with events of the second.
+def test_the_head_is_of_the_target_that_sends_the_first_event(start):
+    fleet = start(["v1", "v2"])
+    called = name_targets_in_heads(fleet, 0)
+    response = fleet.request()
+    assert (response.complete, response.body) == (True, STREAM_BODY)
+    assert len(called) == 2
+    assert f"server-seal: {called[1]}\r\n".encode() in response.head
+    version = fleet.targets[int(called[1][1:])].version
+    assert f"weight-versions: {version[1:]}\r\n".encode() in response.head
+
+
+def test_the_head_stays_when_a_stream_goes_on_at_another_target(start):
+    fleet = start(["v1", "v1"])
+    called = name_targets_in_heads(fleet, 2)
+    response = fleet.request()
+    assert (response.complete, response.body) == (True, STREAM_BODY)
+    assert len(called) == 2
+    assert f"server-seal: {called[0]}\r\n".encode() in response.head
+
+
 # A turn that its client resumed was stored without the events that the client
 # already had, and later turns continued from that.
 def test_a_turn_is_never_stored_without_its_first_events(start):
