Comments are not events of a stream

What callers saw: if a target sent comments, as servers do to keep connections open, later turns of a kept program got an empty line for each comment in the history, and the program's budget paid for it.

Cause: the relay counted, stored and took as a beginning whatever ended with an empty line.

--- a/src/endivepier/gateway/streams/stream_calls.py
+++ b/src/endivepier/gateway/streams/stream_calls.py
@@ -255,7 +255,7 @@
             if splitter.partial_length > MAX_EVENT_BYTES:
                 raise exchange.limit_exceeded("event", MAX_EVENT_BYTES)
             new_events = sequence.add(received)
-            if new_events and not has_event:
+            if not has_event and not all(e.is_comment for e in new_events):
                 has_event = True
                 exchange.report_first_event()
             if new_events:
@@ -294,15 +294,16 @@
         new_events: list[events.Event],
         progress: stream_progress.Progress,
     ) -> None:
-        """Sends complete events to the client in one write."""
+        """Sends events and comments to the client in one write."""
         if not progress.started:
             self._send_head(ctx, progress)
-        progress.events_sent += len(new_events)
         for event in new_events:
+            if event.is_comment:
+                continue
+            progress.events_sent += 1
             if event.id is not None:
                 progress.last_event_id = event.id
-            if not event.is_comment:
-                ctx.may_continue = event.id is not None
+            ctx.may_continue = event.id is not None
             if ctx.route.retained:
                 progress.output.append(event.data + b"\n")
                 progress.output_bytes += len(event.data) + 1
--- a/tests/cover/gateway/test_event_order.py
+++ b/tests/cover/gateway/test_event_order.py
@@ -118,3 +118,24 @@
     response = fleet.request()
     assert response.complete
     assert response.body.replace(b": comment\n\n", b"") == STREAM_BODY
+
+
+# A comment became an empty line of the history of later turns.
+def test_a_comment_is_no_event_of_a_turn(start):
+    fleet = start(targets=1, resumable=False, retained=True)
+    events = [EVENTS[0], b": comment\n\n", EVENTS[1]]
+    respond_in_turn(fleet, (events, True), (EVENTS, True))
+    response = fleet.request("turn-1")
+    assert (response.complete, response.body) == (True, b"".join(events))
+    fleet.request("turn-2", Previous_Turn="turn-1")
+    assert fleet.received()[-1].body == b"inword1\nword2\nin"
+
+
+# It was complete without an event.
+def test_a_stream_that_closes_after_a_comment_is_not_complete(start):
+    fleet = start(targets=1)
+    (target,) = fleet.targets
+    target.handler = lambda request, responder: target.stream_until_close(
+        request, responder, [b": comment\n\n"]
+    )
+    assert not is_whole(fleet.request())
