--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -37,6 +37,9 @@
 # Received for one call before its response begins. Late responses to earlier
 # calls on the connection are small.
 MAX_OTHER_RESPONSE_BYTES = 1024 * 1024
+# Targets stop work at the deadline that they get, in whole milliseconds, and
+# their timers may be as coarse as that of an operating system.
+DEADLINE_MARGIN_SECONDS = 0.01
 
 
 class Exchange:
@@ -209,10 +212,13 @@
         A rejection is complete with its head.
 
         Raises:
-            errors.TargetFailed: the target may have been killed.
+            errors.TargetFailed: the target may have been killed, or may have
+                stopped work at the call's deadline.
         """
         if not self.head.until_close or self.not_run:
             return
+        if self._deadline - self._dispatcher.now() < DEADLINE_MARGIN_SECONDS:
+            raise self.failure("the connection closed at the call's deadline")
         if not self._dispatcher.liveness.is_running(
             self.target, self._deadline, request=self._call.id
         ):
--- a/tests/cover/gateway/test_target_liveness.py
+++ b/tests/cover/gateway/test_target_liveness.py
@@ -4,10 +4,11 @@
 import pytest
 
 from endivepier.gateway import model
+from endivepier.http1 import messages
 from tests.common import gateway_fleet
 from tests.common import gateway_parts
 
-STREAM_BODY = b"".join(gateway_fleet.EVENTS)
+EARLY_SECONDS = 0.002  # enough to ask a target on this machine
 
 
 @pytest.fixture
@@ -119,6 +120,21 @@
     assert fleet.targets[0].status_requests == 0
 
 
+# A target stops work at the deadline that it gets, and goes on to respond.
+def test_a_stream_is_not_complete_if_its_target_stops_at_the_deadline(start):
+    fleet = start(timeout=0.2)
+    (target,) = fleet.targets
+
+    def stop_at_deadline(request, responder):
+        milliseconds = messages.find(request.headers, b"deadline-ms")
+        target.stream_until_close(request, responder, gateway_fleet.EVENTS[:2])
+        stops_at = request.at + int(milliseconds) / 1000 - EARLY_SECONDS
+        gevent.sleep(stops_at - fleet.timers.now())
+
+    target.handler = stop_at_deadline
+    assert not fleet.request().complete
+
+
 # As for streams: part of a plain response looked like the whole of it.
 def test_a_plain_response_is_not_relayed_if_its_target_was_killed(start):
     fleet = start(kind=model.RouteKind.NON_IDEMPOTENT)
