--- a/src/endivepier/gateway/streams/origins.py
+++ b/src/endivepier/gateway/streams/origins.py
@@ -19,6 +19,7 @@
 
 import eliot
 import gevent
+import gevent.event
 
 from endivepier import errors
 from endivepier import timers as timers_lib
@@ -34,6 +35,9 @@
 # The host that began the stream may be among the first in the ranking, and a
 # host may have left it since.
 PEERS_ASKED = REPLICAS + 2
+# How long a peer may read from the store for its reply: half of the time after
+# which it would count as unreachable.
+CONFIRM_SECONDS = peers_lib.REQUEST_TIMEOUT_SECONDS / 2
 RECORD = "origins-record"
 FIND = "origins-find"
 
@@ -85,7 +89,7 @@
     Attributes:
         origin: the recorded origin of the stream, or None.
         only_version: the only software version that the service has had in the
-            period, as far as the peer knows, or None.
+            period, as confirmed by the store, or None.
         versions: the versions that the peer has seen in the period.
     """
 
@@ -236,9 +240,36 @@
     def _handle_find(self, body: bytes) -> bytes:
         request: Find = codec.decode(Find, body)
         period = (request.service, request.seconds)
+        origin = self._origins.get(request.call)
+        only_version = None
+        if origin is None:
+            only_version = self._confirmed_version(*period)
         found = Found(
-            self._origins.get(request.call),
-            self._catalog.only_version(*period),
+            origin,
+            only_version,
             tuple(self._catalog.recent_versions(*period)),
         )
         return codec.encode(found)
+
+    def _confirmed_version(self, service: str, seconds: float) -> str | None:
+        """Returns the only version that a service has had, or None.
+
+        A host that has just started asks for it. What it reads from the store
+        itself begins after its start, so it can't tell what this host has
+        missed before.
+        """
+        version = self._catalog.only_version(service, seconds)
+        if version is None:
+            return None
+        done = gevent.event.Event()
+        task = gevent.spawn(self._check.has_only, service, version)
+        task.link(lambda _: done.set())
+        if not self._timers.wait(done, CONFIRM_SECONDS) or not task.value:
+            eliot.log_message(
+                "origins.not_confirmed",
+                service=service,
+                version=version,
+                in_time=done.is_set(),
+            )
+            return None
+        return version
--- a/tests/cover/gateway/test_rejoined_streams.py
+++ b/tests/cover/gateway/test_rejoined_streams.py
@@ -228,6 +228,30 @@
     assert sum(fleet.outcomes.values()) == 20
 
 
+# A second version came and went while one host's feed was silent. Hosts that
+# started after that asked this host, which knew one version only.
+@pytest.mark.parametrize("restarted", [["h4"], ["h0", "h1", "h2", "h4"]])
+def test_a_host_that_lags_vouches_for_no_version(restarted):
+    fleet = Fleet()
+    fleet.timers.advance(2 * PERIOD)
+    fleet.access["h3"].late_until = fleet.timers.now() + 1.9
+    fleet.timers.advance(0.1)
+    fleet.put("targets//v2-0")
+    fleet.timers.advance(0.1)
+    for n in range(40):
+        fleet.begin(f"c{n}", "h0")
+    fleet.delete("targets//v2-0")
+    for name in restarted:
+        fleet.start(name)
+    fleet.timers.advance(0.2)
+    for name in {"h0", "h1", "h2"} - set(restarted):
+        del fleet.peers[name]
+    for n in range(40):
+        fleet.take_up(f"c{n}", restarted[n % len(restarted)])
+    assert fleet.outcomes["joined"] == 0
+    assert fleet.outcomes["kept"] > 0
+
+
 # It still believed that there was one version, and asked nobody.
 def test_a_host_that_learns_of_a_version_late_asks_its_peers():
     fleet = Fleet()
--- a/tests/cover/gateway/test_stream_origins.py
+++ b/tests/cover/gateway/test_stream_origins.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from endivepier.gateway.hosts import peers as peers_lib
 from endivepier.gateway.streams import origins as stream_origins
 from endivepier.standins import clock
 from tests.common import gateway_peers
@@ -18,12 +19,15 @@
         listed: versions of the listed targets.
         only: the only version of the last seconds, or None.
         in_store: versions of the targets in the store.
+        read_seconds: how long a read from the store takes.
     """
 
-    def __init__(self):
+    def __init__(self, timers):
+        self.timers = timers
         self.listed = {"v1"}
         self.only = "v1"
         self.in_store = {"v1"}
+        self.read_seconds = 0.0
 
     def versions(self, service):
         return set(self.listed)
@@ -36,6 +40,7 @@
 
     def has_only(self, service, version):
         """Returns whether the store has no other version."""
+        self.timers.sleep(self.read_seconds)
         return self.in_store == {version}
 
 
@@ -65,7 +70,7 @@
 
     def start(self, name):
         """Starts or restarts a host; a restart loses its memory."""
-        self.catalogs[name] = FakeCatalog()
+        self.catalogs[name] = FakeCatalog(self.timers)
         self.origins[name] = stream_origins.StreamOrigins(
             name,
             self.catalogs[name],
@@ -179,6 +184,26 @@
     assert hosts.find("h0", "unknown") == V1
 
 
+# A version came and went which the peers had not seen yet.
+def test_a_peer_does_not_name_a_version_that_its_store_contradicts():
+    hosts = Hosts()
+    hosts.catalogs["h0"].only = None
+    for name in list(hosts.catalogs)[1:]:
+        hosts.catalogs[name].in_store = {"v1", "v2"}
+    assert hosts.find("h0", "unknown") is None
+
+
+# Hosts whose reads from the store are slow must not count as unreachable.
+def test_a_peer_replies_in_time_though_the_store_does_not():
+    hosts = Hosts()
+    hosts.catalogs["h0"].only = None
+    for name in list(hosts.catalogs)[1:]:
+        hosts.catalogs[name].read_seconds = 1.0
+    began = hosts.timers.now()
+    assert hosts.find("h0", "unknown") is None
+    assert hosts.timers.now() - began < peers_lib.REQUEST_TIMEOUT_SECONDS
+
+
 # A peer whose list of targets lags says that there is one version only.
 def test_a_peer_that_knows_one_version_is_not_believed_over_the_own_list():
     hosts = Hosts()
