--- a/src/endivepier/gateway/streams/stream_calls.py
+++ b/src/endivepier/gateway/streams/stream_calls.py
@@ -241,10 +241,10 @@
         if head.status != 200 or not exchange.verdict.sealed:
             self._relay_response(ctx, exchange, progress)
             return
-        if progress.head is None:
+        if not progress.started:
             progress.head = head
         splitter = events.Splitter()
-        resume_after = progress.last_event_id
+        sequence = events.Sequence(progress.last_event_id)
         has_event = False  # from this target
         deadline = self._event_deadline(ctx, first=progress.events_sent == 0)
         while True:
@@ -254,14 +254,8 @@
             received = splitter.feed(data)
             if splitter.partial_length > MAX_EVENT_BYTES:
                 raise exchange.limit_exceeded("event", MAX_EVENT_BYTES)
-            new_events = [
-                event
-                for event in received
-                if resume_after is None
-                or event.id is None
-                or event.id > resume_after
-            ]
-            if new_events and not has_event:
+            new_events = sequence.add(received)
+            if not has_event and not all(e.is_comment for e in new_events):
                 has_event = True
                 exchange.report_first_event()
             if new_events:
@@ -270,6 +264,8 @@
                 if not progress.events_sent:
                     self._versions.set_begun(ctx, exchange.target)
                 self._forward(ctx, new_events, progress)
+            if sequence.fault:
+                raise exchange.failure(sequence.fault)
             # Neither comments nor parts of an event are progress.
             if not all(event.is_comment for event in received):
                 deadline = self._event_deadline(
@@ -298,13 +294,16 @@
         new_events: list[events.Event],
         progress: stream_progress.Progress,
     ) -> None:
-        """Sends complete events to the client in one write."""
+        """Sends events and comments to the client in one write."""
         if not progress.started:
             self._send_head(ctx, progress)
-        progress.events_sent += len(new_events)
         for event in new_events:
+            if event.is_comment:
+                continue
+            progress.events_sent += 1
             if event.id is not None:
                 progress.last_event_id = event.id
+            ctx.may_continue = event.id is not None
             if ctx.route.retained:
                 progress.output.append(event.data + b"\n")
                 progress.output_bytes += len(event.data) + 1
