origins: a stream does not go on at another service (ORDER)

What callers saw: a stream that they resumed after its route had been moved to another service went on there, with events of another run by another service. So did streams on routes whose weights choose among services, for calls without a program, and streams whose path a new route took.

Cause: while a service has one version, no origin is recorded at peers, and a host that does not find the origin takes that version of the service to which the request is routed now. The service was taken for granted: the route may have led elsewhere when the stream began, or the id of the request to resume chooses another service.

Fix: the only version counts only while no declaration of the period has led a path to other services (targets.route_history), as one host has read it; otherwise origins are sent to peers, and a stream without one is refused (503, not run). The check with the store covers declarations that were not read yet. On routes with several services, origins of calls without a program are always sent.

--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -49,6 +49,7 @@
 from endivepier.gateway.targets import limit_reports
 from endivepier.gateway.targets import liveness as target_liveness
 from endivepier.gateway.targets import rates as target_rates
+from endivepier.gateway.targets import route_history
 from endivepier.gateway.targets import tokens as rate_tokens
 from endivepier.gateway.targets import version_check
 from endivepier.http1 import buffers as buffers_lib
@@ -211,6 +212,7 @@
             version_check.VersionCheck(
                 self.catalog, store, adapters.decoder, timers
             ),
+            route_history.RouteHistory(self.catalog, timers),
             self.peers,
             timers,
         )
--- a/src/endivepier/gateway/streams/origins.py
+++ b/src/endivepier/gateway/streams/origins.py
@@ -8,8 +8,9 @@
 several versions, a host also sends each origin to some of its peers, chosen by
 rendezvous hashing of the call's id, so that other hosts find it if this one is
 lost. While a service has only one version, that one began all of its streams,
-and nothing is sent. These records only help to find an origin: a stream whose
-origin is not found is not resumed.
+and nothing is sent, unless a route that leads to another service now, or did,
+or its weights leave open which service began a stream. These records only help
+to find an origin: a stream whose origin is not found is not resumed.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
 from endivepier import timers as timers_lib
 from endivepier.gateway.hosts import peers as peers_lib
 from endivepier.gateway.targets import catalog as catalog_lib
+from endivepier.gateway.targets import route_history
 from endivepier.gateway.targets import version_check
 from endivepier.internal import bounded_map
 from endivepier.internal import codec
@@ -106,12 +108,14 @@
         host: str,
         catalog: catalog_lib.Catalog,
         check: version_check.VersionCheck,
+        routes: route_history.RouteHistory,
         peers: peers_lib.Peers,
         timers: timers_lib.Timers,
     ) -> None:
         self._host = host
         self._catalog = catalog
         self._check = check
+        self._routes = routes
         self._peers = peers
         self._timers = timers
         self._origins: bounded_map.BoundedMap[Origin] = bounded_map.BoundedMap(
@@ -126,31 +130,48 @@
         peers.register(RECORD, self._handle_record)
         peers.register(FIND, self._handle_find)
 
-    def record(self, call: str, origin: Origin, seconds: float) -> None:
+    def record(
+        self,
+        call: str,
+        origin: Origin,
+        seconds: float,
+        *,
+        one_service: bool = True,
+    ) -> None:
         """Records that a stream began; peers may get it a little later.
 
         Args:
             call: id of the call that brings the stream's first event.
             origin: the origin of the stream.
             seconds: how long its client may resume the stream at most.
+            one_service: whether its route leads to this service only.
         """
         now = self._timers.now()
         self._origins.put(call, origin)
         self._unpublished.append((now, call, origin))
         while self._unpublished[0][0] < now - seconds:
             self._unpublished.popleft()
-        if self._catalog.only_version(origin.service, seconds) is None:
+        only_version = self._only_version(origin.service, seconds)
+        if only_version is None or not one_service:
             while self._unpublished:
                 _, call, origin = self._unpublished.popleft()
                 self._publish(call, origin)
 
-    def find(self, call: str, service: str, seconds: float) -> Origin | None:
+    def find(
+        self,
+        call: str,
+        service: str,
+        seconds: float,
+        *,
+        one_service: bool = True,
+    ) -> Origin | None:
         """Returns the origin of a stream, or None if it can't be found.
 
         Args:
             call: id of the call that began the stream, or empty if unknown.
             service: the service that the request to resume is routed to.
             seconds: how long ago the stream may have begun at most.
+            one_service: whether the request's route leads to this service only.
         """
         origin = self._origins.get(call)
         if origin is not None:
@@ -159,10 +180,12 @@
         for reply in replies:
             if reply.origin is not None:
                 return reply.origin
+        if not one_service:
+            return None
         # A host that has just started does not know former versions, but peers
         # may. Any of them may not know yet of a version just added.
         only_versions = {reply.only_version for reply in replies}
-        only_versions.add(self._catalog.only_version(service, seconds))
+        only_versions.add(self._only_version(service, seconds))
         only_versions.discard(None)
         seen = self._catalog.recent_versions(service, seconds)
         for reply in replies:
@@ -182,6 +205,12 @@
             return None
         return Origin(service, version)
 
+    def _only_version(self, service: str, seconds: float) -> str | None:
+        """Returns the version that began all streams of late, or None."""
+        if not self._routes.covers(seconds):
+            return None
+        return self._catalog.only_version(service, seconds)
+
     def _publish(self, call: str, origin: Origin) -> None:
         """Sends an origin to the peers that are asked for it."""
         hosts = [*self._peers.available_hosts(), self._host]
@@ -258,7 +287,7 @@
         itself begins after its start, so it can't tell what this host has
         missed before.
         """
-        version = self._catalog.only_version(service, seconds)
+        version = self._only_version(service, seconds)
         if version is None:
             return None
         done = gevent.event.Event()
--- a/src/endivepier/gateway/streams/versions.py
+++ b/src/endivepier/gateway/streams/versions.py
@@ -30,7 +30,12 @@
         """Restricts a call to the version that sends its first event."""
         ctx.software_version = target.software_version
         origin = stream_origins.Origin(target.service, target.software_version)
-        self._origins.record(ctx.call.id, origin, _max_stream_seconds(ctx))
+        self._origins.record(
+            ctx.call.id,
+            origin,
+            _max_stream_seconds(ctx),
+            one_service=_has_one_service(ctx),
+        )
 
     def set_resumed(self, ctx: calls.CallContext) -> None:
         """Restricts a call that resumes a stream to the stream's origin.
@@ -43,7 +48,10 @@
         if call.last_event is None:
             return
         origin = self._origins.find(
-            call.resumes, ctx.service, _max_stream_seconds(ctx)
+            call.resumes,
+            ctx.service,
+            _max_stream_seconds(ctx),
+            one_service=_has_one_service(ctx),
         )
         eliot.log_message(
             "stream.resumed",
@@ -76,6 +84,15 @@
         ctx.software_version = origin.version
 
 
+def _has_one_service(ctx: calls.CallContext) -> bool:
+    """Returns whether each call of a stream is routed to the same service.
+
+    A request to resume a stream has another id, by which a service is chosen
+    if the request belongs to no program.
+    """
+    return len(ctx.route.backends) == 1 or bool(ctx.call.program)
+
+
 def _max_stream_seconds(ctx: calls.CallContext) -> float:
     return MAX_STREAM_TIMEOUTS * ctx.route.timeout
 
--- a/src/endivepier/gateway/targets/catalog.py
+++ b/src/endivepier/gateway/targets/catalog.py
@@ -168,10 +168,9 @@
             return None
         return self.declaration.services.get(name)
 
-    @property
-    def targets_version(self) -> int | None:
-        """Version of the store up to which the targets were read, or None."""
-        return self._target_follower.version
+    def read_up_to(self) -> tuple[int | None, int | None]:
+        """Returns up to which versions declarations and targets were read."""
+        return self._declaration_follower.version, self._target_follower.version
 
     def is_listed(self, key: str) -> bool:
         """Returns whether the target with this row is known."""
--- a/src/endivepier/gateway/targets/version_check.py
+++ b/src/endivepier/gateway/targets/version_check.py
@@ -3,7 +3,7 @@
 A list of targets lags behind the store, so that it can't rule out a version
 that was added a moment ago. A target gets calls only once its row is in the
 store: changes that are read after a stream was broken off include the target
-that began it.
+that began it. The same holds for a declaration that leads to another service.
 """
 
 from __future__ import annotations
@@ -45,8 +45,8 @@
             version: the only version that the catalog knows.
 
         Returns:
-            False also if the store can't be read, or if a target came and went
-            whose version is not known.
+            False also if the store can't be read, if a target came and went
+            whose version is not known, or if there is a new declaration.
         """
         called_at = self._timers.now()
         with self._lock:
@@ -66,11 +66,17 @@
         )
 
     def _read(self) -> ports.Changes | None:
-        after = self._catalog.targets_version
-        if after is None:
+        """Returns the changes of targets; None if they don't tell."""
+        declared, listed = self._catalog.read_up_to()
+        if declared is None or listed is None:
             return None
         try:
-            return self._feed.changes(self._decoder.target_table, after, 0.0)
+            declarations = self._feed.changes(
+                self._decoder.declaration_table, declared, 0.0
+            )
+            if declarations.rows or declarations.removed:
+                return None
+            return self._feed.changes(self._decoder.target_table, listed, 0.0)
         except (errors.Unavailable, errors.HistoryLost) as exc:
             eliot.log_message("versions.not_checked", reason=str(exc))
             return None
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -312,6 +312,12 @@
             ):
                 gevent.sleep(0.01)
 
+    def declare(self, routes):
+        """Replaces the declaration by one with other routes."""
+        revision = self._decoder.declaration.revision + 1
+        self._decoder.declaration = gateway_parts.declaration(revision, routes)
+        self._put("declared//config")
+
     def list_targets(self, targets, started=1):
         """Registers targets, which started at the given time."""
         for target in targets:
--- /dev/null
+++ b/tests/cover/gateway/test_moved_routes.py
@@ -0,0 +1,133 @@
+"""Streams whose route changes before their clients resume them."""
+
+import gevent
+import pytest
+
+from endivepier.gateway import model
+from tests.common import gateway_fleet
+from tests.common import gateway_parts
+
+TIMEOUT = 0.4  # of the route; a stream may be resumed for two of them
+STREAMS = 12
+
+
+def make_route(*services, **changes):
+    backends = tuple(model.Backend(service, 1.0) for service in services)
+    values = {"timeout": TIMEOUT, "most_targets": 1, "backends": backends}
+    return gateway_parts.route(**{**values, **changes})
+
+
+@pytest.fixture
+def start():
+    fleets = []
+
+    def make(*services, hosts=6, **changes):
+        """Starts a fleet with targets of services "s" and "other"."""
+        route = make_route(*services, **changes)
+        fleet = gateway_fleet.Fleet([route], targets=1, hosts=hosts)
+        fleets.append(fleet)
+        fleet.service = "other"
+        fleet.add_target("v1")
+        for target in fleet.targets:
+            target.handler = target.cut_off_new_stream
+        gevent.sleep(2 * TIMEOUT + 0.2)  # the versions are known by then
+        return fleet
+
+    yield make
+    for fleet in fleets:
+        fleet.stop()
+
+
+def targets_that_ran(fleet, *calls):
+    return {
+        target.name
+        for target in fleet.targets
+        for request in target.received
+        if request.call in calls
+    }
+
+
+def begin_streams(fleet):
+    for n in range(STREAMS):
+        response = fleet.request(f"c{n}", host=0)
+        assert (response.status, response.complete) == (200, False)
+
+
+def resume_streams(fleet, hosts):
+    """Resumes all streams at some hosts; returns how many went on."""
+    statuses = []
+    for n in range(STREAMS):
+        response = fleet.request(
+            f"d{n}",
+            host=hosts[n % len(hosts)],
+            Resumes=f"c{n}",
+            Last_Event_Id="2",
+        )
+        statuses.append(response.status)
+        assert len(targets_that_ran(fleet, f"c{n}", f"d{n}")) == 1
+    assert set(statuses) <= {200, 503}
+    return statuses.count(200)
+
+
+# Each service had one version, so that no origin was recorded, and the service
+# to which the route leads now was taken for the one that began the stream.
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_a_stream_does_not_go_on_at_the_service_of_a_moved_route(
+    start, is_lost
+):
+    fleet = start("s")
+    begin_streams(fleet)
+    if is_lost:
+        fleet.kill_host(0)
+    fleet.declare([make_route("other")])
+    gevent.sleep(0.1)
+    assert resume_streams(fleet, range(1, 6)) == 0
+
+
+# A longer prefix takes a part of the paths from another route.
+def test_a_stream_does_not_go_on_at_the_service_of_a_new_route(start):
+    fleet = start("s")
+    begin_streams(fleet)
+    new = make_route("other", name="new", prefix="/a/1")
+    fleet.declare([make_route("s"), new])
+    gevent.sleep(0.1)
+    assert resume_streams(fleet, range(1, 6)) == 0
+
+
+# The last host that had not read the declaration took the old service.
+def test_a_host_that_lags_does_not_take_the_service_of_an_old_declaration(
+    start,
+):
+    fleet = start("s", hosts=2)
+    lagging = fleet.gateways[1].catalog
+    lagging.stop()
+    fleet.declare([make_route("other")])
+    gevent.sleep(0.1)
+    begin_streams(fleet)
+    fleet.kill_host(0)
+    assert resume_streams(fleet, [1]) == 0
+
+
+# The service was chosen anew, by the id of the request to resume.
+def test_a_stream_goes_on_at_its_service_if_weights_choose_services(start):
+    fleet = start("s", "other")
+    begin_streams(fleet)
+    gevent.sleep(0.1)  # the origins are sent
+    assert resume_streams(fleet, range(1, 6)) == STREAMS
+
+
+def test_a_stream_of_an_unknown_service_is_not_resumed(start):
+    fleet = start("s", "other", hosts=2)
+    begin_streams(fleet)
+    response = fleet.request("d", Resumes="unknown", Last_Event_Id="2")
+    assert response.status == 503
+
+
+def test_streams_go_on_beside_a_route_that_is_added(start):
+    fleet = start("s")
+    begin_streams(fleet)
+    fleet.kill_host(0)
+    new = make_route("other", name="new", prefix="/b/")
+    fleet.declare([make_route("s"), new])
+    gevent.sleep(0.1)
+    assert resume_streams(fleet, range(1, 6)) == STREAMS
--- a/tests/cover/gateway/test_rejoined_streams.py
+++ b/tests/cover/gateway/test_rejoined_streams.py
@@ -14,6 +14,7 @@
 from endivepier.gateway.streams import origins as stream_origins
 from endivepier.gateway.targets import catalog as catalog_lib
 from endivepier.gateway.targets import departures as departures_lib
+from endivepier.gateway.targets import route_history
 from endivepier.gateway.targets import version_check
 from endivepier.standins import clock
 from endivepier.standins import table as table_lib
@@ -125,7 +126,12 @@
             catalog, access, Decoder(), self.timers
         )
         self.origins[name] = stream_origins.StreamOrigins(
-            name, catalog, check, peers, self.timers
+            name,
+            catalog,
+            check,
+            route_history.RouteHistory(catalog, self.timers),
+            peers,
+            self.timers,
         )
 
     def put(self, *keys, value=b"ready"):
--- a/tests/cover/gateway/test_stream_origins.py
+++ b/tests/cover/gateway/test_stream_origins.py
@@ -20,6 +20,7 @@
         only: the only version of the last seconds, or None.
         in_store: versions of the targets in the store.
         read_seconds: how long a read from the store takes.
+        routes_kept: whether routes lead where they led.
     """
 
     def __init__(self, timers):
@@ -28,6 +29,7 @@
         self.only = "v1"
         self.in_store = {"v1"}
         self.read_seconds = 0.0
+        self.routes_kept = True
 
     def versions(self, service):
         return set(self.listed)
@@ -38,6 +40,10 @@
     def only_version(self, service, seconds):
         return self.only
 
+    def covers(self, seconds):
+        """Returns whether no route led elsewhere."""
+        return self.routes_kept
+
     def has_only(self, service, version):
         """Returns whether the store has no other version."""
         self.timers.sleep(self.read_seconds)
@@ -75,6 +81,7 @@
             name,
             self.catalogs[name],
             self.catalogs[name],
+            self.catalogs[name],
             self.peers[name],
             self.timers,
         )
