--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -206,13 +206,14 @@
         self.turns = self.kernel.register(
             "turns", turns_lib.TurnStore(store, timers)
         )
+        routes = route_history.RouteHistory(self.catalog, timers)
         origins = stream_origins.StreamOrigins(
             cfg.host,
             self.catalog,
             version_check.VersionCheck(
                 self.catalog, store, adapters.decoder, timers
             ),
-            route_history.RouteHistory(self.catalog, timers),
+            routes,
             self.peers,
             timers,
         )
@@ -265,7 +266,7 @@
                 choice,
                 guard,
                 turn_tokens.TurnTokens(self.budgets, store, timers),
-                stream_versions.StreamVersions(self.catalog, origins),
+                stream_versions.StreamVersions(self.catalog, origins, routes),
                 self.turns,
                 store,
                 timers,
--- a/src/endivepier/gateway/streams/versions.py
+++ b/src/endivepier/gateway/streams/versions.py
@@ -9,6 +9,7 @@
 from endivepier.gateway import model
 from endivepier.gateway.streams import origins as stream_origins
 from endivepier.gateway.targets import catalog as catalog_lib
+from endivepier.gateway.targets import route_history
 
 # A client may resume a stream until its own deadline, which usually equals the
 # timeout of the route.
@@ -22,9 +23,11 @@
         self,
         catalog: catalog_lib.Catalog,
         origins: stream_origins.StreamOrigins,
+        routes: route_history.RouteHistory,
     ) -> None:
         self._catalog = catalog
         self._origins = origins
+        self._routes = routes
 
     def set_begun(self, ctx: calls.CallContext, target: model.Target) -> None:
         """Restricts a call to the version that sends its first event."""
@@ -42,7 +45,8 @@
 
         Raises:
             errors.Refused: the origin is unknown or is no longer a service of
-                the route, or the route stores turns; the call has not run.
+                the route, or the route stores turns or did so lately; the
+                call has not run.
         """
         call = ctx.call
         if call.last_event is None:
@@ -68,6 +72,12 @@
             raise _not_resumable(
                 ctx, "its turn would be stored without the events before"
             )
+        if not ctx.route.resumable or self._routes.has_changed(
+            ctx.route, _max_stream_seconds(ctx)
+        ):
+            raise _not_resumable(
+                ctx, "its route does not, or did not, allow this"
+            )
         if origin.service not in [b.service for b in ctx.route.backends]:
             raise _not_resumable(
                 ctx, f"service {origin.service!r} no longer serves its route"
--- a/src/endivepier/gateway/targets/route_history.py
+++ b/src/endivepier/gateway/targets/route_history.py
@@ -24,6 +24,8 @@
         self._revision: int | None = None
         self._routes: Routes = {}
         self._followed_since: float | None = None
+        # When the kind of a route's streams changed, by host and prefix.
+        self._changed_at: dict[tuple[str, str], float] = {}
         catalog.subscribe(self._note_declaration)
 
     def covers(self, seconds: float) -> bool:
@@ -31,6 +33,18 @@
         since = self._followed_since
         return since is not None and self._timers.now() - since >= seconds
 
+    def has_changed(self, route: model.Route, seconds: float) -> bool:
+        """Returns whether streams of a route lately had other properties.
+
+        Args:
+            route: a route of the declaration in force.
+            seconds: the period, up to now.
+        """
+        changed_at = self._changed_at.get((route.host, route.prefix))
+        return (
+            changed_at is not None and self._timers.now() - changed_at < seconds
+        )
+
     def _note_declaration(self) -> None:
         declaration = self._catalog.declaration
         assert declaration is not None
@@ -43,9 +57,18 @@
             self._followed_since = now
         for key, route in routes.items():
             former = self._find_former(*key)
-            # Without one, its requests were not allowed.
-            if former is not None and former.backends != route.backends:
+            if former is None:
+                continue  # its requests were not allowed
+            if former.backends != route.backends:
                 self._followed_since = now
+            if (former.resumable, former.retained) != (
+                route.resumable,
+                route.retained,
+            ):
+                self._changed_at[key] = now
+        self._changed_at = {
+            key: at for key, at in self._changed_at.items() if key in routes
+        }
         self._revision = declaration.revision
         self._routes = routes
 
--- a/tests/cover/gateway/test_moved_routes.py
+++ b/tests/cover/gateway/test_moved_routes.py
@@ -131,3 +131,20 @@
     fleet.declare([make_route("s"), new])
     gevent.sleep(0.1)
     assert resume_streams(fleet, range(1, 6)) == STREAMS
+
+
+# A target had got all earlier turns with the request that began the stream, and
+# only the client's input with the one that resumed it.
+def test_a_turn_is_not_resumed_after_its_route_ceased_to_store_turns(start):
+    fleet = start("s", hosts=2, retained=True, resumable=False)
+    begin_streams(fleet)
+    fleet.declare([make_route("s")])
+    gevent.sleep(0.1)
+    assert resume_streams(fleet, [0, 1]) == 0
+
+
+# Nor was it asked whether its route allows it.
+def test_a_stream_is_not_resumed_on_a_route_without_this(start):
+    fleet = start("s", hosts=2, resumable=False)
+    begin_streams(fleet)
+    assert resume_streams(fleet, [0, 1]) == 0
