origins: a renamed route may choose another service (ORDER)

What callers saw: as in "a stream does not go on at another service", on a route with several services that got another name. Its name is a part of what chooses the service of a program, so that all programs were divided anew.

One test failed before and passes now.

--- a/src/endivepier/gateway/targets/route_history.py
+++ b/src/endivepier/gateway/targets/route_history.py
@@ -59,7 +59,7 @@
             former = self._find_former(*key)
             if former is None:
                 continue  # its requests were not allowed
-            if former.backends != route.backends:
+            if _choice(former) != _choice(route):
                 self._followed_since = now
             if (former.resumable, former.retained) != (
                 route.resumable,
@@ -79,3 +79,9 @@
             if route is not None:
                 return route
         return None
+
+
+def _choice(route: model.Route) -> tuple[tuple[model.Backend, ...], str]:
+    """Returns what decides which service a call of a program is sent to."""
+    name = route.name if len(route.backends) > 1 else ""
+    return route.backends, name
--- a/tests/cover/gateway/test_moved_routes.py
+++ b/tests/cover/gateway/test_moved_routes.py
@@ -47,13 +47,13 @@
     }
 
 
-def begin_streams(fleet):
+def begin_streams(fleet, **headers):
     for n in range(STREAMS):
-        response = fleet.request(f"c{n}", host=0)
+        response = fleet.request(f"c{n}", host=0, **headers)
         assert (response.status, response.complete) == (200, False)
 
 
-def resume_streams(fleet, hosts):
+def resume_streams(fleet, hosts, **headers):
     """Resumes all streams at some hosts; returns how many went on."""
     statuses = []
     for n in range(STREAMS):
@@ -62,6 +62,7 @@
             host=hosts[n % len(hosts)],
             Resumes=f"c{n}",
             Last_Event_Id="2",
+            **headers,
         )
         statuses.append(response.status)
         assert len(targets_that_ran(fleet, f"c{n}", f"d{n}")) == 1
@@ -116,6 +117,20 @@
     assert resume_streams(fleet, range(1, 6)) == STREAMS
 
 
+# The name of a route is a part of what chooses the service of a program.
+def test_a_stream_does_not_go_on_at_the_service_of_a_renamed_route(start):
+    fleet = start("s", "other")
+    begin_streams(fleet, Program_Id="p1")
+    ran = targets_that_ran(fleet, "c0")
+    for n in range(8):
+        fleet.declare([make_route("s", "other", name=f"new{n}")])
+        gevent.sleep(0.1)
+        fleet.request(f"e{n}", host=1, Program_Id="p1")
+        if targets_that_ran(fleet, f"e{n}") != ran:
+            break
+    resume_streams(fleet, range(1, 6), Program_Id="p1")
+
+
 def test_a_stream_of_an_unknown_service_is_not_resumed(start):
     fleet = start("s", "other", hosts=2)
     begin_streams(fleet)
