--- a/src/endivepier/gateway/targets/liveness.py
+++ b/src/endivepier/gateway/targets/liveness.py
@@ -135,5 +135,10 @@
         except BaseException:
             conn.close()
             raise
+        if self._dialect.decode_head(head).call:
+            conn.close()
+            raise http_errors.ExchangeBroken(
+                "a late response to an earlier call arrived"
+            )
         self._pool.release(target.incarnation, conn)
         return self._dialect.decode_status(head, body)
--- a/tests/cover/gateway/test_target_liveness.py
+++ b/tests/cover/gateway/test_target_liveness.py
@@ -114,6 +114,21 @@
     assert len(asked) == 2
 
 
+# A late response to an earlier call, of which its connection delivered the last
+# bytes after the target had been killed.
+def test_a_late_response_does_not_show_that_a_target_runs(start):
+    fleet = start()
+    (target,) = fleet.targets
+
+    def respond_late(request, responder):
+        responder.send(200, [(b"Attempt-Id", b"earlier")], b"late")
+        responder.connection.close()
+        target.status_handler = lambda *_: gevent.sleep(3)
+
+    stop_after_two_events(target, handle_status=respond_late)
+    assert not fleet.request().complete
+
+
 def test_a_target_is_not_asked_about_responses_with_chunks(start):
     fleet = start()
     assert fleet.request().complete
