--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -49,6 +49,7 @@
 from endivepier.gateway.targets import limit_reports
 from endivepier.gateway.targets import liveness as target_liveness
 from endivepier.gateway.targets import rates as target_rates
+from endivepier.gateway.targets import route_history
 from endivepier.gateway.targets import tokens as rate_tokens
 from endivepier.gateway.targets import version_check
 from endivepier.http1 import buffers as buffers_lib
@@ -205,12 +206,14 @@
         self.turns = self.kernel.register(
             "turns", turns_lib.TurnStore(store, timers)
         )
+        routes = route_history.RouteHistory(self.catalog, timers)
         origins = stream_origins.StreamOrigins(
             cfg.host,
             self.catalog,
             version_check.VersionCheck(
                 self.catalog, store, adapters.decoder, timers
             ),
+            routes,
             self.peers,
             timers,
         )
@@ -263,7 +266,7 @@
                 choice,
                 guard,
                 turn_tokens.TurnTokens(self.budgets, store, timers),
-                stream_versions.StreamVersions(self.catalog, origins),
+                stream_versions.StreamVersions(self.catalog, origins, routes),
                 self.turns,
                 store,
                 timers,
