origins: only routes that led elsewhere keep streams from going on

Change: the history notes by service when a path that had led elsewhere came to lead to it, also from a route that was removed, or was removed and declared again. A declaration that was replaced before a host read it is not known; the service whose streams it began has recorded them at its hosts, which did read it.

--- a/src/endivepier/gateway/streams/origins.py
+++ b/src/endivepier/gateway/streams/origins.py
@@ -207,7 +207,7 @@
 
     def _only_version(self, service: str, seconds: float) -> str | None:
         """Returns the version that began all streams of late, or None."""
-        if not self._routes.covers(seconds):
+        if not self._routes.covers(service, seconds):
             return None
         return self._catalog.only_version(service, seconds)
 
--- a/tests/cover/gateway/test_moved_routes.py
+++ b/tests/cover/gateway/test_moved_routes.py
@@ -138,6 +138,32 @@
     assert response.status == 503
 
 
+# The route is unknown in between, so that nothing tells where it led.
+def test_a_stream_does_not_go_on_at_the_service_of_a_route_that_came_back(
+    start,
+):
+    fleet = start("s")
+    begin_streams(fleet)
+    fleet.kill_host(0)
+    for routes in ([], [make_route("other")]):
+        fleet.declare(routes)
+        gevent.sleep(0.05)
+    assert resume_streams(fleet, range(1, 6)) == 0
+
+
+# Routes come and go all the time, which must not stop the streams of others.
+def test_streams_go_on_beside_a_route_that_is_removed(start):
+    fleet = start("s")
+    new = make_route("other", name="new", prefix="/b/")
+    fleet.declare([make_route("s"), new])
+    gevent.sleep(2 * TIMEOUT + 0.2)
+    begin_streams(fleet)
+    fleet.kill_host(0)
+    fleet.declare([make_route("s")])
+    gevent.sleep(0.1)
+    assert resume_streams(fleet, range(1, 6)) == STREAMS
+
+
 def test_streams_go_on_beside_a_route_that_is_added(start):
     fleet = start("s")
     begin_streams(fleet)
