Random histories of streams while versions come back

Three versions that come, go and come back, hosts that start more often and feeds that are late for up to 2.5 s.

--- a/tests/cover/gateway/test_rejoined_streams.py
+++ b/tests/cover/gateway/test_rejoined_streams.py
@@ -312,3 +312,54 @@
                 fleet.take_up(call, rng.choice(fleet.hosts))
     assert fleet.outcomes["joined"] == 0
     assert fleet.outcomes["kept"] > 0
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_no_stream_is_joined_while_versions_come_back(seed):
+    """As above, with three versions that come, go and come back, some at once.
+
+    Hosts start more often, and their feeds are late for longer.
+    """
+    fleet = Fleet(seed=seed)
+    rng = fleet.rng
+    fleet.timers.advance(2 * PERIOD)
+    for step in range(400):
+        fleet.timers.advance(rng.choice((0.02, 0.1, 0.4)))
+        now = fleet.timers.now()
+        host = rng.choice(fleet.hosts)
+        version = f"v{rng.randrange(1, 4)}"
+        match rng.randrange(44):
+            case 0:
+                numbers = rng.choices(range(3), k=2)
+                fleet.put(*[f"targets//{version}-{n}" for n in {*numbers}])
+            case 1 | 2:
+                keys = [k for k in fleet.rows() if f"//{version}-" in k]
+                if len(keys) < len(fleet.rows()):
+                    fleet.delete(*keys)
+            case 3:
+                fleet.table.lose_history()
+            case 4:
+                fleet.access[host].late_until = now + rng.uniform(0.2, 2.5)
+            case 5:
+                fleet.access[host].refused_until = now + rng.uniform(0.5, 4.0)
+            case 6 | 7 | 8:
+                fleet.start(host)
+            case 9 if step % 3 == 0:
+                for name in fleet.hosts:
+                    fleet.start(name)
+            case 10:
+                fleet.put(f"targets//{version}-9")
+                fleet.timers.advance(rng.choice((0.1, 0.3)))
+                for n in range(5):
+                    fleet.begin(f"b{step}-{n}", rng.choice(fleet.hosts))
+                fleet.timers.advance(rng.choice((0.02, 0.3)))
+                fleet.delete(f"targets//{version}-9")
+        fleet.begin(f"c{step}", rng.choice(fleet.hosts))
+        now = fleet.timers.now()
+        for call, (_, begun_at) in list(fleet.begun.items()):
+            if now - begun_at > TIMEOUT:
+                del fleet.begun[call]
+            elif rng.random() < 0.1:
+                fleet.take_up(call, rng.choice(fleet.hosts))
+    assert fleet.outcomes["joined"] == 0
+    assert fleet.outcomes["kept"] > 0
