--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real entry hosts on loopback, with faults from outside."""
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,382 @@
+"""The processes of a run: the store, targets and entry hosts."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import functools
+import json
+import os
+import pathlib
+import random
+import shlex
+import socket
+import subprocess
+import sys
+import time
+import tomllib
+from typing import Any
+
+from soak import proxy
+from soak import records
+from soak import settings as settings_lib
+from soak import shapes
+from soak import wire
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+DATA_CENTRES = ("luz-a", "luz-b", "luz-c")
+REGION = "ph-luzon"
+GRACE_SECONDS = 8
+RATE_TOLERANCE = 20
+START_SECONDS = 30.0
+STORE_SECONDS = 1.0
+SETTLE_SECONDS = 1.0  # until the hosts know each other
+MAX_PROXIES = 8  # hosts that reach the store by a proxy
+
+
+class NotRun(Exception):
+    """Raised if a run can't be judged."""
+
+
+@dataclasses.dataclass
+class Host:
+    """An entry host; the same one after a restart of its process."""
+
+    name: str
+    ip: str
+    data_centre: str
+    clients: str
+    ready: str
+    port: int
+    log: pathlib.Path
+    store: proxy.Proxy | None = None
+    process: subprocess.Popen[bytes] | None = None
+    is_busy: bool = False  # a fault ends and starts it
+    is_first_start: bool = True
+
+    @property
+    def is_running(self) -> bool:
+        """Whether its process runs."""
+        return self.process is not None and self.process.poll() is None
+
+
+@dataclasses.dataclass
+class Target:
+    """A run of a target."""
+
+    settings: settings_lib.Settings
+    process: subprocess.Popen[bytes]
+    is_leaving: bool = False  # a fault ends it
+
+    def signal(self, number: int) -> None:
+        """Sends a signal, if it still runs."""
+        self.process.send_signal(number)
+
+
+class Fleet:
+    """Starts and ends the processes; keeps their logs and records."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        tree: pathlib.Path,
+        shape: shapes.Shape,
+        seed: str,
+        framings: list[str],
+    ) -> None:
+        self.hosts: list[Host] = []
+        self.targets: list[Target] = []
+        self.versions = dict.fromkeys(shapes.SERVICES, 1)
+        self.shape = shape
+        self._folder = folder
+        self._tree = tree
+        self._framings = framings
+        self._seed = seed
+        self._ids = random.Random(f"{seed}/ids")
+        second = os.getpid() % 200 + 20
+        self._network = f"127.{second}"
+        self._host_count = 0
+        self._target_count = 0
+        self._config = 0
+        self._services = {
+            route.name: shapes.SERVICES[0] for route in shape.routes
+        }
+        ip = f"{self._network}.250.1"
+        self._store = f"{ip}:{free_port(ip)}"
+        self._writers = f"{ip}:{free_port(ip)}"
+        self._processes: list[subprocess.Popen[bytes]] = []
+        self._proxies: list[proxy.Proxy] = []
+
+    async def start(self, host_count: int, target_counts: list[int]) -> None:
+        """Starts everything, and waits until the hosts are ready.
+
+        Args:
+            host_count: how many entry hosts.
+            target_counts: how many targets each service has.
+        """
+        self._start_module("harness.store", self._store, self._writers)
+        await _wait_until(lambda: is_listening(self._writers), "the store")
+        await self.write_config({})
+        for service, count in zip(shapes.SERVICES, target_counts, strict=True):
+            for _ in range(count):
+                self.start_target(service, "v1")
+        for one in self.targets:
+            address = one.settings.address
+            await _wait_until(
+                functools.partial(is_listening, address), "a target"
+            )
+        for _ in range(host_count):
+            host = self.add_host()
+            if len(self.hosts) <= MAX_PROXIES:
+                host.store = proxy.Proxy(self._store)
+                await host.store.start(host.ip)
+                self._proxies.append(host.store)
+            self.start_host(host)
+        for host in self.hosts:
+            await _wait_until(functools.partial(is_ready, host), host.name)
+        await asyncio.sleep(SETTLE_SECONDS)
+
+    async def end_proxies(self) -> None:
+        """Ends the proxies, which run in the event loop."""
+        for one in self._proxies:
+            await one.end()
+
+    def end(self) -> None:
+        """Ends all processes."""
+        for process in self._processes:
+            if process.poll() is None:
+                process.kill()
+        for process in self._processes:
+            process.wait()
+
+    def add_host(self) -> Host:
+        """Adds an entry host, which is not started yet."""
+        number = self._host_count
+        self._host_count += 1
+        zone = DATA_CENTRES[number % len(DATA_CENTRES)]
+        name = f"edge-{zone}-{number // len(DATA_CENTRES) + 1}"
+        ip = f"{self._network}.{number // 200}.{number % 200 + 1}"
+        host = Host(
+            name=name,
+            ip=ip,
+            data_centre=zone,
+            clients=f"{ip}:{free_port(ip)}",
+            ready=f"{ip}:{free_port(ip)}",
+            port=free_port(ip),
+            log=self._folder / f"{name}.log",
+        )
+        self.hosts.append(host)
+        return host
+
+    def start_host(self, host: Host) -> None:
+        """Starts the process of an entry host with the deploy file's command.
+
+        A tree without a build of its own runs with this interpreter and its
+        packages.
+        """
+        settings = {
+            "host": host.name,
+            "ip": host.ip,
+            "data_centre": host.data_centre,
+            "listen": {"clients": host.clients, "ready": host.ready},
+            "internal_ports": [host.port, host.port],
+            "store": self._store if host.store is None else host.store.address,
+            "grace_seconds": GRACE_SECONDS,
+            "rate_tolerance": RATE_TOLERANCE,
+            "regions": dict.fromkeys(DATA_CENTRES, REGION),
+            "is_first_start": host.is_first_start,
+        }
+        host.is_first_start = False
+        path = self._folder / f"{host.name}.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        deploy = tomllib.loads((self._tree / "deploy/system.toml").read_text())
+        command = shlex.split(deploy["roles"]["entry"]["run"])
+        env = _environment()
+        dependencies = self._tree / "target/deps"
+        if (dependencies / ".installed").exists():
+            env["PYTHONPATH"] = str(dependencies)
+        else:
+            command[0] = sys.executable
+        env["ENDIVEPIER_SETTINGS"] = str(path)
+        with host.log.open("ab") as log:
+            host.process = subprocess.Popen(
+                command, cwd=self._tree, env=env, stdout=log, stderr=log
+            )
+        self._processes.append(host.process)
+
+    def start_target(
+        self,
+        service: str,
+        version: str,
+        like: settings_lib.Settings | None = None,
+    ) -> Target:
+        """Starts a target.
+
+        Args:
+            service: name of its service.
+            version: of its software.
+            like: settings of a target whose id or address it takes, if any;
+                the fields that differ are set by the caller.
+        """
+        number = self._target_count
+        self._target_count += 1
+        seed = f"{self._seed}/target/{number}"
+        if like is None:
+            ip = f"{self._network}.{100 + number // 200}.{number % 200 + 1}"
+            settings = settings_lib.Settings(
+                id=self.new_id(),
+                service=service,
+                address=f"{ip}:{free_port(ip)}",
+                zone=DATA_CENTRES[number % len(DATA_CENTRES)],
+                store=self._writers,
+                record=str(self._folder / f"target-{number}.jsonl"),
+                version=version,
+                slots=self.shape.slots,
+                queue=self.shape.queue,
+                framings=self._framings,
+                seed=seed,
+                exit_seconds=random.Random(seed).choice((0.0, 0.0, 4.0)),
+            )
+        else:
+            settings = dataclasses.replace(
+                like,
+                version=version,
+                record=str(self._folder / f"target-{number}.jsonl"),
+                seed=seed,
+            )
+        document = json.dumps(dataclasses.asdict(settings))
+        process = self._start_module("soak.target", document)
+        started = Target(settings, process)
+        self.targets.append(started)
+        return started
+
+    def new_id(self) -> str:
+        """Returns an id for a target."""
+        return f"i-{self._ids.getrandbits(40):010x}"
+
+    async def remove_row(self, id: str) -> None:
+        """Removes a target's row, also if the store is away for a while."""
+        call = {"remove": [{"table": "servers", "part": "", "key": id}]}
+        await self._write(call)
+
+    async def write_config(self, moved: dict[str, str]) -> None:
+        """Writes a configuration.
+
+        Args:
+            moved: the new services of routes.
+        """
+        self._config += 3
+        self._services |= moved
+        await self._write(
+            shapes.encode_config(self.shape, self._config, self._services)
+        )
+
+    def service(self, route: str) -> str:
+        """Returns the service that a route has now."""
+        return self._services[route]
+
+    async def _write(self, call: dict[str, Any]) -> None:
+        path = "/endivepier/rows-tx"
+        for _ in range(10):
+            status, body = await wire.ask(
+                self._writers, "POST", path, call, STORE_SECONDS
+            )
+            if status == 200:
+                return
+            await asyncio.sleep(0.2)
+        raise NotRun(f"the store refused {call}: {status} {body!r}")
+
+    def runs(self) -> list[records.Run]:
+        """Returns what all targets have recorded."""
+        lines = []
+        for path in self._folder.glob("target-*.jsonl"):
+            text = path.read_text(encoding="utf-8")
+            # The last line of a target that was killed may lack its end.
+            lines += [json.loads(line) for line in text.split("\n")[:-1]]
+        return decode_runs(lines)
+
+    def _start_module(self, module: str, *args: str) -> subprocess.Popen[bytes]:
+        env = _environment()
+        env["PYTHONPATH"] = os.pathsep.join((str(ROOT), str(ROOT / "review")))
+        with (self._folder / "stand-ins.log").open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *args],
+                cwd=ROOT,
+                env=env,
+                stdout=log,
+                stderr=log,
+            )
+        self._processes.append(process)
+        return process
+
+
+def decode_runs(lines: list[dict[str, Any]]) -> list[records.Run]:
+    """Returns the runs of the lines of targets' records."""
+    runs: dict[tuple[str, int, str], records.Run] = {}
+    finished = []
+    for line in lines:
+        key = (line["target"], line["born"], line["attempt"])
+        match line["event"]:
+            case "begun":
+                if key in runs:
+                    finished.append(runs[key])
+                runs[key] = records.Run(
+                    target=line["target"],
+                    version=line["version"],
+                    born=line["born"],
+                    attempt=line["attempt"],
+                    at=line["at"],
+                    last_event=line["last_event"],
+                    body=line["body"],
+                    framing=line["framing"],
+                )
+            case "event":
+                runs[key].sent = line["id"]
+            case end:
+                runs[key].end = end
+    return [*finished, *runs.values()]
+
+
+def _environment() -> dict[str, str]:
+    """Returns the variables that all processes get."""
+    names = ("PATH", "HOME", "LANG")
+    env = {name: os.environ[name] for name in names if name in os.environ}
+    env["PYTHONDONTWRITEBYTECODE"] = "1"
+    return env
+
+
+def free_port(ip: str) -> int:
+    """Returns a port that nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind((ip, 0))
+        return int(sock.getsockname()[1])
+
+
+async def is_listening(address: str) -> bool:
+    """Returns whether an address accepts connections."""
+    try:
+        conn = await wire.connect(address)
+    except (OSError, TimeoutError):
+        return False
+    conn.close()
+    return True
+
+
+async def is_ready(host: Host) -> bool:
+    """Returns whether an entry host may get new connections."""
+    status, _ = await wire.ask(
+        host.ready, "GET", "/endivepier/readyz", None, 1.0
+    )
+    return status == 200
+
+
+async def _wait_until(
+    condition: Callable[[], Awaitable[bool]], what: str
+) -> None:
+    deadline = time.monotonic() + START_SECONDS
+    while not await condition():
+        if time.monotonic() > deadline:
+            raise NotRun(f"{what} was not ready in {START_SECONDS} s")
+        await asyncio.sleep(0.05)
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,97 @@
+"""A proxy on asyncio whose connections can be disturbed."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from soak import wire
+
+READ_BYTES = 65_536
+
+
+class Proxy:
+    """Forwards connections, unless it is silent, slow or refuses them.
+
+    Attributes:
+        delay: seconds by which all bytes are late.
+    """
+
+    def __init__(self, upstream: str) -> None:
+        self.address = ""
+        self.delay = 0.0
+        self._upstream = upstream
+        self._is_silent = False
+        self._is_refusing = False
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, ip: str) -> None:
+        """Starts to accept connections."""
+        self._server = await asyncio.start_server(self._serve, ip, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{ip}:{port}"
+
+    def be_silent(self) -> None:
+        """Stops forwarding; what is read from now on is lost."""
+        self._is_silent = True
+
+    def cut(self) -> None:
+        """Resets all connections, and new ones until `go_on`."""
+        self._is_refusing = True
+        self.reset()
+
+    def reset(self) -> None:
+        """Resets all connections; new ones work."""
+        for writer in list(self._writers):
+            wire.reset(writer)
+
+    def go_on(self) -> None:
+        """Forwards again; connections that were silent are reset."""
+        if self._is_silent:
+            self.reset()
+        self._is_silent = self._is_refusing = False
+        self.delay = 0.0
+
+    async def end(self) -> None:
+        """Closes all connections and accepts no more."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+        while self._writers:
+            await asyncio.sleep(0.01)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._is_refusing:
+            wire.reset(writer)
+            return
+        host, _, port = self._upstream.rpartition(":")
+        try:
+            upstream = await asyncio.open_connection(host, int(port))
+        except OSError:
+            wire.reset(writer)
+            return
+        pair = {writer, upstream[1]}
+        self._writers |= pair
+        ways = ((reader, upstream[1]), (upstream[0], writer))
+        tasks = [asyncio.create_task(self._copy(*way)) for way in ways]
+        try:
+            await asyncio.wait(tasks)
+        finally:
+            self._writers -= pair
+            for end in pair:
+                end.close()
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(READ_BYTES):
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                if not self._is_silent:
+                    writer.write(data)
+                    await writer.drain()
+        writer.close()
