--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -57,8 +57,9 @@
         """Closes all connections and accepts no more."""
         if self._server is not None:
             self._server.close()
-        self.reset()
+        self._is_refusing = True
         while self._writers:
+            self.reset()  # also those that were just being opened
             await asyncio.sleep(0.01)
 
     async def _serve(
@@ -73,6 +74,10 @@
         except OSError:
             wire.reset(writer)
             return
+        if self._is_refusing:
+            wire.reset(writer)
+            wire.reset(upstream[1])
+            return
         pair = {writer, upstream[1]}
         self._writers |= pair
         ways = ((reader, upstream[1]), (upstream[0], writer))
