--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -77,6 +77,11 @@
         default=fleet_lib.ROOT,
         help="the repository whose entry hosts run",
     )
+    parser.add_argument(
+        "--no-build",
+        action="store_true",
+        help="run entry hosts with this interpreter and its packages",
+    )
     parser.add_argument(
         "--framing",
         default=",".join(settings_lib.Framing),
@@ -115,6 +120,7 @@
             seconds=cfg.seconds,
             shape=shape,
             tree=cfg.tree.resolve(),
+            uses_build=not cfg.no_build,
             framings=tuple(cfg.framing.split(",")),
             faults=frozenset(filter(None, cfg.faults.split(","))),
             host_count=cfg.hosts or shape.host_count,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -31,7 +31,7 @@
 GRACE_SECONDS = 8
 RATE_TOLERANCE = 20
 START_SECONDS = 30.0
-STORE_SECONDS = 1.0
+STORE_SECONDS = 3.0
 SETTLE_SECONDS = 1.0  # until the hosts know each other
 MAX_PROXIES = 8  # hosts that reach the store by a proxy
 
@@ -85,6 +85,8 @@
         shape: shapes.Shape,
         seed: str,
         framings: list[str],
+        *,
+        uses_build: bool,
     ) -> None:
         self.hosts: list[Host] = []
         self.targets: list[Target] = []
@@ -93,6 +95,7 @@
         self._folder = folder
         self._tree = tree
         self._framings = framings
+        self._uses_build = uses_build
         self._seed = seed
         self._ids = random.Random(f"{seed}/ids")
         second = os.getpid() % 200 + 20
@@ -173,7 +176,7 @@
     def start_host(self, host: Host) -> None:
         """Starts the process of an entry host with the deploy file's command.
 
-        A tree without a build of its own runs with this interpreter and its
+        Without the tree's build, it runs with this interpreter and its
         packages.
         """
         settings = {
@@ -194,9 +197,8 @@
         deploy = tomllib.loads((self._tree / "deploy/system.toml").read_text())
         command = shlex.split(deploy["roles"]["entry"]["run"])
         env = _environment()
-        dependencies = self._tree / "target/deps"
-        if (dependencies / ".installed").exists():
-            env["PYTHONPATH"] = str(dependencies)
+        if self._uses_build:
+            env["PYTHONPATH"] = str(self._tree / "target/deps")
         else:
             command[0] = sys.executable
         env["ENDIVEPIER_SETTINGS"] = str(path)
--- a/soak/run.py
+++ b/soak/run.py
@@ -22,7 +22,8 @@
 from soak import shapes
 
 SPARE_TARGETS = 2  # of the second service, which routes are moved to
-END_SECONDS = 20.0  # until the last streams have ended
+BUILT = "target/deps/.installed"  # as the deploy file's build leaves it
+END_SECONDS = 60.0  # until the last streams have ended
 NEAR_SECONDS = 1.5  # faults so long before a part or so are listed with it
 
 
@@ -35,6 +36,7 @@
         seconds: how long callers begin streams.
         shape: the deployment.
         tree: the repository whose entry hosts run.
+        uses_build: whether they use its build instead of this interpreter.
         framings: how targets' responses end.
         faults: the series of faults to draw from.
         host_count: how many entry hosts.
@@ -47,6 +49,7 @@
     seconds: float
     shape: shapes.Shape
     tree: pathlib.Path
+    uses_build: bool
     framings: tuple[str, ...]
     faults: frozenset[str]
     host_count: int
@@ -78,12 +81,19 @@
     """Plays a run.
 
     Raises:
-        fleet.NotRun: it can't be judged.
+        fleet.NotRun: it can't be judged, such as since nothing happened.
     """
+    if options.uses_build and not (options.tree / BUILT).exists():
+        raise fleet_lib.NotRun(f"{options.tree} has no build: no file {BUILT}")
     folder = pathlib.Path(tempfile.mkdtemp(prefix="endivepier-soak-"))
     seed = f"{options.shape.name}/{options.seed}"
     fleet = fleet_lib.Fleet(
-        folder, options.tree, options.shape, seed, list(options.framings)
+        folder,
+        options.tree,
+        options.shape,
+        seed,
+        list(options.framings),
+        uses_build=options.uses_build,
     )
     player = player_lib.Player(fleet)
     faults = plan.draw(f"{seed}/faults", options.seconds, options.faults)
@@ -96,6 +106,11 @@
         streams = [stream for one in callers for stream in one.streams]
         runs = fleet.runs()
         violations = checker.check(streams, runs)
+        counts = _count(streams, runs)
+        if not counts["complete"] or (faults and not player.played):
+            raise fleet_lib.NotRun(
+                f"nothing to judge: {counts}, faults {player.played}"
+            )
         lines = [
             line
             for violation in violations
@@ -106,7 +121,7 @@
             kept_in = options.keep / f"{options.shape.name}-{options.seed}"
             _keep(folder, kept_in, faults, player, streams, lines)
         return Result(
-            counts=_count(streams, runs),
+            counts=counts,
             faults=dict(sorted(player.played.items())),
             violations=violations,
             lines=lines,
