--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,6 +6,7 @@
 import collections
 from collections.abc import Iterator
 import pathlib
+import signal
 import sys
 
 from soak import fleet as fleet_lib
@@ -28,6 +29,8 @@
         The exit code.
     """
     cfg = _parse(args)
+    # So that a run that is stopped ends its processes as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     worst = EXIT_HELD
     for options in _options(cfg):
         name = f"seed {options.seed} {options.shape.name}"
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -193,6 +193,8 @@
         """Returns a connection that is open, or a new one."""
         conn = self._conns.get(address)
         if conn is None or not conn.is_open:
+            if conn is not None:
+                conn.close()
             conn = self._conns[address] = await wire.connect(address)
         return conn
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -33,7 +33,7 @@
 START_SECONDS = 30.0
 STORE_SECONDS = 3.0
 SETTLE_SECONDS = 1.0  # until the hosts know each other
-MAX_PROXIES = 8  # hosts that reach the store by a proxy
+MAX_PROXIED = 8  # hosts whose connections go by proxies, of the first ones
 
 
 class NotRun(Exception):
@@ -51,6 +51,7 @@
     ready: str
     port: int
     log: pathlib.Path
+    view: int = 0  # its own view of the store, if any
     store: proxy.Proxy | None = None
     process: subprocess.Popen[bytes] | None = None
     is_busy: bool = False  # a fault ends and starts it
@@ -76,7 +77,16 @@
 
 
 class Fleet:
-    """Starts and ends the processes; keeps their logs and records."""
+    """Starts and ends the processes; keeps their logs and records.
+
+    Attributes:
+        hosts: the entry hosts.
+        targets: the targets, also some that are ending.
+        versions: number of the newest software version of each service.
+        shape: the deployment.
+        links: the proxies between two hosts, by the names of the one that
+            opens the connections and the other one.
+    """
 
     def __init__(
         self,
@@ -92,6 +102,7 @@
         self.targets: list[Target] = []
         self.versions = dict.fromkeys(shapes.SERVICES, 1)
         self.shape = shape
+        self.links: dict[tuple[str, str], proxy.Proxy] = {}
         self._folder = folder
         self._tree = tree
         self._framings = framings
@@ -107,7 +118,8 @@
             route.name: shapes.SERVICES[0] for route in shape.routes
         }
         ip = f"{self._network}.250.1"
-        self._store = f"{ip}:{free_port(ip)}"
+        # The address of the store for all hosts, and for each proxied one.
+        self._stores = [f"{ip}:{free_port(ip)}" for _ in range(MAX_PROXIED + 1)]
         self._writers = f"{ip}:{free_port(ip)}"
         self._processes: list[subprocess.Popen[bytes]] = []
         self._proxies: list[proxy.Proxy] = []
@@ -119,7 +131,9 @@
             host_count: how many entry hosts.
             target_counts: how many targets each service has.
         """
-        self._start_module("harness.store", self._store, self._writers)
+        self._start_module(
+            "soak.store", self._writers, self._network, *self._stores
+        )
         await _wait_until(lambda: is_listening(self._writers), "the store")
         await self.write_config({})
         for service, count in zip(shapes.SERVICES, target_counts, strict=True):
@@ -131,11 +145,8 @@
                 functools.partial(is_listening, address), "a target"
             )
         for _ in range(host_count):
-            host = self.add_host()
-            if len(self.hosts) <= MAX_PROXIES:
-                host.store = proxy.Proxy(self._store)
-                await host.store.start(host.ip)
-                self._proxies.append(host.store)
+            await self.add_host()
+        for host in self.hosts:
             self.start_host(host)
         for host in self.hosts:
             await _wait_until(functools.partial(is_ready, host), host.name)
@@ -154,13 +165,13 @@
         for process in self._processes:
             process.wait()
 
-    def add_host(self) -> Host:
+    async def add_host(self) -> Host:
         """Adds an entry host, which is not started yet."""
         number = self._host_count
         self._host_count += 1
         zone = DATA_CENTRES[number % len(DATA_CENTRES)]
         name = f"edge-{zone}-{number // len(DATA_CENTRES) + 1}"
-        ip = f"{self._network}.{number // 200}.{number % 200 + 1}"
+        ip = f"{self._network}.0.{number + 1}"
         host = Host(
             name=name,
             ip=ip,
@@ -170,9 +181,40 @@
             port=free_port(ip),
             log=self._folder / f"{name}.log",
         )
+        if number < MAX_PROXIED:
+            # It reads the store's rows at an address of its own.
+            host.view = number + 1
+            host.store = await self._start_proxy(
+                self._stores[host.view], host.ip
+            )
+        for other in self.hosts:
+            await self._link(host, other)
+            await self._link(other, host)
         self.hosts.append(host)
         return host
 
+    async def _link(self, host: Host, other: Host) -> None:
+        """Starts the proxy for the connections that a host opens to another.
+
+        Its address is the one that the host reads in the store.
+        """
+        if not host.view:
+            return
+        prefix = f"{self._network}.0."
+        ip = other.ip.replace(prefix, f"{self._network}.{host.view}.")
+        if ip != other.ip:
+            self.links[host.name, other.name] = await self._start_proxy(
+                f"{other.ip}:{other.port}", ip, other.port
+            )
+
+    async def _start_proxy(
+        self, upstream: str, ip: str, port: int = 0
+    ) -> proxy.Proxy:
+        started = proxy.Proxy(upstream)
+        await started.start(ip, port)
+        self._proxies.append(started)
+        return started
+
     def start_host(self, host: Host) -> None:
         """Starts the process of an entry host with the deploy file's command.
 
@@ -185,7 +227,9 @@
             "data_centre": host.data_centre,
             "listen": {"clients": host.clients, "ready": host.ready},
             "internal_ports": [host.port, host.port],
-            "store": self._store if host.store is None else host.store.address,
+            "store": self._stores[0]
+            if host.store is None
+            else host.store.address,
             "grace_seconds": GRACE_SECONDS,
             "rate_tolerance": RATE_TOLERANCE,
             "regions": dict.fromkeys(DATA_CENTRES, REGION),
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,8 +4,10 @@
 
 from collections.abc import Callable
 import dataclasses
+import enum
 import random
 
+from soak import proxy
 from soak import settings as settings_lib
 
 FIRST_SECOND = 1.5  # after the callers' first requests
@@ -102,12 +104,39 @@
 
     Attributes:
         hosts: those of which hosts; all of them if empty.
-        how: "silent", "cut", "slow" or "reset".
+        how: how.
         seconds: for how long.
     """
 
     hosts: tuple[int, ...]
-    how: str
+    how: proxy.Harm
+    seconds: float
+
+
+class Way(enum.StrEnum):
+    """Which connections between hosts are disturbed."""
+
+    OUT = "out"  # those that the host opens
+    IN = "in"  # those that others open to it
+    BOTH = "both"
+
+
+@dataclasses.dataclass(frozen=True)
+class HarmPeers:
+    """Disturbs the connections between a host and others.
+
+    Attributes:
+        host: the host.
+        peer: the only other host, or None for all.
+        way: which connections.
+        how: how.
+        seconds: for how long.
+    """
+
+    host: int
+    peer: int | None
+    way: Way
+    how: proxy.Harm
     seconds: float
 
 
@@ -127,6 +156,7 @@
     | StopHost
     | PauseHost
     | HarmStore
+    | HarmPeers
     | MoveRoute
 )
 # What starts in place of a target: under a new id at the same address, with
@@ -258,12 +288,25 @@
 def _harm_store(rng: random.Random) -> Series:
     def make() -> Fault:
         hosts = () if rng.random() < 0.3 else (rng.randrange(ANY),)
-        how = rng.choice(("silent", "cut", "slow", "reset"))
+        how = rng.choice([*proxy.Harm])
         return HarmStore(hosts, how, rng.uniform(0.5, 5.0))
 
     return _spaced(rng, rng.randint(1, 3), make)
 
 
+def _harm_peers(rng: random.Random) -> Series:
+    def make() -> Fault:
+        return HarmPeers(
+            host=rng.randrange(ANY),
+            peer=rng.choice((None, rng.randrange(ANY))),
+            way=rng.choice([*Way]),
+            how=rng.choice([*proxy.Harm]),
+            seconds=rng.uniform(0.5, 5.0),
+        )
+
+    return _spaced(rng, rng.randint(1, 4), make)
+
+
 def _move_routes(rng: random.Random) -> Series:
     return _spaced(
         rng, rng.randint(1, 4), lambda: MoveRoute(rng.randrange(ANY))
@@ -285,6 +328,7 @@
     "host-stops": _stop_hosts,
     "host-pauses": _pause_hosts,
     "store": _harm_store,
+    "peers": _harm_peers,
     "routes": _move_routes,
 }
 KINDS = frozenset(_SERIES)
--- a/soak/player.py
+++ b/soak/player.py
@@ -12,6 +12,7 @@
 
 from soak import fleet as fleet_lib
 from soak import plan
+from soak import proxy
 from soak import settings as settings_lib
 from soak import shapes
 from soak import wire
@@ -33,7 +34,7 @@
         self.played: collections.Counter[str] = collections.Counter()
         self.log: list[tuple[float, str]] = []
         self._fleet = fleet
-        self._harmed: collections.Counter[str] = collections.Counter()
+        self._harmed: collections.Counter[proxy.Proxy] = collections.Counter()
 
     async def play(
         self, faults: list[tuple[float, plan.Fault]], started_at: float
@@ -89,6 +90,8 @@
                     process.send_signal(signal.SIGCONT)
             case plan.HarmStore():
                 await self._harm_store(fault)
+            case plan.HarmPeers():
+                await self._harm_peers(fault)
             case plan.MoveRoute():
                 await self._move_route(fault)
 
@@ -220,7 +223,7 @@
         for host in hosts:
             if fault.is_replaced and fault.hosts:
                 fleet.hosts.remove(host)
-                host = fleet.add_host()
+                host = await fleet.add_host()
                 host.is_first_start = False
                 self.log.append((time.time(), f"host {host.name} starts"))
             fleet.start_host(host)
@@ -243,24 +246,43 @@
             hosts = [hosts[number % len(hosts)] for number in fault.hosts]
         names = ", ".join(host.name for host in hosts)
         self._note(f"store {fault.how}", f"for {names}, {fault.seconds:.2f} s")
-        for host in hosts:
-            if host.store is None:
-                continue
-            self._harmed[host.name] += 1
-            match fault.how:
-                case "silent":
-                    host.store.be_silent()
-                case "cut":
-                    host.store.cut()
-                case "slow":
-                    host.store.delay = fault.seconds / 10
-                case _:
-                    host.store.reset()
-        await asyncio.sleep(fault.seconds)
-        for host in hosts:
-            self._harmed[host.name] -= 1
-            if host.store is not None and not self._harmed[host.name]:
-                host.store.go_on()
+        proxies = [host.store for host in hosts if host.store is not None]
+        await self._disturb(proxies, fault.how, fault.seconds)
+
+    async def _harm_peers(self, fault: plan.HarmPeers) -> None:
+        host = self._pick_host(fault.host)
+        others = [other for other in self._fleet.hosts if other is not host]
+        if host is None or not others:
+            return
+        if fault.peer is not None:
+            others = [others[fault.peer % len(others)]]
+        pairs = []
+        if fault.way is not plan.Way.IN:
+            pairs += [(host.name, other.name) for other in others]
+        if fault.way is not plan.Way.OUT:
+            pairs += [(other.name, host.name) for other in others]
+        links = self._fleet.links
+        proxies = [links[pair] for pair in pairs if pair in links]
+        if proxies:
+            names = ", ".join(other.name for other in others)
+            self._note(
+                f"peers {fault.how}",
+                f"{host.name}, {fault.way}, {names}, {fault.seconds:.2f} s",
+            )
+        await self._disturb(proxies, fault.how, fault.seconds)
+
+    async def _disturb(
+        self, proxies: list[proxy.Proxy], how: proxy.Harm, seconds: float
+    ) -> None:
+        """Disturbs connections for some time, which may overlap with others."""
+        for one in proxies:
+            self._harmed[one] += 1
+            one.disturb(how, seconds)
+        await asyncio.sleep(seconds)
+        for one in proxies:
+            self._harmed[one] -= 1
+            if not self._harmed[one]:
+                one.go_on()
 
     async def _move_route(self, fault: plan.MoveRoute) -> None:
         routes = self._fleet.shape.routes
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -4,12 +4,22 @@
 
 import asyncio
 import contextlib
+import enum
 
 from soak import wire
 
 READ_BYTES = 65_536
 
 
+class Harm(enum.StrEnum):
+    """How connections are disturbed."""
+
+    SILENT = "silent"  # no bytes arrive any more
+    CUT = "cut"  # they are reset, new ones too
+    SLOW = "slow"  # bytes are late
+    RESET = "reset"  # they are reset, new ones work
+
+
 class Proxy:
     """Forwards connections, unless it is silent, slow or refuses them.
 
@@ -26,9 +36,9 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
-    async def start(self, ip: str) -> None:
+    async def start(self, ip: str, port: int = 0) -> None:
         """Starts to accept connections."""
-        self._server = await asyncio.start_server(self._serve, ip, 0)
+        self._server = await asyncio.start_server(self._serve, ip, port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{ip}:{port}"
 
@@ -53,6 +63,18 @@
         self._is_silent = self._is_refusing = False
         self.delay = 0.0
 
+    def disturb(self, how: Harm, seconds: float) -> None:
+        """Disturbs connections until `go_on`, `seconds` later."""
+        match how:
+            case Harm.SILENT:
+                self.be_silent()
+            case Harm.CUT:
+                self.cut()
+            case Harm.SLOW:
+                self.delay = seconds / 10
+            case Harm.RESET:
+                self.reset()
+
     async def end(self) -> None:
         """Closes all connections and accepts no more."""
         if self._server is not None:
