--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -341,7 +341,7 @@
             text = path.read_text(encoding="utf-8")
             # The last line of a target that was killed may lack its end.
             lines += [json.loads(line) for line in text.split("\n")[:-1]]
-        return decode_runs(lines)
+        return records.decode_runs(lines)
 
     def _start_module(self, module: str, *args: str) -> subprocess.Popen[bytes]:
         env = _environment()
@@ -358,33 +358,6 @@
         return process
 
 
-def decode_runs(lines: list[dict[str, Any]]) -> list[records.Run]:
-    """Returns the runs of the lines of targets' records."""
-    runs: dict[tuple[str, int, str], records.Run] = {}
-    finished = []
-    for line in lines:
-        key = (line["target"], line["born"], line["attempt"])
-        match line["event"]:
-            case "begun":
-                if key in runs:
-                    finished.append(runs[key])
-                runs[key] = records.Run(
-                    target=line["target"],
-                    version=line["version"],
-                    born=line["born"],
-                    attempt=line["attempt"],
-                    at=line["at"],
-                    last_event=line["last_event"],
-                    body=line["body"],
-                    framing=line["framing"],
-                )
-            case "event":
-                runs[key].sent = line["id"]
-            case end:
-                runs[key].end = end
-    return [*finished, *runs.values()]
-
-
 def _environment() -> dict[str, str]:
     """Returns the variables that all processes get."""
     names = ("PATH", "HOME", "LANG")
--- a/soak/records.py
+++ b/soak/records.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import hashlib
+from typing import Any
 
 DIGEST_DIGITS = 12
 
@@ -164,6 +165,33 @@
         return None
 
 
+def decode_runs(lines: list[dict[str, Any]]) -> list[Run]:
+    """Returns the runs of the lines of targets' records."""
+    runs: dict[tuple[str, int, str], Run] = {}
+    finished = []
+    for line in lines:
+        key = (line["target"], line["born"], line["attempt"])
+        match line["event"]:
+            case "begun":
+                if key in runs:
+                    finished.append(runs[key])
+                runs[key] = Run(
+                    target=line["target"],
+                    version=line["version"],
+                    born=line["born"],
+                    attempt=line["attempt"],
+                    at=line["at"],
+                    last_event=line["last_event"],
+                    body=line["body"],
+                    framing=line["framing"],
+                )
+            case "event":
+                runs[key].sent = line["id"]
+            case end:
+                runs[key].end = end
+    return [*finished, *runs.values()]
+
+
 def digest(program: str, body: str) -> str:
     """Returns a digest of a request."""
     text = f"{program}\n{body}".encode("latin-1")
--- a/tests/cover/test_soak_checker.py
+++ b/tests/cover/test_soak_checker.py
@@ -5,7 +5,6 @@
 import pytest
 
 from soak import checker
-from soak import fleet
 from soak import plan
 from soak import records
 
@@ -328,7 +327,7 @@
         {**common, "event": "event", "id": 3, "at": 1.1},
         {**common, "event": "event", "id": 4, "at": 1.2},
     ]
-    [run] = fleet.decode_runs(lines)
+    [run] = records.decode_runs(lines)
     assert (run.last_event, run.sent, run.end) == (2, 4, "")
 
 
@@ -337,7 +336,7 @@
     common = {"target": "i-1", "version": "v1", "born": 1, "attempt": "a1"}
     begun = {"event": "begun", "last_event": None, "body": "asks", "at": 1.0}
     lines = [{**common, **begun, "framing": "close"}] * 2
-    assert len(fleet.decode_runs(lines)) == 2
+    assert len(records.decode_runs(lines)) == 2
 
 
 # A seed that fails is played again.
