--- a/src/endivepier/gateway/model.py
+++ b/src/endivepier/gateway/model.py
@@ -313,9 +313,10 @@
     Attributes:
         name: its name, as `Target.name`; empty if not stated.
         started: its start, as `Target.started`; 0 if not stated.
-        misdirected: whether it is not the target that was meant.
+        valid: whether the target that was meant responded. Others do so for
+            it: one that has its address now, or a proxy.
     """
 
     name: str = ""
     started: int = 0
-    misdirected: bool = False
+    valid: bool = True
--- a/src/endivepier/gateway/targets/liveness.py
+++ b/src/endivepier/gateway/targets/liveness.py
@@ -87,9 +87,11 @@
             status = self._ask(target, data, deadline)
         except http_errors.HttpError as exc:
             return str(exc)
+        if not status.valid:
+            return "the response is not one to such a request"
         # A target that does not state when it started may be a later run under
         # the same name.
-        if status.misdirected or status.name not in ("", target.name):
+        if status.name not in ("", target.name):
             return f"another target responds: {status.name!r}"
         if status.started not in (0, target.started):
             return f"the target has started again, at {status.started}"
--- a/tests/cover/gateway/test_target_liveness.py
+++ b/tests/cover/gateway/test_target_liveness.py
@@ -68,6 +68,19 @@
     assert not fleet.request().complete
 
 
+# As above, when a proxy says that nothing is behind it.
+@pytest.mark.parametrize("status", [404, 502, 503, 504])
+def test_a_stream_is_not_complete_if_a_proxy_responds(start, status):
+    fleet = start()
+    stop_after_two_events(
+        fleet.targets[0],
+        handle_status=lambda _, responder: responder.send(
+            status, [], b"<html>"
+        ),
+    )
+    assert not fleet.request().complete
+
+
 # A target that was paused at the end of its response may have been killed.
 def test_a_stream_is_not_complete_while_its_target_does_not_respond(start):
     fleet = start()
