A target with too many connections is asked for its status again

What callers saw: complete responses were broken off, or run twice, if the target reset the connection on which it was asked whether it still runs, as it had as many as it accepts, or if a kept connection had fallen silent.

Cause: one failure on a new connection, and any time-out, counted as the target's end. Fix: within the second of the check it is asked again on new connections; a kept one has 0.3 s. A target that was killed refuses connections, which ends the check at once. A connection is not waited for beyond the call's deadline.

Compatible with hosts of: no message and no row has changed.

--- a/src/endivepier/gateway/targets/liveness.py
+++ b/src/endivepier/gateway/targets/liveness.py
@@ -25,6 +25,9 @@
 # Clients give up a stream that is silent for two seconds.
 CHECK_SECONDS = 1.0
 CONNECT_SECONDS = 0.4
+MIN_CONNECT_SECONDS = 0.001
+KEPT_SECONDS = 0.3  # for a response on a connection that was idle
+RETRY_SECONDS = 0.05  # before another connection is opened
 
 
 class TargetLiveness:
@@ -105,22 +108,34 @@
         Raises:
             http_errors.HttpError: no response arrived in time.
         """
+        # A kept connection may have fallen silent, or been closed as idle.
         conn = self._pool.acquire(
             target.incarnation,
             target.address,
-            connect_seconds=CONNECT_SECONDS,
+            connect_seconds=self._connect_seconds(deadline),
         )
-        kept = conn.request_count > 0
-        try:
-            return self._exchange(conn, target, data, deadline)
-        except http_errors.ExchangeTimeout:
-            raise
-        except http_errors.ExchangeBroken:
-            if not kept:
-                raise
-        # The target may have closed the connection since it was idle.
-        conn = self._pool.open(target.address, CONNECT_SECONDS)
-        return self._exchange(conn, target, data, deadline)
+        attempt_deadline = deadline
+        if conn.request_count:
+            now = self._timers.now()
+            attempt_deadline = min(deadline, now + KEPT_SECONDS)
+        while True:
+            try:
+                return self._exchange(conn, target, data, attempt_deadline)
+            except http_errors.ExchangeBroken:
+                # A target that has too many connections resets a new one. One
+                # that was killed refuses it.
+                if self._timers.now() + RETRY_SECONDS >= deadline:
+                    raise
+            if attempt_deadline == deadline:
+                self._timers.sleep(RETRY_SECONDS)
+            attempt_deadline = deadline
+            conn = self._pool.open(
+                target.address, self._connect_seconds(deadline)
+            )
+
+    def _connect_seconds(self, deadline: float) -> float:
+        seconds_left = deadline - self._timers.now()
+        return max(min(CONNECT_SECONDS, seconds_left), MIN_CONNECT_SECONDS)
 
     def _exchange(
         self,
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -189,9 +189,7 @@
         """Like `stream_until_close`, but resets the connection."""
         self.stream_until_close(request, responder, EVENTS[:2])
         gevent.sleep(0.05)  # so that the events arrive before the reset
-        responder.connection.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-        )
+        reset(responder.connection)
 
     def finish_within_an_event(self, request, responder):
         """Ends the chunked body properly, but within the third event."""
@@ -203,6 +201,13 @@
         responder.send(200, [(b"Attempt-Id", b"other")], b"not yours")
 
 
+def reset(conn):
+    """Makes a connection be reset when its handler returns."""
+    conn.socket.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+
+
 def set_handlers(fleet, first, others=None):
     """Sets how targets handle requests, and returns the targets called.
 
--- a/tests/cover/gateway/test_target_liveness.py
+++ b/tests/cover/gateway/test_target_liveness.py
@@ -127,6 +127,45 @@
     assert len(asked) == 2
 
 
+# Open connections may fall silent for good, while new ones work.
+def test_a_target_is_asked_again_if_a_kept_connection_is_silent(start):
+    fleet = start()
+    (target,) = fleet.targets
+    target.handler = lambda request, responder: target.stream(
+        request, responder, pause=0.05
+    )
+    gevent.joinall([gevent.spawn(fleet.request, f"c{n}") for n in range(2)])
+    asked = []
+
+    def be_silent_first(request, responder):
+        asked.append(request)
+        if len(asked) == 1:
+            gevent.sleep(2)
+        else:
+            target.state_start(request, responder)
+
+    stop_after_two_events(target, handle_status=be_silent_first)
+    assert fleet.request().complete
+
+
+# A target resets connections beyond the most that it accepts.
+def test_a_target_is_asked_again_if_it_has_too_many_connections(start):
+    fleet = start()
+    (target,) = fleet.targets
+    asked = []
+
+    def reset_twice(request, responder):
+        asked.append(request)
+        if len(asked) <= 2:
+            gateway_fleet.reset(responder.connection)
+            responder.connection.close()
+        else:
+            target.state_start(request, responder)
+
+    stop_after_two_events(target, handle_status=reset_twice)
+    assert fleet.request().complete
+
+
 # A late response to an earlier call, of which its connection delivered the last
 # bytes after the target had been killed.
 def test_a_late_response_does_not_show_that_a_target_runs(start):
