Streams that end in an event fail at once

What callers saw: a stream that had ended within an event was continued up to a second late, since its target was asked first whether it still runs.

Fix: the relay checks the events before it asks. The test failed before (one request for the status) and passes now.

--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -121,6 +121,8 @@
     def read(self, deadline: float) -> bytes | None:
         """Returns the next chunk of the body, or None at its end.
 
+        The end may be that of the connection; see `check_end`.
+
         Raises:
             errors.TargetFailed: the body was cut off, late or invalid.
         """
@@ -129,7 +131,6 @@
             case responses.Data(content=content):
                 return content
             case responses.End():
-                self._check_end()
                 self._complete = True
                 return None
             case _:
@@ -154,10 +155,30 @@
             )
         except http_errors.HttpError as exc:
             raise self.failure(str(exc), exc) from exc
-        self._check_end()
+        self.check_end()
         self._complete = True
         return body
 
+    def check_end(self) -> None:
+        """Checks that the target ended a response that has no end of its own.
+
+        A rejection is complete with its head.
+
+        Raises:
+            errors.TargetFailed: the target may have been killed, or may have
+                stopped work at the call's deadline.
+        """
+        if not self.head.until_close or self.not_run:
+            return
+        if self._deadline - self._dispatcher.now() < DEADLINE_MARGIN_SECONDS:
+            raise self.failure("the connection closed at the call's deadline")
+        if not self._dispatcher.liveness.is_running(
+            self.target, self._deadline, request=self._call.id
+        ):
+            raise self.failure(
+                "the connection closed, and the target does not respond"
+            )
+
     def release_body(self) -> None:
         """Releases the memory reserved for the body."""
         self._body.release()
@@ -206,26 +227,6 @@
         if self._exceeded_limit:
             self._dispatcher.avoid_flooding(self.target)
 
-    def _check_end(self) -> None:
-        """Checks that the target ended a response that has no end of its own.
-
-        A rejection is complete with its head.
-
-        Raises:
-            errors.TargetFailed: the target may have been killed, or may have
-                stopped work at the call's deadline.
-        """
-        if not self.head.until_close or self.not_run:
-            return
-        if self._deadline - self._dispatcher.now() < DEADLINE_MARGIN_SECONDS:
-            raise self.failure("the connection closed at the call's deadline")
-        if not self._dispatcher.liveness.is_running(
-            self.target, self._deadline, request=self._call.id
-        ):
-            raise self.failure(
-                "the connection closed, and the target does not respond"
-            )
-
     def _read(self, deadline: float) -> responses.Part:
         try:
             return self._conn.read(deadline)
--- a/src/endivepier/gateway/streams/stream_calls.py
+++ b/src/endivepier/gateway/streams/stream_calls.py
@@ -286,6 +286,7 @@
             raise exchange.failure("the stream ended within an event")
         if head.until_close and not has_event:
             raise exchange.failure("the connection closed before an event")
+        exchange.check_end()
         self._finish(ctx, progress, body)
 
     def _forward(
--- a/tests/cover/gateway/test_target_liveness.py
+++ b/tests/cover/gateway/test_target_liveness.py
@@ -148,6 +148,14 @@
     assert fleet.request().complete
 
 
+# Such a stream has been broken off, whether its target still runs or not.
+def test_a_target_is_not_asked_about_a_stream_that_ends_in_an_event(start):
+    fleet = start()
+    gateway_fleet.set_handlers(fleet, "close_within_an_event")
+    assert not fleet.request().complete
+    assert fleet.targets[0].status_requests == 0
+
+
 # A target resets connections beyond the most that it accepts.
 def test_a_target_is_asked_again_if_it_has_too_many_connections(start):
     fleet = start()
