Responses may end after their service has been removed

What callers saw: a complete response was broken off if its service was removed from the declaration while it ran, since the path for the target's status was looked up at the end.

Fix: the path is the one of the time when the call was sent.

--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -61,6 +61,7 @@
         deadline: float,
     ) -> None:
         self._deadline = deadline
+        self._status_path = dispatcher.liveness.status_path(target.service)
         self._uncached_tokens = uncached_tokens
         self.target = target
         self.head = messages.Head(0, [])
@@ -173,7 +174,10 @@
         if self._deadline - self._dispatcher.now() < DEADLINE_MARGIN_SECONDS:
             raise self.failure("the connection closed at the call's deadline")
         if not self._dispatcher.liveness.is_running(
-            self.target, self._deadline, request=self._call.id
+            self.target,
+            self._status_path,
+            self._deadline,
+            request=self._call.id,
         ):
             raise self.failure(
                 "the connection closed, and the target does not respond"
--- a/src/endivepier/gateway/targets/liveness.py
+++ b/src/endivepier/gateway/targets/liveness.py
@@ -56,19 +56,26 @@
         self._service = service
         self._timers = timers
 
+    def status_path(self, service: str) -> str:
+        """Returns the path for the status of a service's targets, or ""."""
+        declared = self._service(service)
+        return "" if declared is None else declared.status_path
+
     def is_running(
-        self, target: model.Target, deadline: float, *, request: str
+        self, target: model.Target, path: str, deadline: float, *, request: str
     ) -> bool:
         """Returns whether this run of a target responds now.
 
         Args:
             target: the target.
+            path: the path for its status when the call was sent. Its service
+                may not be declared any more.
             deadline: when to give up, in monotonic seconds.
             request: id of the call whose response has ended, for the log.
         """
         began_at = self._timers.now()
         reason = self._find_doubt(
-            target, min(deadline, began_at + CHECK_SECONDS)
+            target, path, min(deadline, began_at + CHECK_SECONDS)
         )
         eliot.log_message(
             "target.status_asked",
@@ -80,12 +87,13 @@
         )
         return not reason
 
-    def _find_doubt(self, target: model.Target, deadline: float) -> str:
+    def _find_doubt(
+        self, target: model.Target, path: str, deadline: float
+    ) -> str:
         """Returns why a target may not be running, or an empty string."""
-        service = self._service(target.service)
-        if service is None or not service.status_path:
+        if not path:
             return f"service {target.service!r} has no path for its status"
-        data = self._dialect.encode_status_request(target, service.status_path)
+        data = self._dialect.encode_status_request(target, path)
         try:
             status = self._ask(target, data, deadline)
         except http_errors.HttpError as exc:
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -317,11 +317,13 @@
             ):
                 gevent.sleep(0.01)
 
-    def declare(self, routes):
+    def declare(self, routes, **changes):
         """Replaces the declaration by one with other routes."""
         # Revisions increase in uneven steps.
         revision = self._decoder.declaration.revision + 3
-        self._decoder.declaration = gateway_parts.declaration(revision, routes)
+        self._decoder.declaration = dataclasses.replace(
+            gateway_parts.declaration(revision, routes), **changes
+        )
         self._put("declared//config")
 
     def list_targets(self, targets, started=1):
--- a/tests/cover/gateway/test_target_liveness.py
+++ b/tests/cover/gateway/test_target_liveness.py
@@ -148,6 +148,20 @@
     assert fleet.request().complete
 
 
+# Its path for the status is declared with its service.
+def test_a_stream_may_end_after_its_service_has_been_removed(start):
+    fleet = start()
+    (target,) = fleet.targets
+
+    def remove_service(request, responder):
+        fleet.declare([], services={})
+        gevent.sleep(0.1)
+        target.stream_until_close(request, responder)
+
+    target.handler = remove_service
+    assert fleet.request().complete
+
+
 # Such a stream has been broken off, whether its target still runs or not.
 def test_a_target_is_not_asked_about_a_stream_that_ends_in_an_event(start):
     fleet = start()
