--- a/src/endivepier/gateway/streams/events.py
+++ b/src/endivepier/gateway/streams/events.py
@@ -75,15 +75,20 @@
     Attributes:
         fault: why the place of an event in the stream is wrong or unknown, or
             an empty string. It and those after it are left out.
+        held: comments before the first event of the stream. They go out with
+            it: another target may send it, with a head of its own.
     """
 
-    def __init__(self, resume_after: int | None) -> None:
+    def __init__(self, resume_after: int | None, begun: bool) -> None:
         """Begins a response.
 
         Args:
             resume_after: id of the last event that the client has, or None.
+            begun: whether a part of the stream was sent to the client.
         """
         self.fault = ""
+        self.held: list[Event] = []
+        self._begun = begun
         self._resume_after = resume_after
         self._last_id: int | None = None
         self._has_new = resume_after is None
@@ -95,11 +100,16 @@
             self.fault = self.fault or self._find_fault(event)
             if self.fault:
                 break
+            if event.is_comment and not self._begun:
+                self.held.append(event)
+                continue
             if event.id is not None:
                 self._last_id = event.id
                 self._has_new = self._has_new or self._is_new(event.id)
             if self._has_new or event.is_comment:
-                new_events.append(event)
+                new_events += [*self.held, event]
+                self.held.clear()
+                self._begun = True
         return new_events
 
     def _is_new(self, event_id: int) -> bool:
--- a/src/endivepier/gateway/streams/stream_calls.py
+++ b/src/endivepier/gateway/streams/stream_calls.py
@@ -244,7 +244,7 @@
         if not progress.started:
             progress.head = head
         splitter = events.Splitter()
-        sequence = events.Sequence(progress.last_event_id)
+        sequence = events.Sequence(progress.last_event_id, progress.started)
         has_event = False  # from this target
         deadline = self._event_deadline(ctx, first=progress.events_sent == 0)
         while True:
@@ -287,6 +287,8 @@
         if head.until_close and not has_event:
             raise exchange.failure("the connection closed before an event")
         exchange.check_end()
+        if sequence.held:
+            self._forward(ctx, sequence.held, progress)
         self._finish(ctx, progress, body)
 
     def _forward(
@@ -353,8 +355,7 @@
         progress: stream_progress.Progress,
     ) -> None:
         """Relays a response that is not an event stream, such as an error."""
-        deadline = ctx.deadline
-        body = exchange.read_all(deadline)
+        body = exchange.read_all(ctx.deadline)
         if progress.started:
             raise errors.TargetFailed(
                 exchange.target.name,
--- a/tests/cover/gateway/test_event_order.py
+++ b/tests/cover/gateway/test_event_order.py
@@ -139,3 +139,40 @@
         request, responder, [b": comment\n\n"]
     )
     assert not is_whole(fleet.request())
+
+
+# The head had been sent with the comment, and the events were of another target.
+def test_comments_before_the_first_event_are_those_of_its_target(start):
+    fleet = start()
+    comment = b": %b\n\n"
+    called = []
+
+    def choose(target):
+        def handle(request, responder):
+            called.append(target.name.encode())
+            headers = [
+                (b"Attempt-Id", request.call.encode()),
+                (b"Server-Seal", target.name.encode()),
+            ]
+            responder.start(200, headers)
+            responder.write(comment % target.name.encode())
+            if len(called) == 2:
+                responder.write(STREAM_BODY)
+                responder.finish()
+
+        return handle
+
+    for target in fleet.targets:
+        target.handler = choose(target)
+    response = fleet.request()
+    assert len(called) == 2
+    assert response.complete
+    assert b"server-seal: " + called[1] in response.head
+    assert response.body == comment % called[1] + STREAM_BODY
+
+
+def test_a_stream_of_comments_only_is_relayed(start):
+    fleet = start(targets=1)
+    respond_in_turn(fleet, ([b": comment\n\n"], True))
+    response = fleet.request()
+    assert (response.complete, response.body) == (True, b": comment\n\n")
