--- a/tests/cover/gateway/test_event_order.py
+++ b/tests/cover/gateway/test_event_order.py
@@ -141,7 +141,7 @@
     assert not is_whole(fleet.request())
 
 
-# The head had been sent with the comment, and the events were of another target.
+# The head was sent with the comment, and the events were of another target.
 def test_comments_before_the_first_event_are_those_of_its_target(start):
     fleet = start()
     comment = b": %b\n\n"
