Failing test: a stream is resumed at the service that its route moved to

Cause: StreamOrigins.find takes the only version of the service to which the request is routed now for that of the stream, if no host knows the stream or its call is not named. The route may have been another service's when the stream began.

--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -330,6 +330,23 @@
         deletes = [ports.Delete(f"targets//{t.name}") for t in targets]
         self.table.transact(ports.Transaction((), tuple(deletes)))
 
+    def move_routes(self, service, routes, versions):
+        """Moves routes to a new service.
+
+        Args:
+            service: name of the service.
+            routes: the routes, which name it.
+            versions: software version of each of its targets.
+        """
+        services = {*self._decoder.declaration.services, service}
+        self._decoder.declaration = gateway_parts.declaration(
+            self._decoder.declaration.revision + 1, routes, services=services
+        )
+        self.service = service
+        for version in versions:
+            self.add_target(version)
+        self._put("declared//config")
+
     def add_target(self, version):
         """Starts and registers another target."""
         target = FakeTarget(f"t{len(self.targets)}", version)
--- a/tests/common/gateway_parts.py
+++ b/tests/common/gateway_parts.py
@@ -32,14 +32,22 @@
 
 
 def declaration(
-    revision=1, routes=(), accounts=(), engine_tokens=4, cold=(0.0, 0.0)
+    revision=1,
+    routes=(),
+    accounts=(),
+    engine_tokens=4,
+    cold=(0.0, 0.0),
+    services=("s",),
 ):
     engine = model.Engine(12, 100_000, engine_tokens)
     return model.Declaration(
         revision=revision,
         routes=tuple(routes),
         services={
-            "s": model.Service("s", 100, engine, *cold, status_path=STATUS_PATH)
+            name: model.Service(
+                name, 100, engine, *cold, status_path=STATUS_PATH
+            )
+            for name in services
         },
         accounts={account.name: account for account in accounts},
         limits=messages.ClientLimits(),
--- a/tests/cover/gateway/test_mixed_versions.py
+++ b/tests/cover/gateway/test_mixed_versions.py
@@ -7,6 +7,7 @@
 import gevent
 import pytest
 
+from endivepier.gateway import model
 from tests.common import gateway_fleet
 from tests.common import gateway_parts
 
@@ -107,6 +108,29 @@
     assert (response.status, response.complete) == (200, True)
 
 
+# The only version of the service that the route has now was taken for that of
+# the service at which the stream began.
+@pytest.mark.parametrize("began", ["c1", ""], ids=["lost", "unnamed"])
+def test_a_stream_is_not_resumed_at_the_service_its_route_moved_to(
+    start, began
+):
+    changes = {"timeout": 0.6, "most_targets": 1}
+    fleet = start(["v1", "v1"], hosts=2, **changes)
+    stays = gateway_parts.route(**changes)
+    moved = gateway_parts.route(
+        backends=(model.Backend("moved", 1.0),), **changes
+    )
+    fleet.move_routes("moved", [stays], ["v2"])
+    gevent.sleep(1.3)  # two timeouts, in which the service had one version
+    begin_stream(fleet, "c1")
+    fleet.kill_host(0)  # the only one that knows where the stream began
+    fleet.move_routes("moved", [moved], [])
+    gevent.sleep(0.1)
+    response = resume_stream(fleet, began, "c2", host=1)
+    assert versions_that_ran(fleet, "c1", "c2") == {"v1"}
+    assert response.status == 503
+
+
 def test_a_stream_is_not_resumed_once_its_version_is_gone(start):
     fleet = start(["v1", "v2"], hosts=2, most_targets=1)
     begin_stream(fleet, "c1")
