--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -109,8 +109,7 @@
         self._uses_build = uses_build
         self._seed = seed
         self._ids = random.Random(f"{seed}/ids")
-        second = os.getpid() % 200 + 20
-        self._network = f"127.{second}"
+        self._network = f"127.{os.getpid() % 200 + 20}"
         self._host_count = 0
         self._target_count = 0
         self._config = 0
