--- a/review/8/play.py
+++ b/review/8/play.py
@@ -1,13 +1,17 @@
-"""Case 8: a model server that does not stop overdraws budgets.
+"""Case 8: a model server's answer without end fills the memory of hosts.
 
-One of six model servers goes on with events after the last one that its turn
-may have, without end, until the caller closes. Programs have a budget.
+One of six model servers answers turns with bytes that are no events, and does
+not stop. The platform ends a process that uses more memory than its machine
+has. Other clients meanwhile send turns and postings to sound servers.
 """
 
 from __future__ import annotations
 
 import asyncio
-import collections
+import contextlib
+import pathlib
+import subprocess
+import sys
 import uuid
 
 from rig import case as case_lib
@@ -15,38 +19,45 @@
 from rig import targets
 from rig import web
 
-ENGINES = 6
+MEMORY_MB = 170  # of an edge machine of the site
 HOSTS = 2
-CHUNK_TOKENS = 4  # of the service, for each event
-MOST_TOKENS = 136  # of one turn, as in the page's example
-BUDGET = 1088  # likewise
-PROGRAMS = 60
-PROGRAMS_PER_SECOND = 6
-
+ENGINES = 6
+TURNS_PER_SECOND = 8
+CLIENTS = 16  # that keep their connections
+PAUSE_SECONDS = 0.05  # of a client between two postings
+PLAY_SECONDS = 40.0
+ALLOWED = 3  # "more than three times"
 
-class Engine(targets.Engine):
-    """A model server that may be in trouble."""
 
-    events = MOST_TOKENS // CHUNK_TOKENS
-    pause_seconds = 0.005
-    is_in_trouble = False
+class Registration(targets.Engine):
+    """The entry of a server that runs as a process of its own."""
 
-    async def answer(self, req: web.Message, peer: web.Peer) -> bool:
-        """Runs a turn."""
-        if self.is_in_trouble:
-            self.events = 10**9
-            self.pause_seconds = 0.001
-        try:
-            return await super().answer(req, peer)
-        except OSError:
-            self.record.write(f"the caller has closed, at {self.name}")
-            return False
+    async def start(self) -> None:
+        """Starts the process and registers it."""
+        path = pathlib.Path(__file__).with_name("server.py")
+        self.process = subprocess.Popen(
+            [
+                sys.executable,
+                str(path),
+                self.address,
+                self.name,
+                str(self.record.path),
+            ],
+            stdout=subprocess.PIPE,
+        )
+        assert self.process.stdout is not None
+        await asyncio.to_thread(self.process.stdout.readline)
+        await self.beat()
+        self._beats = asyncio.create_task(self._beat_always())
 
 
 async def play(case: case_lib.Case) -> str:
     """Plays the case."""
+    kinds = [targets.Engine] * ENGINES
+    if case.trouble:
+        kinds[0] = Registration
     engines = [
-        Engine(
+        kind(
             f"i-{number}",
             "agent-models",
             case.address(number),
@@ -55,54 +66,116 @@
             zone=fleet.ZONES[number % 3],
             slots=12,
         )
-        for number in range(ENGINES)
+        for number, kind in enumerate(kinds)
     ]
-    server = targets.Target(
-        "i-s", "clearing-app", case.address(50), case.store, case.record
-    )
-    for target in [*engines, server]:
-        await target.start()
-    await case.start_hosts(HOSTS)
-    engines[0].is_in_trouble = case.trouble
-    tokens: collections.Counter[str] = collections.Counter()
-    statuses: collections.Counter[int] = collections.Counter()
-
-    async def run_program(number: int) -> None:
-        program = uuid.uuid4().hex[:6]
+    servers = [
+        targets.Target(
+            f"i-s{number}",
+            "clearing-app",
+            case.address(50 + number),
+            case.store,
+            case.record,
+            zone=fleet.ZONES[number],
+        )
+        for number in range(2)
+    ]
+    try:
+        for server in [*engines, *servers]:
+            await server.start()
+        await case.start_hosts(HOSTS)
+        return await send(case, servers)
+    finally:
+        if isinstance(engines[0], Registration):
+            engines[0].process.kill()
+            engines[0].process.wait()
+
+
+async def send(case: case_lib.Case, servers: list[targets.Target]) -> str:
+    """Sends requests, and returns how the rule was broken."""
+    platform = [
+        asyncio.create_task(host.watch(MEMORY_MB)) for host in case.hosts
+    ]
+    answers: list[fleet.Answer] = []
+    kept: list[fleet.Answer] = []  # to requests on kept connections
+    turns: set[asyncio.Task[None]] = set()
+    is_over = asyncio.Event()
+
+    async def ask_turn(number: int) -> None:
+        shared = f"{0xABC + number % 97:x}"
         head = {
             "Model": "m",
-            "Token-Count": f"3074,{MOST_TOKENS}",
-            "Prompt-Prefix": f"{number:x}abc:2560,{program}:514",
-            "Program-Id": program,
-            "Session-Id": program,
+            "Token-Count": "3074,16",
+            "Prompt-Prefix": f"{shared}:2560,{uuid.uuid4().hex[:8]}:514",
+            "Program-Id": uuid.uuid4().hex[:6],
+            "Session-Id": uuid.uuid4().hex[:6],
             "Program-Deadline-Ms": "5200",
-            "Token-Budget": str(BUDGET),
+            "Token-Budget": "1088",
         }
-        answer = await fleet.ask(
-            case.record, case.hosts[number % HOSTS].address, "POST",
-            "/cheque/1", head, b"x" * 4000,
-        )  # fmt: skip
-        statuses[answer.status] += 1
-        tokens[program] += answer.body.count(b"\n\n") * CHUNK_TOKENS
-        case.record.write(f"program {program}: {tokens[program]} tokens")
-
-    programs = []
-    for number in range(PROGRAMS):
-        programs.append(asyncio.create_task(run_program(number)))
-        await asyncio.sleep(1 / PROGRAMS_PER_SECOND)
-    await asyncio.gather(*programs)
-    case.record.write(f"statuses {dict(statuses)}")
-    if not statuses[200]:
+        address = case.hosts[number % HOSTS].address
+        answers.append(
+            await fleet.ask(
+                case.record, address, "POST", "/dispute/1", head, b"x" * 600
+            )
+        )
+
+    async def send_turns() -> None:
+        number = 0
+        while not is_over.is_set():
+            turns.add(asyncio.create_task(ask_turn(number)))
+            number += 1
+            await asyncio.sleep(1 / TURNS_PER_SECOND)
+
+    async def send_postings(number: int) -> None:
+        address = case.hosts[number % HOSTS].address
+        peer: web.Peer | None = None
+        while not is_over.is_set():
+            is_kept = peer is not None
+            try:
+                peer = peer or await web.connect(address)
+            except OSError:
+                await asyncio.sleep(PAUSE_SECONDS)
+                continue
+            answer = await fleet.ask(
+                case.record, address, "POST", "/return/1", {}, b"x" * 600,
+                deadline_ms=1500, peer=peer,
+            )  # fmt: skip
+            answers.append(answer)
+            if is_kept:
+                kept.append(answer)
+            if not answer.complete or "connection" in answer.headers:
+                peer.close()
+                peer = None
+            await asyncio.sleep(PAUSE_SECONDS)
+
+    clients = [asyncio.create_task(send_turns())]
+    clients += [asyncio.create_task(send_postings(n)) for n in range(CLIENTS)]
+    most = 0.0
+    for _ in range(int(PLAY_SECONDS * 10)):
+        await asyncio.sleep(0.1)
+        most = max(most, *(host.memory_mb() for host in case.hosts))
+    is_over.set()
+    await asyncio.gather(*clients)
+    await asyncio.gather(*turns)
+    for task in platform:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+    served = sum(answer.complete for answer in answers)
+    ends = {host.name: host.ends for host in case.hosts}
+    runs = {call for server in servers for call in server.runs}
+    lost = [a.id for a in kept if a.closed and a.id in runs]
+    case.record.write(
+        f"{served} of {len(answers)} answered whole;"
+        f" most memory {most:.0f} MB; ends {ends}; {len(lost)} postings ran on"
+        " sound servers and ended without an answer"
+    )
+    if not served:
         raise RuntimeError("nothing was served")
-    over = {
-        program: count
-        for program, count in tokens.items()
-        if count > BUDGET + MOST_TOKENS
-    }
-    if over:
+    if len(lost) > ALLOWED:
         return (
-            f"BUDGET: programs got more than {BUDGET} + {MOST_TOKENS} tokens: "
-            f"{over}"
+            f"LOST: hosts ended by themselves, over {MEMORY_MB} MB ({ends});"
+            f" {len(lost)} requests on kept connections had been passed on to"
+            f" sound servers and got no answer: {lost[:5]}"
         )
     return ""
 
--- a/review/rig/web.py
+++ b/review/rig/web.py
@@ -38,7 +38,7 @@
         return self.first[1]
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
 class Peer:
     """One end of a connection."""
 
