--- a/review/8/play.py
+++ b/review/8/play.py
@@ -24,11 +24,28 @@
 ENGINES = 6
 TURNS_PER_SECOND = 8
 CLIENTS = 16  # that keep their connections
-PAUSE_SECONDS = 0.05  # of a client between two postings
+PAUSE_SECONDS = 0.1  # of a client between two postings
+WORK_SECONDS = 0.0893  # of a posting
+CHAINS = 70  # at each host, before the trouble; hosts keep their last turns
+CHAINS_AT_ONCE = 12
+CHAIN_TURNS = 9
+TURN_BYTES = 5100
 PLAY_SECONDS = 40.0
 ALLOWED = 3  # "more than three times"
 
 
+class Server(targets.Target):
+    """A sound plain server."""
+
+    async def answer(self, req: web.Message, peer: web.Peer) -> bool:
+        """Runs a posting and answers it."""
+        call = self.note_run(req)
+        await asyncio.sleep(WORK_SECONDS)
+        head = {"Attempt-Id": call, "Server-Seal": targets.SEAL}
+        await peer.send(web.response(200, head, f"of {call}".encode()))
+        return True
+
+
 class Registration(targets.Engine):
     """The entry of a server that runs as a process of its own."""
 
@@ -69,7 +86,7 @@
         for number, kind in enumerate(kinds)
     ]
     servers = [
-        targets.Target(
+        Server(
             f"i-s{number}",
             "clearing-app",
             case.address(50 + number),
@@ -80,16 +97,45 @@
         for number in range(2)
     ]
     try:
-        for server in [*engines, *servers]:
+        for server in [*engines[1:], *servers]:
             await server.start()
         await case.start_hosts(HOSTS)
+        await converse(case)
+        await engines[0].start()
         return await send(case, servers)
     finally:
-        if isinstance(engines[0], Registration):
+        if hasattr(engines[0], "process"):
             engines[0].process.kill()
             engines[0].process.wait()
 
 
+async def converse(case: case_lib.Case) -> None:
+    """Sends turns that continue each other, as clients do all day."""
+
+    async def send_chains(host: fleet.Host, count: int) -> None:
+        for _ in range(count):
+            previous: dict[str, str] = {}
+            for _ in range(CHAIN_TURNS):
+                answer = await fleet.ask(
+                    case.record, host.address, "POST", "/dispute/1",
+                    {"Model": "m", "Token-Count": "3074,16", **previous},
+                    b"x" * TURN_BYTES,
+                )  # fmt: skip
+                if answer.status != 200:
+                    break
+                previous = {"Previous-Turn": answer.id}
+
+    await asyncio.gather(
+        *(
+            send_chains(host, -(-CHAINS // CHAINS_AT_ONCE))
+            for host in case.hosts
+            for _ in range(CHAINS_AT_ONCE)
+        )
+    )
+    for host in case.hosts:
+        case.record.write(f"host {host.name} uses {host.memory_mb():.0f} MB")
+
+
 async def send(case: case_lib.Case, servers: list[targets.Target]) -> str:
     """Sends requests, and returns how the rule was broken."""
     platform = [
--- a/review/rig/case.py
+++ b/review/rig/case.py
@@ -70,9 +70,10 @@
                     self.record.write(f"log of {host.name}: {line}")
 
     def end(self) -> None:
-        """Ends all processes."""
+        """Ends all processes of hosts and removes their files."""
         for host in self.hosts:
             host.kill()
+            host.remove_files()
 
 
 def main(file: str, play: Callable[[Case], Awaitable[str]]) -> None:
--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -122,6 +122,10 @@
             self.process.kill()
             self.process.wait()
 
+    def remove_files(self) -> None:
+        """Removes the settings and the log."""
+        self._folder.cleanup()
+
     def memory_mb(self) -> float:
         """Returns the resident memory of the process in MB, 0 without one."""
         if self.process is None or self.process.poll() is not None:
