--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -136,9 +136,10 @@
         self.suspects = suspects_lib.Suspects(timers, self.metrics)
         departures = departures_lib.Departures(timers, self.metrics)
         store = store_access.Store(adapters.table, adapters.feed, timers, rng)
+        decoder = decoding.CheckedDecoder(adapters.decoder)
         self.catalog = self.kernel.register(
             "catalog",
-            catalog_lib.Catalog(store, adapters.decoder, timers, departures),
+            catalog_lib.Catalog(store, decoder, timers, departures),
         )
         host_rows = host_rows_lib.HostRows(
             cfg.host,
@@ -210,9 +211,7 @@
         origins = stream_origins.StreamOrigins(
             cfg.host,
             self.catalog,
-            version_check.VersionCheck(
-                self.catalog, store, adapters.decoder, timers
-            ),
+            version_check.VersionCheck(self.catalog, store, decoder, timers),
             routes,
             self.peers,
             timers,
--- a/src/endivepier/gateway/targets/decoding.py
+++ b/src/endivepier/gateway/targets/decoding.py
@@ -1,12 +1,23 @@
-"""The port through which the gateway reads a deployment's rows."""
+"""The port through which the gateway reads a deployment's rows.
+
+Any process may have written a row. `CheckedDecoder` rejects what an adapter
+decodes from one if the gateway could not compute with it.
+"""
 
 from __future__ import annotations
 
+import math
+import reprlib
 from typing import Protocol
 
+import eliot
+
 from endivepier.gateway import model
 from endivepier.storage import ports
 
+MAX_SLOTS = 100_000  # of one target
+MAX_STARTED = 2**53  # Unix milliseconds; floats hold all integers up to this
+
 
 class Decoder(Protocol):
     """Decodes a deployment's rows. Implemented by an adapter."""
@@ -28,3 +39,42 @@
         Returns:
             The data centre, or None if the row declares something else.
         """
+
+
+class CheckedDecoder:
+    """A `Decoder` that returns only targets that calls can be sent to."""
+
+    def __init__(self, decoder: Decoder) -> None:
+        self._decoder = decoder
+        self.declaration_table = decoder.declaration_table
+        self.target_table = decoder.target_table
+        self.decode_declaration = decoder.decode_declaration
+        self.decode_evacuated = decoder.decode_evacuated
+
+    def decode_target(self, row: ports.Row) -> model.Target | None:
+        """Returns the target in a row, or None if it isn't usable."""
+        target = self._decoder.decode_target(row)
+        if target is None:
+            return None
+        fault = _find_fault(target)
+        if not fault:
+            return target
+        eliot.log_message(
+            "row.dropped",
+            row=row.key,
+            row_version=row.version,
+            reason=fault,
+        )
+        return None
+
+
+def _find_fault(target: model.Target) -> str:
+    """Returns why no call can be sent to a target, or an empty string."""
+    if not 0 <= target.slots <= MAX_SLOTS:
+        return f"slots: {reprlib.repr(target.slots)}, not 0 to {MAX_SLOTS}"
+    if not 0 <= target.started <= MAX_STARTED:
+        return f"started: {reprlib.repr(target.started)} is not a time"
+    seconds = target.cold_seconds
+    if not math.isfinite(seconds) or seconds < 0:
+        return f"cold_seconds: {seconds!r} is not a duration"
+    return ""
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -339,6 +339,28 @@
             )
             self._put(f"targets//{target.name}")
 
+    def list_entry(self, name, **fields):
+        """Registers a target that is not running, as another writer might.
+
+        Args:
+            name: the name of its row.
+            fields: fields of its `model.Target` that differ from the usual.
+        """
+        usual = {"service": self.service, "software_version": "v1"}
+        self._rows[name] = gateway_parts.target(
+            **{"name": name, **usual, **fields}
+        )
+        self._put(f"targets//{name}")
+
+    def restart_host(self, number):
+        """Ends the process of an entry host, and starts another one."""
+        self.kill_host(number)
+        gateway = self._start_gateway(f"h{number}", multiple=True)
+        self.gateways[number] = gateway
+        if number == 0:
+            self.gateway = gateway
+        return gateway
+
     def unlist_targets(self, targets):
         """Deletes the registrations of targets."""
         deletes = [ports.Delete(f"targets//{t.name}") for t in targets]
--- a/tests/cover/platform/test_documents.py
+++ b/tests/cover/platform/test_documents.py
@@ -3,6 +3,7 @@
 import pytest
 
 from endivepier.gateway import model
+from endivepier.gateway.targets import decoding
 from endivepier.storage import ports
 from endivepier_platform import documents
 
@@ -141,3 +142,28 @@
 def test_an_invalid_or_unusable_server_is_no_target(document):
     decoder = documents.Decoder()
     assert decoder.decode_target(row("servers//i-7f", document)) is None
+
+
+# Choosing a target, and following the table, raised OverflowError (RECOVER).
+@pytest.mark.parametrize(
+    "fields",
+    [
+        b'"slots": 1' + b"0" * 400,
+        b'"slots": -1',
+        b'"born": 1' + b"0" * 400,
+        b'"born": -1' + b"0" * 400,
+        b'"born": 1' + b"0" * 5000,
+        b'"slots": 1e400',
+    ],
+)
+def test_a_server_whose_numbers_no_float_holds_is_no_target(fields):
+    document = json.dumps({**SERVER, "zone": "a"}).encode()
+    document = document.removesuffix(b"}") + b", " + fields + b"}"
+    decoder = decoding.CheckedDecoder(documents.Decoder())
+    assert decoder.decode_target(row("servers//i-7f", document)) is None
+
+
+def test_a_server_without_a_number_of_slots_has_one():
+    decoder = decoding.CheckedDecoder(documents.Decoder())
+    target = decoder.decode_target(row("servers//i-7f", {**SERVER, "slots": 0}))
+    assert target.slots == 1
