--- a/src/endivepier/gateway/accounts/renewals.py
+++ b/src/endivepier/gateway/accounts/renewals.py
@@ -20,6 +20,7 @@
 from endivepier.gateway.store import rows
 from endivepier.gateway.targets import catalog as catalog_lib
 from endivepier.internal import codec
+from endivepier.internal import failures
 from endivepier.limits import bucket as bucket_lib
 from endivepier.limits import leases
 from endivepier.storage import commit
@@ -135,6 +136,9 @@
                 continue
             except (errors.Unavailable, errors.OutcomeUnknown) as exc:
                 self._log_change(exc)
+            except Exception as exc:
+                failures.log(exc)
+                self._log_change(exc)
             self._clear_lapsed()
             seconds = (
                 POLL_INTERVAL_SECONDS
@@ -224,11 +228,11 @@
         for account in accounts:
             key = rows.single_part_key(rows.SHARES, account.name)
             row = stored.get(key)
-            before = (
-                share_rows.Row({})
-                if row is None
-                else codec.decode(share_rows.Row, row.value)
-            )
+            before: share_rows.Row | None = share_rows.Row({})
+            if row is not None:
+                before = rows.decode(share_rows.Row, row)
+            if before is None:  # it may hold shares of other hosts
+                continue
             share = self.local.ensure(account, now)
             planned = self._planned_row(account, share, before, write_id, now)
             if planned is None:
--- a/src/endivepier/gateway/hosts/rows.py
+++ b/src/endivepier/gateway/hosts/rows.py
@@ -18,6 +18,7 @@
 from endivepier.gateway.store import follower as follower_lib
 from endivepier.gateway.store import rows
 from endivepier.internal import codec
+from endivepier.internal import failures
 from endivepier.storage import ports
 
 FIRST_ANNOUNCE_BACKOFF_SECONDS = 0.1
@@ -221,6 +222,8 @@
                 return
             except (errors.Unavailable, errors.OutcomeUnknown) as exc:
                 eliot.log_message("peers.not_announced", reason=str(exc))
+            except Exception as exc:
+                failures.log(exc)
             self._timers.sleep(backoff)
             backoff = min(backoff * 2, MAX_ANNOUNCE_BACKOFF_SECONDS)
 
@@ -231,7 +234,7 @@
         now = self._timers.wall()
         if before is None:
             return dataclasses.replace(self.own, since=now, listed_since=now)
-        entry: Entry = codec.decode(Entry, before.value)
+        entry: Entry = rows.decode(Entry, before) or Entry("", "")
         losses = 0
         if now - entry.lost_at < LOSSES_SECONDS:
             losses = max(entry.losses, 1)
@@ -272,7 +275,9 @@
                 self._tasks.append(gevent.spawn(self._announce))
         for row in changes.rows:
             host = row.key.rpartition("/")[2]
-            entry: Entry = codec.decode(Entry, row.value)
+            entry: Entry | None = rows.decode(Entry, row)
+            if entry is None:
+                continue
             if entry.has_left:
                 self.listed.pop(host, None)
                 self.left[host] = entry
@@ -284,4 +289,4 @@
             self.heard.pop(host, None)
             self.listed[host] = self.entries[host] = entry
             for callback in self._listeners:
-                callback(host)
+                failures.contain(callback, host)
--- a/src/endivepier/gateway/model.py
+++ b/src/endivepier/gateway/model.py
@@ -183,6 +183,11 @@
         """The name and start time, which identify one run for all time."""
         return f"{self.name}@{self.started}"
 
+    @property
+    def run(self) -> tuple[str, str, str]:
+        """What all rows of one run of the target have in common."""
+        return self.incarnation, self.address, self.software_version
+
 
 # The prompt of a program's first turn has a shared part and one of its own.
 MAX_FIRST_TURN_PARTS = 2
--- a/src/endivepier/gateway/store/follower.py
+++ b/src/endivepier/gateway/store/follower.py
@@ -1,4 +1,9 @@
-"""Follows the changes of a table of the store by long polling."""
+"""Follows the changes of a table of the store by long polling.
+
+The task that does so lasts as long as its process. Whatever a row holds, it
+must not end: the process would go on with an old configuration or old targets,
+or never get ready.
+"""
 
 from __future__ import annotations
 
@@ -9,6 +14,7 @@
 
 from endivepier import errors
 from endivepier import timers as timers_lib
+from endivepier.internal import failures
 from endivepier.storage import ports
 
 # How long the store may hold a poll open while nothing changes. A dead
@@ -18,6 +24,8 @@
 SLOW_POLL_SECONDS = 5.0
 FIRST_BACKOFF_SECONDS = 0.05
 MAX_BACKOFF_SECONDS = 0.4
+# After an exception that is not expected, before the table is read as a whole.
+FAILURE_PAUSE_SECONDS = 1.0
 
 
 class Follower:
@@ -79,6 +87,16 @@
                 self._record_failure(exc)
                 self._timers.sleep(backoff)
                 backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+            except Exception as exc:
+                failures.log(exc)
+                eliot.log_message(
+                    "store.changes_not_applied",
+                    table=self._table,
+                    version=self.version,
+                    action="read a new snapshot",
+                )
+                self.version = None
+                self._timers.sleep(FAILURE_PAUSE_SECONDS)
 
     def _read_next(self) -> None:
         if self.version is None:
--- a/src/endivepier/gateway/targets/catalog.py
+++ b/src/endivepier/gateway/targets/catalog.py
@@ -22,6 +22,7 @@
 from endivepier.gateway.targets import evacuations as evacuations_lib
 from endivepier.gateway.targets import version_history
 from endivepier.http1 import messages
+from endivepier.internal import failures
 from endivepier.storage import ports
 
 # Running targets write their rows again within two seconds after an outage.
@@ -309,7 +310,7 @@
             keys=len(self._accounts_by_key),
         )
         for callback in self._declaration_listeners:
-            callback()
+            failures.contain(callback)
 
     def _replace_targets(self, changes: ports.Changes) -> None:
         current_keys = {row.key for row in changes.rows}
@@ -324,41 +325,41 @@
     def _apply_target_changes(self, changes: ports.Changes) -> None:
         for key in changes.removed:
             if key not in self._targets:
-                # It came and went between two reads.
-                self._history.restart()
+                self._history.restart()  # it came and went between two reads
             self._remove_or_expire(key)
         self._update_targets(changes.rows)
 
     def _update_targets(self, rows: tuple[ports.Row, ...]) -> None:
         for row in rows:
-            target = self._decoder.decode_target(row)
-            if target is None:
-                self._remove_or_expire(row.key)
-                continue
-            entry = self._targets.get(row.key)
-            if entry is not None and (
-                entry.target.incarnation != target.incarnation
-                or entry.target.address != target.address
-                or entry.target.software_version != target.software_version
-            ):
-                self._notify_removed(entry.target)
-            if entry is None or entry.target.draining != target.draining:
-                eliot.log_message(
-                    "target.draining" if target.draining else "target.in",
-                    target=target.name,
-                    service=target.service,
-                    address=target.address,
-                    version=target.software_version,
-                    row_version=row.version,
-                )
-            self._targets[row.key] = TargetEntry(target)
-            has_appeared = self._targets_read_at is not None and (
-                entry is None or entry.target.incarnation != target.incarnation
-            )
-            for callback in self._row_listeners:
-                callback(target, has_appeared)
+            if not failures.contain(self._update_target, row):
+                self._delete_target(row.key)  # not all parts may know it
         self._by_service = None
 
+    def _update_target(self, row: ports.Row) -> None:
+        target = self._decoder.decode_target(row)
+        if target is None:
+            self._remove_or_expire(row.key)
+            return
+        entry = self._targets.get(row.key)
+        before = None if entry is None else entry.target
+        if before is not None and before.run != target.run:
+            self._notify_removed(before)
+        if before is None or before.draining != target.draining:
+            eliot.log_message(
+                "target.draining" if target.draining else "target.in",
+                target=target.name,
+                service=target.service,
+                address=target.address,
+                version=target.software_version,
+                row_version=row.version,
+            )
+        self._targets[row.key] = TargetEntry(target)
+        has_appeared = self._targets_read_at is not None and (
+            before is None or before.incarnation != target.incarnation
+        )
+        for callback in self._row_listeners:
+            callback(target, has_appeared)
+
     def _remove_or_expire(self, key: str) -> None:
         """Removes a target, after a grace period if its row may have lapsed."""
         entry = self._targets.get(key)
@@ -377,16 +378,18 @@
                 action=f"keep the target in use for {LAPSE_GRACE_SECONDS} s",
             )
             return
-        self._delete_target(key, entry)
+        self._delete_target(key)
 
     def _expire(self, key: str) -> None:
         """Removes a target after its grace period, unless its row is back."""
         entry = self._targets.get(key)
         if entry is not None and entry.expires_at is not None:
-            self._delete_target(key, entry)
+            self._delete_target(key)
 
-    def _delete_target(self, key: str, entry: TargetEntry) -> None:
-        del self._targets[key]
+    def _delete_target(self, key: str) -> None:
+        entry = self._targets.pop(key, None)
+        if entry is None:
+            return
         self._by_service = None
         eliot.log_message("target.out", target=entry.target.name)
         self._notify_removed(entry.target)
@@ -394,4 +397,4 @@
     def _notify_removed(self, target: model.Target) -> None:
         self._history.note_removed(target)
         for callback in self._removal_listeners:
-            callback(target)
+            failures.contain(callback, target)
--- a/src/endivepier/gateway/targets/decoding.py
+++ b/src/endivepier/gateway/targets/decoding.py
@@ -1,20 +1,25 @@
 """The port through which the gateway reads a deployment's rows.
 
-Any process may have written a row. `CheckedDecoder` rejects what an adapter
-decodes from one if the gateway could not compute with it.
+Any process may have written a row. `CheckedDecoder` rejects a row that an
+adapter fails on, and what it decodes if the gateway could not compute with it.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import math
 import reprlib
 from typing import Protocol
+from typing import TypeVar
 
 import eliot
 
 from endivepier.gateway import model
+from endivepier.internal import failures
 from endivepier.storage import ports
 
+T = TypeVar("T")
+
 MAX_SLOTS = 100_000  # of one target
 MAX_STARTED = 2**53  # Unix milliseconds; floats hold all integers up to this
 
@@ -48,26 +53,42 @@
         self._decoder = decoder
         self.declaration_table = decoder.declaration_table
         self.target_table = decoder.target_table
-        self.decode_declaration = decoder.decode_declaration
         self.decode_evacuated = decoder.decode_evacuated
 
+    def decode_declaration(self, row: ports.Row) -> model.Declaration | None:
+        """Returns the declaration in a row, or None if there is none."""
+        return _decode(self._decoder.decode_declaration, row)
+
     def decode_target(self, row: ports.Row) -> model.Target | None:
         """Returns the target in a row, or None if it isn't usable."""
-        target = self._decoder.decode_target(row)
+        target = _decode(self._decoder.decode_target, row)
         if target is None:
             return None
         fault = _find_fault(target)
         if not fault:
             return target
-        eliot.log_message(
-            "row.dropped",
-            row=row.key,
-            row_version=row.version,
-            reason=fault,
-        )
+        _log_dropped(row, fault)
         return None
 
 
+def _decode(
+    decode: Callable[[ports.Row], T | None], row: ports.Row
+) -> T | None:
+    """Returns what an adapter decodes from a row; None if it fails."""
+    try:
+        return decode(row)
+    except Exception as exc:
+        failures.log(exc)
+        _log_dropped(row, f"{type(exc).__name__}: {exc}")
+        return None
+
+
+def _log_dropped(row: ports.Row, reason: str) -> None:
+    eliot.log_message(
+        "row.dropped", row=row.key, row_version=row.version, reason=reason
+    )
+
+
 def _find_fault(target: model.Target) -> str:
     """Returns why no call can be sent to a target, or an empty string."""
     if not 0 <= target.slots <= MAX_SLOTS:
--- a/src/endivepier/telemetry/logs.py
+++ b/src/endivepier/telemetry/logs.py
@@ -56,7 +56,17 @@
 
     def _write_queued(self) -> None:
         for message in self._queue:
-            self._file_destination(message)
+            try:
+                self._file_destination(message)
+            except (TypeError, ValueError) as exc:
+                # The encoder takes no integer of more than 64 bits.
+                self._file_destination(
+                    {
+                        "message_type": "logs.not_encoded",
+                        "left_out": str(message.get("message_type")),
+                        "reason": str(exc),
+                    }
+                )
 
 
 def to_stderr() -> None:
--- a/src/endivepier/telemetry/spans.py
+++ b/src/endivepier/telemetry/spans.py
@@ -24,6 +24,8 @@
 from opentelemetry.sdk.trace import export
 from opentelemetry.trace.propagation import tracecontext
 
+from endivepier.internal import failures
+
 _PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
 _TRACER_KEY = context_api.create_key("endivepier-tracer")
 
@@ -78,7 +80,7 @@
     def _export_periodically(self) -> None:
         while True:
             gevent.sleep(EXPORT_INTERVAL_SECONDS)
-            self._export_batch()
+            failures.contain(self._export_batch)
 
     def _export_batch(self) -> None:
         while not self._queue.empty():
