Rows without a usable address or name name no target (RECOVER)

Besides, names were sent on as they were: one with a line feed adds headers to requests, one with a comma or an equals sign makes other hosts drop a message's lists, and the entry 'x/i-1' counted as the server 'i-1'.

Change: CheckedDecoder drops rows whose address is not the IP address and port of one process, whose name can't be sent in a header and a list, or whose texts are longer than a row's key. connect raises ConnectFailed for what is no address.

--- a/src/endivepier/gateway/targets/decoding.py
+++ b/src/endivepier/gateway/targets/decoding.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import ipaddress
 import math
+import re
 import reprlib
 from typing import Protocol
 from typing import TypeVar
@@ -15,6 +17,7 @@
 import eliot
 
 from endivepier.gateway import model
+from endivepier.http1 import client
 from endivepier.internal import failures
 from endivepier.storage import ports
 
@@ -22,6 +25,11 @@
 
 MAX_SLOTS = 100_000  # of one target
 MAX_STARTED = 2**53  # Unix milliseconds; floats hold all integers up to this
+MAX_PORT = 65535
+MAX_TEXT_LENGTH = 200
+# Names are sent to targets in a header, and to other hosts in lists of names
+# and numbers that "," and "=" separate.
+NAME = re.compile(r"[^\x00-\x20,/=\x7f-\U0010ffff]+")
 
 
 class Decoder(Protocol):
@@ -91,6 +99,19 @@
 
 def _find_fault(target: model.Target) -> str:
     """Returns why no call can be sent to a target, or an empty string."""
+    texts = {
+        "name": target.name,
+        "service": target.service,
+        "data_centre": target.data_centre,
+        "software_version": target.software_version,
+    }
+    for field, text in texts.items():
+        if len(text) > MAX_TEXT_LENGTH:
+            return f"{field}: {len(text)} characters, not {MAX_TEXT_LENGTH}"
+    if not NAME.fullmatch(target.name):
+        return f"name: {target.name!r} can't be sent in a header or a list"
+    if not _is_address(target.address):
+        return f"address: {reprlib.repr(target.address)} is not ip:port"
     if not 0 <= target.slots <= MAX_SLOTS:
         return f"slots: {reprlib.repr(target.slots)}, not 0 to {MAX_SLOTS}"
     if not 0 <= target.started <= MAX_STARTED:
@@ -99,3 +120,17 @@
     if not math.isfinite(seconds) or seconds < 0:
         return f"cold_seconds: {seconds!r} is not a duration"
     return ""
+
+
+def _is_address(text: str) -> bool:
+    """Returns whether a text is the address and the port of one process."""
+    host, _, port = text.rpartition(":")
+    if not port.isdecimal() or len(port) > client.MAX_PORT_DIGITS:
+        return False
+    try:
+        address = ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    if address.is_unspecified or address.is_multicast:
+        return False
+    return 0 < int(port) <= MAX_PORT
--- a/src/endivepier/http1/client.py
+++ b/src/endivepier/http1/client.py
@@ -15,6 +15,8 @@
 from endivepier.http1 import receiving
 from endivepier.http1 import responses
 
+MAX_PORT_DIGITS = 5
+
 
 class Connection:
     """A connection to a server.
@@ -250,6 +252,8 @@
             was sent.
     """
     host, _, port = address.rpartition(":")
+    if not port.isdecimal() or len(port) > MAX_PORT_DIGITS:
+        raise errors.ConnectFailed(f"{address!r} has no port")
     sock = socket.socket(socket_lib.AF_INET, socket_lib.SOCK_STREAM)
     try:
         sock.setsockopt(socket_lib.IPPROTO_TCP, socket_lib.TCP_NODELAY, 1)
@@ -270,7 +274,8 @@
     except ConnectionRefusedError as exc:
         sock.close()
         raise errors.ConnectRefused(f"{address}: {exc}") from exc
-    except OSError as exc:
+    except (OSError, OverflowError, ValueError) as exc:
+        # OverflowError: there is no such port; ValueError: no such host name.
         sock.close()
         raise errors.ConnectFailed(f"{address}: {exc or 'timed out'}") from exc
     except BaseException:
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -339,18 +339,18 @@
             )
             self._put(f"targets//{target.name}")
 
-    def list_entry(self, name, **fields):
+    def list_entry(self, row, **fields):
         """Registers a target that is not running, as another writer might.
 
         Args:
-            name: the name of its row.
+            row: the name of its row.
             fields: fields of its `model.Target` that differ from the usual.
         """
         usual = {"service": self.service, "software_version": "v1"}
-        self._rows[name] = gateway_parts.target(
-            **{"name": name, **usual, **fields}
+        self._rows[row] = gateway_parts.target(
+            **{"name": row, **usual, **fields}
         )
-        self._put(f"targets//{name}")
+        self._put(f"targets//{row}")
 
     def restart_host(self, number):
         """Ends the process of an entry host, and starts another one."""
--- a/tests/cover/platform/test_documents.py
+++ b/tests/cover/platform/test_documents.py
@@ -167,3 +167,11 @@
     decoder = decoding.CheckedDecoder(documents.Decoder())
     target = decoder.decode_target(row("servers//i-7f", {**SERVER, "slots": 0}))
     assert target.slots == 1
+
+
+# The name is what follows the table and its part, which is empty. An entry
+# named "x/i-7f" counted as the server "i-7f".
+@pytest.mark.parametrize("key", ["servers//x/i-7f", "servers/x/i-7f"])
+def test_a_server_under_another_key_is_not_the_one_it_is_called_after(key):
+    decoder = decoding.CheckedDecoder(documents.Decoder())
+    assert decoder.decode_target(row(key, SERVER)) is None
