--- a/src/endivepier/gateway/choice/load_reports.py
+++ b/src/endivepier/gateway/choice/load_reports.py
@@ -19,6 +19,7 @@
 FRESH_SECONDS = 0.5
 REUSE_SECONDS = 0.02  # how long the encoded report and the sums are cached
 MAX_REPORT_BYTES = 8192  # below the limit on the size of a header
+MAX_CALLS = 1_000_000  # of one host at one target
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,13 +82,22 @@
         if previous is not None and previous.encoded == encoded:
             previous.received_at = now
             return
+        if len(encoded) > MAX_REPORT_BYTES:
+            raise ValueError(
+                f"load report of host {host!r} has {len(encoded)} bytes"
+            )
         document = json.loads(encoded)
         if not isinstance(document, dict):
             raise ValueError(f"load report of host {host!r} is no JSON object")
-        if not all(isinstance(count, int) for count in document.values()):
+        if not all(type(count) is int for count in document.values()):
             raise ValueError(
                 f"load report of host {host!r} has a count that is no integer"
             )
+        if not all(0 <= count <= MAX_CALLS for count in document.values()):
+            raise ValueError(
+                f"load report of host {host!r} has a count that is not 0 to "
+                f"{MAX_CALLS}"
+            )
         running = dict(document)
         self._reports[host] = Report(encoded, now, running)
         self._summed_at = float("-inf")
--- a/src/endivepier/gateway/hosts/peers.py
+++ b/src/endivepier/gateway/hosts/peers.py
@@ -319,24 +319,26 @@
         departures = messages.find(headers, DEPARTURES_HEADER)
         if departures:
             self._departures.receive(host, departures)
-        report = messages.find(headers, LOAD_HEADER)
-        exceeded = messages.find(headers, LIMITS_HEADER)
-        rates = messages.find(headers, RATES_HEADER)
-        cold = messages.find(headers, COLD_HEADER)
-        suspects = messages.find(headers, SUSPECTS_HEADER)
-        try:
-            if suspects:
-                self._suspects.receive(host, suspects)
-            if rates:
-                self._rates.receive(host, rates)
-            if cold:
-                self._rates.receive_cold(cold)
-            if exceeded:
-                self._limit_reports.receive(host, exceeded)
-            if report:
-                self._reports.receive(host, report)
-        except ValueError as exc:
-            eliot.log_message("peer.bad_report", peer=host, reason=str(exc))
+        receivers: dict[bytes, Callable[[str, bytes], None]] = {
+            SUSPECTS_HEADER: self._suspects.receive,
+            RATES_HEADER: self._rates.receive,
+            COLD_HEADER: lambda _, value: self._rates.receive_cold(value),
+            LIMITS_HEADER: self._limit_reports.receive,
+            LOAD_HEADER: self._reports.receive,
+        }
+        for name, receive in receivers.items():
+            value = messages.find(headers, name)
+            if not value:
+                continue
+            try:
+                receive(host, value)
+            except (ValueError, RecursionError) as exc:
+                eliot.log_message(
+                    "peer.bad_report",
+                    peer=host,
+                    header=name.decode(),
+                    reason=str(exc),
+                )
 
     def _serve(
         self, req: messages.Request, responder: responding.Responder
--- a/src/endivepier/gateway/store/access.py
+++ b/src/endivepier/gateway/store/access.py
@@ -314,9 +314,12 @@
                         f"no valid reply from {host} to a relayed call"
                     ) from exc
                 continue
-            reply: store_messages.Reply = codec.decode(
-                store_messages.Reply, response
-            )
+            try:
+                reply: store_messages.Reply = codec.decode(
+                    store_messages.Reply, response
+                )
+            except errors.Refused as exc:
+                reply = store_messages.Failed("unknown", exc.detail)
             if not isinstance(reply, store_messages.Failed):
                 self._relayed_at = self._timers.now()
                 return reply
--- a/src/endivepier/gateway/suspects/suspects.py
+++ b/src/endivepier/gateway/suspects/suspects.py
@@ -31,6 +31,7 @@
 from endivepier import timers as timers_lib
 from endivepier.gateway.suspects import fingerprints
 from endivepier.internal import bounded_map
+from endivepier.internal import quantities
 from endivepier.telemetry import metrics as metrics_lib
 
 ENDS_TO_REFUSE = 3  # targets that a request has ended when it is refused
@@ -338,13 +339,13 @@
         now = self._timers.now()
         for item in encoded.decode("latin-1").split(SEPARATOR):
             content, kind, began, ended = item.split(ASSIGN)
-            at = now - float(ended)
+            at = now - quantities.parse(ended)
             if kind == COMPLETED:
                 self.add_completion(content, at, host)
             elif kind == REFUSED:
                 self._refuse(content, at, host)
             else:
-                run = Run(now - float(began), at)
+                run = Run(now - quantities.parse(began), at)
                 self.add_end(content, kind, run, host)
 
     def _ensure(self, content: str) -> History:
--- a/src/endivepier/gateway/targets/limit_reports.py
+++ b/src/endivepier/gateway/targets/limit_reports.py
@@ -11,6 +11,7 @@
 import eliot
 
 from endivepier import timers as timers_lib
+from endivepier.internal import quantities
 
 MAX_REPORTED = 50  # targets in one message, some 2 kB
 SEPARATOR = ","
@@ -63,7 +64,7 @@
             incarnation, _, seconds = item.rpartition(ASSIGN)
             if not incarnation:
                 raise ValueError(f"limit report of host {host!r}: {item!r}")
-            self._receive_one(host, incarnation, float(seconds))
+            self._receive_one(host, incarnation, quantities.parse(seconds))
 
     def _receive_one(self, host: str, incarnation: str, seconds: float) -> None:
         now = self._timers.now()
--- a/src/endivepier/gateway/targets/rates.py
+++ b/src/endivepier/gateway/targets/rates.py
@@ -20,6 +20,7 @@
 
 from endivepier import timers as timers_lib
 from endivepier.internal import bounded_map
+from endivepier.internal import quantities
 from endivepier.telemetry import metrics as metrics_lib
 
 RESPONSE = "response"  # source of what this host was told by the target
@@ -227,8 +228,8 @@
             incarnation, rate, age = item.rsplit(ASSIGN, 2)
             self.note(
                 incarnation,
-                None if rate == NO_RATE else float(rate),
-                now - float(age) - MESSAGE_SECONDS,
+                None if rate == NO_RATE else quantities.parse(rate),
+                now - quantities.parse(age) - MESSAGE_SECONDS,
                 source=host,
             )
 
@@ -254,7 +255,9 @@
         """
         for item in encoded.decode("latin-1").split(SEPARATOR):
             incarnation, rate, seconds = item.rsplit(ASSIGN, 2)
-            self.set_cold(incarnation, float(rate), float(seconds))
+            self.set_cold(
+                incarnation, quantities.parse(rate), quantities.parse(seconds)
+            )
 
     def _count_limited(self) -> None:
         limited = [name for name in self._shared if self.rate(name) is not None]
