--- a/src/endivepier/gateway/streams/events.py
+++ b/src/endivepier/gateway/streams/events.py
@@ -16,6 +16,8 @@
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_END_LENGTH = 4  # bytes of the longest match
+# Ids are logged and sent to other hosts as integers of 64 bits.
+MAX_ID_DIGITS = 18
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,7 +26,8 @@
 
     Attributes:
         raw: the event's bytes, including the empty line that ends it.
-        id: the event's `id` field, or None if it is absent or not a number.
+        id: the event's `id` field, or None if it is absent, not a number or
+            of more than `MAX_ID_DIGITS` digits.
         data: the event's `data` lines, joined by line feeds.
     """
 
@@ -137,5 +140,6 @@
         if field == b"data":
             data.append(value)
         elif field == b"id" and value.isdigit():
-            event_id = int(value)
+            digits = value.lstrip(b"0") or b"0"
+            event_id = int(digits) if len(digits) <= MAX_ID_DIGITS else None
     return Event(raw, event_id, b"\n".join(data))
--- a/tests/cover/gateway/test_event_order.py
+++ b/tests/cover/gateway/test_event_order.py
@@ -176,3 +176,17 @@
     respond_in_turn(fleet, ([b": comment\n\n"], True))
     response = fleet.request()
     assert (response.complete, response.body) == (True, b": comment\n\n")
+
+
+# The id was converted to a number, which raised ValueError: the client's
+# connection was closed, and the target counted as sound.
+@pytest.mark.parametrize("digits", [19, 5000])
+def test_an_id_of_too_many_digits_counts_as_none(start, digits):
+    fleet = start()
+    long_id = b"id: " + b"9" * digits + b"\ndata: word\n\n"
+    respond_in_turn(fleet, ([long_id], False), (EVENTS, True))
+    assert not is_whole(fleet.request("cut-off"))
+    assert len(fleet.received()) == 1  # no other target can go on after it
+    respond_in_turn(fleet, ([long_id, long_id], True))
+    response = fleet.request("whole")
+    assert (response.complete, response.body) == (True, long_id * 2)
--- a/tests/cover/platform/test_dialect.py
+++ b/tests/cover/platform/test_dialect.py
@@ -147,3 +147,43 @@
 def test_a_target_without_the_header_names_no_rate():
     head = messages.Head(200, [(b"Attempt-Id", b"9c41")])
     assert dialect.PlatformDialect().decode_head(head).rate is None
+
+
+# Numbers of so many digits raised ValueError when they were decoded, or
+# OverflowError in the choice of a target, and the connection was closed.
+@pytest.mark.parametrize("digits", [16, 400, 5000])
+def test_numbers_of_many_digits_are_as_large_as_computed_with(digits):
+    many = b"9" * digits
+    call = decode(
+        [
+            (b"Host", b"a"),
+            (b"Attempt-Id", b"9c41"),
+            (b"Deadline-Ms", many),
+            (b"Program-Deadline-Ms", many),
+            (b"Token-Count", many + b"," + many),
+            (b"Token-Budget", many),
+            (b"Prompt-Prefix", b"5c1e:" + many),
+        ]
+    )
+    assert call.deadline == call.program_deadline > 10**11
+    assert call.budget == call.max_tokens == call.prompt_tokens >= 10**15
+    assert call.parts == (model.Part("5c1e", call.budget),)
+    assert call.prompt_tokens / 60_000.0 > 0.0
+
+
+# An id that is cut to another number would resume the stream at another place.
+@pytest.mark.parametrize("digits", [19, 5000])
+def test_a_stream_can_not_be_resumed_after_an_id_of_many_digits(digits):
+    with pytest.raises(errors.Refused) as caught:
+        decode([*HEADERS[:2], (b"Last-Event-Id", b"9" * digits)])
+    assert caught.value.status == 400
+
+
+def test_leading_zeros_do_not_count_as_digits():
+    headers = [
+        *HEADERS[:2],
+        (b"Last-Event-Id", b"0" * 30 + b"7"),
+        (b"Token-Budget", b"0" * 30 + b"8"),
+    ]
+    call = decode(headers)
+    assert (call.last_event, call.budget) == (7, 8)
