--- a/src/endivepier/gateway/streams/events.py
+++ b/src/endivepier/gateway/streams/events.py
@@ -18,6 +18,9 @@
 EVENT_END_LENGTH = 4  # bytes of the longest match
 # Ids are logged and sent to other hosts as integers of 64 bits.
 MAX_ID_DIGITS = 18
+# Between two events of a response, and before the first one. Comments keep a
+# connection open, or fill the buffers of proxies with some kilobytes.
+MAX_COMMENT_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,8 +81,8 @@
     Attributes:
         fault: why the place of an event in the stream is wrong or unknown, or
             an empty string. It and those after it are left out.
-        held: comments before the first event of the stream. They go out with
-            it: another target may send it, with a head of its own.
+        has_excess: whether there were more than `MAX_COMMENT_BYTES` without an
+            event. The rest is left out.
     """
 
     def __init__(self, resume_after: int | None, begun: bool) -> None:
@@ -90,7 +93,9 @@
             begun: whether a part of the stream was sent to the client.
         """
         self.fault = ""
-        self.held: list[Event] = []
+        self.has_excess = False
+        self._held = bytearray()
+        self._comment_bytes = 0  # since the last event
         self._begun = begun
         self._resume_after = resume_after
         self._last_id: int | None = None
@@ -103,18 +108,34 @@
             self.fault = self.fault or self._find_fault(event)
             if self.fault:
                 break
+            if event.is_comment:
+                self._comment_bytes += len(event.raw)
+                if self._comment_bytes > MAX_COMMENT_BYTES:
+                    self.has_excess = True
+                    break
+            else:
+                self._comment_bytes = 0
             if event.is_comment and not self._begun:
-                self.held.append(event)
+                self._held += event.raw
                 continue
             if event.id is not None:
                 self._last_id = event.id
                 self._has_new = self._has_new or self._is_new(event.id)
             if self._has_new or event.is_comment:
                 new_events += [*self.held, event]
-                self.held.clear()
+                self._held.clear()
                 self._begun = True
         return new_events
 
+    @property
+    def held(self) -> list[Event]:
+        """The comments before the first event of the stream, as one.
+
+        They go out with it: another target may send it, with a head of its
+        own.
+        """
+        return [Event(bytes(self._held), None, b"")] if self._held else []
+
     def _is_new(self, event_id: int) -> bool:
         return self._resume_after is None or event_id > self._resume_after
 
--- a/src/endivepier/gateway/streams/progress.py
+++ b/src/endivepier/gateway/streams/progress.py
@@ -19,7 +19,6 @@
             this call or from an earlier one that this call resumes.
         output: data of the sent events, each followed by a line feed; only
             collected if the turn is to be stored.
-        output_bytes: length of `output` in bytes.
         head: the head that the client gets: of the response that brings its
             first event, or ends without any.
     """
@@ -27,8 +26,7 @@
     started: bool = False
     events_sent: int = 0
     last_event_id: int | None = None
-    output: list[bytes] = dataclasses.field(default_factory=list)
-    output_bytes: int = 0
+    output: bytearray = dataclasses.field(default_factory=bytearray)
     head: messages.Head | None = None
 
 
--- a/src/endivepier/gateway/streams/stream_calls.py
+++ b/src/endivepier/gateway/streams/stream_calls.py
@@ -108,9 +108,7 @@
             return
         rate_tokens = self._dispatcher.rate_tokens
         targets = [
-            target
-            for target in self._choice.targets(ctx)
-            if rate_tokens.may_take(target)
+            t for t in self._choice.targets(ctx) if rate_tokens.may_take(t)
         ]
         reason = turn_admission.refusal_reason(
             ctx.call,
@@ -266,12 +264,16 @@
                 self._forward(ctx, new_events, progress)
             if sequence.fault:
                 raise exchange.failure(sequence.fault)
+            if sequence.has_excess:
+                raise exchange.limit_exceeded(
+                    "comments", events.MAX_COMMENT_BYTES
+                )
             # Neither comments nor parts of an event are progress.
             if not all(event.is_comment for event in received):
                 deadline = self._event_deadline(
                     ctx, first=progress.events_sent == 0
                 )
-            if progress.output_bytes > MAX_STORED_OUTPUT_BYTES:
+            if len(progress.output) > MAX_STORED_OUTPUT_BYTES:
                 raise exchange.limit_exceeded("output", MAX_STORED_OUTPUT_BYTES)
         eliot.log_message(
             "stream.ended",
@@ -308,8 +310,7 @@
                 progress.last_event_id = event.id
             ctx.may_continue = event.id is not None
             if ctx.route.retained:
-                progress.output.append(event.data + b"\n")
-                progress.output_bytes += len(event.data) + 1
+                progress.output += event.data + b"\n"
         ctx.responder.write(b"".join(event.raw for event in new_events))
 
     def _send_head(
@@ -331,12 +332,11 @@
             self._send_head(ctx, progress)
         if ctx.route.retained:
             turn = turns_lib.Turn(
-                ctx.call.id,
-                ctx.account,
-                body + b"".join(progress.output),
+                ctx.call.id, ctx.account, body + progress.output
+            )
+            deadline = min(
+                self._timers.now() + MAX_COMMIT_SECONDS, ctx.deadline
             )
-            now = self._timers.now()
-            deadline = min(now + MAX_COMMIT_SECONDS, ctx.deadline)
             try:
                 self._turns.commit(turn, ctx.route.retention, deadline)
             except errors.OutcomeUnknown as exc:
--- a/src/endivepier/http1/errors.py
+++ b/src/endivepier/http1/errors.py
@@ -40,8 +40,8 @@
     The request may have taken effect.
 
     Attributes:
-        limit: name of the limit: "framing", "body", "event", "output" or
-            "other responses".
+        limit: name of the limit: "framing", "body", "event", "comments",
+            "output" or "other responses".
         received: bytes received when the limit was found to be exceeded.
     """
 
--- a/tests/common/flooding.py
+++ b/tests/common/flooding.py
@@ -108,3 +108,13 @@
     "an event": (CHUNKED, chunk(b"data: " + b"x" * PIECE_BYTES)),
     "lines of an event": (CHUNKED, chunk(b"data: x\n" * 8192)),
 }
+
+
+# What is no event: streams of them never begin.
+COMMENT_FLOODS = {
+    "comments": (CHUNKED, chunk(b": wait\n\n")),
+    "long comments": (CHUNKED, chunk(b": " + b"x" * 10_000 + b"\n\n")),
+    "fields of no event": (CHUNKED, chunk(b"5f0e1c" * 2000 + b"\n\n")),
+    "empty lines": (CHUNKED, chunk(b"\n" * 4096)),
+    "times to wait": (CHUNKED, chunk(b"retry: 1000\n\n" * 100)),
+}
--- a/tests/cover/gateway/test_flooding_targets.py
+++ b/tests/cover/gateway/test_flooding_targets.py
@@ -19,6 +19,7 @@
 PROMPT_SECONDS = 2.0
 TIMEOUT_SECONDS = 30.0
 MAX_SOCKET_BUFFER_BYTES = 32 * 1024 * 1024  # of two connections
+MAX_FLOOD_BYTES = 2 * MAX_SOCKET_BUFFER_BYTES  # so that a failing test ends
 
 
 @pytest.fixture
@@ -55,6 +56,26 @@
     return called
 
 
+def count_flood(fleet, first, repeated):
+    """Makes all targets flood; returns the sizes of what they sent."""
+    sent = []
+
+    def choose(target):
+        def write(request, responder):
+            lines = [name + b": " + v for name, v in target.headers(request)]
+            start, _, rest = first.partition(b"\r\n")
+            responder.connection.write(b"\r\n".join([start, *lines, rest]))
+            while sum(sent) < MAX_FLOOD_BYTES:
+                responder.connection.write(repeated)
+                sent.append(len(repeated))
+
+        return write
+
+    for target in fleet.targets:
+        target.handler = choose(target)
+    return sent
+
+
 def respond_plainly(fleet):
     for target in fleet.targets:
         target.handler = target.respond
@@ -234,3 +255,54 @@
     parsed = [e for byte in raw for e in splitter.feed(bytes([byte]))]
     assert [(e.raw, e.id, e.data) for e in parsed] == [(raw, 7, b"one\ntwo")]
     assert splitter.partial_length == 0
+
+
+# Hosts kept all of what came before the first event until the turn's deadline,
+# and were killed for the memory; with them ended all their other calls (LOST).
+@pytest.mark.parametrize("retained", [False, True])
+@pytest.mark.parametrize("name", flooding.COMMENT_FLOODS)
+def test_what_precedes_the_first_event_is_not_collected(start, name, retained):
+    fleet = start(resumable=False, retained=retained)
+    first, repeated = flooding.COMMENT_FLOODS[name]
+    sent = count_flood(fleet, first, repeated * (65536 // len(repeated)))
+    with gevent.Timeout(TIMEOUT_SECONDS / 2):
+        assert fleet.request().status == 502
+    assert sum(sent) <= MAX_SOCKET_BUFFER_BYTES
+    metrics = fleet.gateway.metrics
+    assert metrics.value("limits_exceeded", limit="comments") == 1
+
+
+@pytest.mark.parametrize("name", flooding.COMMENT_FLOODS)
+def test_comments_without_end_between_two_events_end_the_stream(start, name):
+    fleet = start(resumable=False)
+    first, repeated = flooding.COMMENT_FLOODS[name]
+    event = flooding.chunk(gateway_fleet.EVENTS[0])
+    sent = count_flood(
+        fleet, first + event, repeated * (65536 // len(repeated))
+    )
+    with gevent.Timeout(TIMEOUT_SECONDS / 2):
+        response = fleet.request()
+    assert (response.status, response.complete) == (200, False)
+    assert response.body.startswith(gateway_fleet.EVENTS[0])
+    assert sum(sent) <= MAX_SOCKET_BUFFER_BYTES
+    metrics = fleet.gateway.metrics
+    assert metrics.value("limits_exceeded", limit="comments") == 1
+
+
+def test_a_target_that_keeps_its_connections_alive_is_no_flood(start):
+    fleet = start()
+
+    def stream(request, responder):
+        responder.start(200, fleet.targets[0].headers(request))
+        for event in gateway_fleet.EVENTS:
+            for _ in range(10):
+                responder.write(b": " + b"x" * 2048 + b"\n\n")
+            responder.write(event)
+        responder.finish()
+
+    for target in fleet.targets:
+        target.handler = stream
+    response = fleet.request()
+    assert response.complete
+    assert response.body.count(b"data: ") == len(gateway_fleet.EVENTS)
+    assert response.body.count(b"xx\n\n") == 10 * len(gateway_fleet.EVENTS)
