--- a/src/endivepier/http1/client.py
+++ b/src/endivepier/http1/client.py
@@ -179,25 +179,23 @@
             second response began.
     """
     length = head.body_length()
-    pieces: list[bytes] = []
-    received = 0
+    received = bytearray()  # a list of small pieces would take many times more
     while True:
-        if max(received, length or 0) > buffers.body_bytes:
+        if max(len(received), length or 0) > buffers.body_bytes:
             raise errors.LimitExceeded(
                 "body", conn.received_bytes, buffers.body_bytes
             )
         seconds = max(deadline - conn.now(), 0.0)
-        if not body.reserve(received, length, seconds):
+        if not body.reserve(len(received), length, seconds):
             raise errors.ExchangeTimeout(
                 f"no memory became free for a response of {conn.address}"
             )
         part = conn.read(deadline)
         match part:
             case responses.Data(content=content):
-                received += len(content)
-                pieces.append(content)
+                received += content
             case responses.End():
-                return b"".join(pieces)
+                return bytes(received)
             case _:
                 raise errors.ExchangeBroken(
                     "a second response began within the body of the first"
--- a/src/endivepier/http1/framing.py
+++ b/src/endivepier/http1/framing.py
@@ -10,6 +10,7 @@
 # Framing that a byte of the body allows: a chunk of five bytes has as many
 # bytes of framing. Many smaller ones keep the parser busy for hardly any data.
 FRAMING_PER_BODY_BYTE = 1
+HEADER_BYTES = 250  # of a header that is kept, beside its name and its value
 
 
 class FramingCounter:
@@ -30,6 +31,10 @@
         """Counts received bytes, before they are parsed."""
         self._excess += size
 
+    def add_header(self) -> None:
+        """Counts the memory of a header that is kept."""
+        self._excess += HEADER_BYTES
+
     def subtract_body(self, size: int) -> None:
         """Records that some of the received bytes belong to the body."""
         allowed = size * (1 + FRAMING_PER_BODY_BYTE)
--- a/src/endivepier/http1/responses.py
+++ b/src/endivepier/http1/responses.py
@@ -97,13 +97,18 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser."""
-        if self._head is None:
+        if self._head is not None:
+            return  # a trailer
+        self._framing.add_header()
+        if self._framing.exceeded:
+            self._headers = []
+        else:
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
         status = self._parser.get_status_code()
-        if 100 <= status < 200:
+        if 100 <= status < 200 or self._framing.exceeded:
             return
         has_coding = (
             messages.find(self._headers, b"transfer-encoding") is not None
--- a/src/endivepier/internal/http_client.py
+++ b/src/endivepier/internal/http_client.py
@@ -120,9 +120,9 @@
             return b""
         length = self._head.body_length()
         started_at = conn.now()
-        chunks: list[bytes] = []
-        received = 0
+        content = bytearray()  # a list of small chunks would take much more
         while True:
+            received = len(content)
             self._check_size("body", max(received, length or 0), MAX_BODY_BYTES)
             deadline = (
                 started_at
@@ -135,9 +135,8 @@
                 raise ExchangeFailed("no memory became free for the body")
             chunk = self._read_chunk(deadline)
             if chunk is None:
-                return b"".join(chunks)
-            received += len(chunk)
-            chunks.append(chunk)
+                return bytes(content)
+            content += chunk
 
     def lines(self) -> Iterator[bytes]:
         r"""Yields the lines of the body, each without its "\n".
--- a/tests/cover/gateway/test_flooding_targets.py
+++ b/tests/cover/gateway/test_flooding_targets.py
@@ -1,5 +1,8 @@
 """Targets that send bytes without end, or trickle them."""
 
+import gc
+import sys
+
 import gevent
 import pytest
 
@@ -7,6 +10,7 @@
 from endivepier.gateway.choice import placement as placement_lib
 from endivepier.gateway.hosts import peers as peers_lib
 from endivepier.gateway.streams import events
+from endivepier.gateway.streams import stream_calls
 from endivepier.gateway.targets import limit_reports
 from endivepier.http1 import buffers as buffers_lib
 from endivepier.standins import clock
@@ -306,3 +310,36 @@
     assert response.complete
     assert response.body.count(b"data: ") == len(gateway_fleet.EVENTS)
     assert response.body.count(b"xx\n\n") == 10 * len(gateway_fleet.EVENTS)
+
+
+# The output of a turn, 1 MB at most, was kept as an object for each event: some
+# 20 MB for events of a byte.
+def test_the_output_of_a_turn_takes_little_more_than_its_bytes(
+    start, monkeypatch
+):
+    fleet = start(retained=True, resumable=False)
+    target = fleet.targets[0]
+    count = 60_000
+    event = b"data: ab\n\n"
+    sizes = []
+
+    def stream(request, responder):
+        responder.start(200, target.headers(request))
+        for _ in range(count // 1000):
+            responder.write(event * 1000)
+        responder.finish()
+
+    for target in fleet.targets:
+        target.handler = stream
+    finish = stream_calls.StreamCalls._finish
+
+    def measure(self, ctx, progress, body):
+        sizes.append(sum(map(sys.getsizeof, gc.get_referents(progress))))
+        sizes.append(len(progress.output))
+        finish(self, ctx, progress, body)
+
+    monkeypatch.setattr(stream_calls.StreamCalls, "_finish", measure)
+    assert fleet.request().complete
+    taken, length = sizes
+    assert length == 3 * count
+    assert taken < 2 * length + 4096
