--- a/src/endivepier/gateway/hosts/peers.py
+++ b/src/endivepier/gateway/hosts/peers.py
@@ -111,6 +111,7 @@
         self._pool = pool_lib.Pool(timers)
         self._buffers = buffers_lib.Buffers()
         self._is_telling = False
+        self._newcomers: set[str] = set()  # started, and not told all yet
         self.introductions = introductions_lib.Introductions(
             self.request, self.available_hosts
         )
@@ -218,6 +219,7 @@
         # A failure is logged, and the host avoided, by `request`.
         with contextlib.suppress(errors.PeerUnreachable):
             self.request(host, PROBE, b"{}")
+        self._newcomers.discard(host)
 
     def _note_failure(self, host: str, exc: Exception) -> None:
         now = self._timers.now()
@@ -254,7 +256,7 @@
         headers = [
             (b"Host", address.encode()),
             (HOST_HEADER, self._host.encode()),
-            *self._news(),
+            *self._news(host),
         ]
         path = f"/{operation}".encode()
         data = client.encode_request(b"POST", path, headers, body)
@@ -293,13 +295,20 @@
         except errors.PeerUnreachable:
             conn.close()
 
-    def _news(self) -> list[messages.Header]:
+    def _news(self, host: str) -> list[messages.Header]:
         """Returns the headers by which hosts inform each other."""
-        headers = [(LOAD_HEADER, self._reports.encode())]
+        load = (LOAD_HEADER, self._reports.encode())
+        return [load, *self._news_of_targets(host)]
+
+    def _news_of_targets(self, host: str) -> list[messages.Header]:
+        """Returns the headers about targets that a host may not know."""
+        headers = []
         departures = self._departures.encode()
         if departures:
             headers.append((DEPARTURES_HEADER, departures))
         exceeded = self._limit_reports.encode()
+        if host in self._newcomers:
+            exceeded = self._limit_reports.encode_all()
         if exceeded:
             headers.append((LIMITS_HEADER, exceeded))
         rates = self._rates.encode()
@@ -362,12 +371,22 @@
             return
         headers = [
             (b"Content-Type", b"application/json"),
-            *self._news(),
+            *self._news(host),
         ]
         responder.send(200, headers, body)
 
     def _reset(self, host: str) -> None:
-        """Forgets what was found of a host that has started again."""
+        """Forgets what was found of a host that has started again.
+
+        Its new process is told what it may not know, if there is anything.
+        """
         self._backoffs.pop(host, None)
         self.introductions.forget(host)
         self._pool.close_idle(host)
+        if host == self._host:
+            return
+        self._newcomers.add(host)
+        if self._news_of_targets(host):
+            gevent.spawn(self._tell, host)
+        else:
+            self._newcomers.discard(host)
--- a/src/endivepier/gateway/targets/limit_reports.py
+++ b/src/endivepier/gateway/targets/limit_reports.py
@@ -1,7 +1,8 @@
 """Tells other hosts which targets sent more than a limit allows.
 
 Each host would otherwise receive a part of the flood before it avoids the
-target. A host passes on only what it saw itself, so that reports end.
+target. A host passes on only what it saw itself, so that reports end. Only a
+process that has just started is told all: it knows no more what its host saw.
 """
 
 from __future__ import annotations
@@ -45,14 +46,15 @@
     def encode(self) -> bytes:
         """Returns what to tell a peer; empty if there is nothing."""
         now = self._timers.now()
-        for incarnation, until in list(self._until.items()):
-            if until <= now:
-                del self._until[incarnation]
-        latest = list(self._until.items())[-MAX_REPORTED:]
-        return SEPARATOR.join(
-            f"{incarnation}{ASSIGN}{until - now:.2f}"
-            for incarnation, until in latest
-        ).encode()
+        self._until = _current(self._until, now)
+        return _encode(self._until, now)
+
+    def encode_all(self) -> bytes:
+        """Returns what to tell a process that has just started."""
+        now = self._timers.now()
+        return _encode(
+            _current({**self._reported_until, **self._until}, now), now
+        )
 
     def receive(self, host: str, encoded: bytes) -> None:
         """Avoids the targets that a peer reports.
@@ -69,11 +71,7 @@
     def _receive_one(self, host: str, incarnation: str, seconds: float) -> None:
         now = self._timers.now()
         is_new = self._reported_until.get(incarnation, now) <= now
-        self._reported_until = {
-            name: until
-            for name, until in self._reported_until.items()
-            if until > now
-        }
+        self._reported_until = _current(self._reported_until, now)
         self._reported_until[incarnation] = now + seconds
         if self._avoid is not None:
             self._avoid(incarnation, seconds)
@@ -84,3 +82,15 @@
                 peer=host,
                 seconds=seconds,
             )
+
+
+def _current(until: dict[str, float], now: float) -> dict[str, float]:
+    """Returns the entries whose time has not passed."""
+    return {name: end for name, end in until.items() if end > now}
+
+
+def _encode(until: dict[str, float], now: float) -> bytes:
+    latest = list(until.items())[-MAX_REPORTED:]
+    return SEPARATOR.join(
+        f"{incarnation}{ASSIGN}{end - now:.2f}" for incarnation, end in latest
+    ).encode()
--- a/tests/cover/gateway/test_flooding_targets.py
+++ b/tests/cover/gateway/test_flooding_targets.py
@@ -343,3 +343,34 @@
     taken, length = sizes
     assert length == 3 * count
     assert taken < 2 * length + 4096
+
+
+# A host that had ended met the same target again as soon as it was back.
+@pytest.mark.parametrize("met_by", [0, 1])
+def test_a_host_that_comes_back_is_told_of_a_flooding_target(start, met_by):
+    fleet = start(hosts=2, kind=model.RouteKind.IDEMPOTENT, objective=20.0)
+    respond_plainly(fleet)
+    called = flood_first(fleet, *flooding.FLOODS["headers"])
+    fleet.request(host=met_by)
+    fleet.gateways[1].peers.request("h0", peers_lib.PROBE, b"{}")
+    gateway = fleet.restart_host(0)
+    [name] = {name for name in called if called[0] == name}
+    with gevent.Timeout(2.0):
+        while not any(
+            gateway.placement.is_avoided(target)
+            for target in gateway.catalog.targets("s")
+            if target.name == name
+        ):
+            gevent.sleep(0.01)
+    # It passes on only what it met itself.
+    assert gateway.dispatcher.limit_reports.encode() == b""
+
+
+def test_a_host_that_comes_back_is_told_nothing_if_there_is_no_news(start):
+    fleet = start(hosts=2)
+    told = []
+    peers = fleet.gateways[1].peers
+    peers._tell = told.append
+    fleet.restart_host(0)
+    gevent.sleep(0.5)
+    assert told == []
