Statuses outside 100 to 599 are no responses (MIXED)

What callers saw: a server in trouble answered with status 000, and its client got it as an answer, with the server's signature; so with 001, 099, 600 and 999, on all kinds of route. Our own interface noted it as the outcome of an effect.

Cause: the parser accepts any three digits, and nothing behind it looked at them.

A 001 with Not-Executed did not count as a rejection before either.

Change: a response whose status is not 100 to 599 is not HTTP, like other bytes that are none: the call goes to another target if it may, and is answered 502 otherwise; the outcome of an effect is unknown; a target does not count as running after it. 600 and above: RFC 9110 calls them invalid as well.

--- a/src/endivepier/http1/responses.py
+++ b/src/endivepier/http1/responses.py
@@ -16,6 +16,9 @@
 from endivepier.http1 import framing
 from endivepier.http1 import messages
 
+# RFC 9110, section 15: the other codes of three digits are invalid. The parser
+# accepts them.
+STATUSES = range(100, 600)
 NO_BODY_STATUSES = frozenset((204, 304))
 
 
@@ -108,7 +111,9 @@
     def on_headers_complete(self) -> None:
         """Called by the parser."""
         status = self._parser.get_status_code()
-        if 100 <= status < 200 or self._framing.exceeded:
+        if status not in STATUSES:
+            self.error = f"{status:03} is no status code"
+        if 100 <= status < 200 or self.error or self._framing.exceeded:
             return
         has_coding = (
             messages.find(self._headers, b"transfer-encoding") is not None
@@ -128,6 +133,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser."""
+        if self.error:
+            return
         self._framing.subtract_body(len(data))
         self._body_pieces.append(data)
 
--- a/tests/cover/test_unframed_responses.py
+++ b/tests/cover/test_unframed_responses.py
@@ -183,3 +183,20 @@
         with pytest.raises(http_client.ExchangeFailed):
             client.request("GET", "/")
     server.stop()
+
+
+# A status that is none was recorded as the outcome of an effect (MIXED).
+@pytest.mark.parametrize("code", ["000", "099", "600", "999"])
+def test_a_response_of_no_valid_status_is_no_outcome(code):
+    data = f"HTTP/1.1 {code} Odd\r\nContent-Length: 2\r\n\r\nok".encode()
+    server = closing_server.Server(data)
+    try:
+        service = http_service.HttpService("s", server.url, TRACER)
+        req = target_ports.ServiceRequest("r-1", "POST", "/x", b"{}", "a/b")
+        with pytest.raises(errors.TargetFailed) as caught:
+            service.call(req, seconds=1.0)
+        assert caught.value.sent
+        with pytest.raises(errors.TargetFailed):
+            service.outcome("key-1")
+    finally:
+        server.stop()
