A response that names no call is the last one on its connection (REFUSED)

Cause: a server may send a response once more, late, where the next one is expected. Only the id of its call tells it apart. Responses about a target's status have none, and rejections may have none; their connections went back to the pool for calls, and a call takes a rejection without an id for its own.

Change: after a response that names no call, also one about a status, the connection is closed. Responses that name their call leave it open, as before.

--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -3,7 +3,8 @@
 A response belongs to a call only if it carries the call's id. Only a response
 that states that the call has not run may carry no id. A response with another
 id is a late one to an earlier call on the same connection: it is skipped, and
-the connection is closed instead of reused.
+the connection is closed instead of reused. So it is after a response without an
+id: once more, late, it would be taken for the response to the next call.
 """
 
 from __future__ import annotations
@@ -34,8 +35,7 @@
 # in the meantime, the outcome of the call would be unknown.
 MAX_IDLE_SECONDS = 4.0
 MISDIRECTED_REQUEST = 421  # HTTP status: the wrong server, call not run
-# Received for one call before its response begins. Late responses to earlier
-# calls on the connection are small.
+# Late responses to earlier calls, before the response to a call.
 MAX_OTHER_RESPONSE_BYTES = 1024 * 1024
 # Targets stop work at the deadline that they get, in whole milliseconds, and
 # their timers may be as coarse as that of an operating system.
@@ -218,7 +218,7 @@
         self._closed = True
         if failed:
             self._body.release()
-        if self._complete and not self._skipped_response:
+        if self._complete and self.verdict.call and not self._skipped_response:
             self._dispatcher.pool.release(self.target.incarnation, self._conn)
         else:
             self._conn.close()
--- a/src/endivepier/gateway/targets/liveness.py
+++ b/src/endivepier/gateway/targets/liveness.py
@@ -157,13 +157,12 @@
             head, body = client.read_whole(
                 conn, deadline, self._buffers, target.incarnation
             )
-        except BaseException:
+        finally:
+            # A response that names no call may come once more, late, and would
+            # be taken for the response to the next call.
             conn.close()
-            raise
         if self._dialect.decode_head(head).call:
-            conn.close()
             raise http_errors.ExchangeBroken(
                 "a late response to an earlier call arrived"
             )
-        self._pool.release(target.incarnation, conn)
         return self._dialect.decode_status(head, body)
