An entry that lacks a field names no target (ROUTE)

Cause: fields of a server's entry had defaults, and seq_no was not read, so that an entry of another writer under the id of a server replaced the server's own.

Change: all fields that each entry has are required; born alone may be missing, as not all deployments state it. In between its own writes such a server gets no calls.

--- a/tests/cover/platform/test_documents.py
+++ b/tests/cover/platform/test_documents.py
@@ -175,3 +175,41 @@
 def test_a_server_under_another_key_is_not_the_one_it_is_called_after(key):
     decoder = decoding.CheckedDecoder(documents.Decoder())
     assert decoder.decode_target(row(key, SERVER)) is None
+
+
+# Another writer's entry that lacked most fields replaced a server's own, and
+# its service ran postings of another one (ROUTE).
+@pytest.mark.parametrize(
+    "field",
+    [
+        "service",
+        "address",
+        "zone",
+        "version",
+        "slots",
+        "state",
+        "cold_left_ms",
+        "seq_no",
+    ],
+)
+def test_a_server_without_one_of_its_fields_is_no_target(field):
+    document = {key: value for key, value in SERVER.items() if key != field}
+    decoder = documents.Decoder()
+    assert decoder.decode_target(row("servers//i-7f", document)) is None
+
+
+@pytest.mark.parametrize("value", [None, "1", 1.5, True, [1]])
+@pytest.mark.parametrize("field", ["slots", "seq_no", "born", "version"])
+def test_a_server_with_a_field_of_another_type_is_no_target(field, value):
+    if field == "version" and value == "1":
+        value = 1
+    document = {**SERVER, field: value}
+    decoder = documents.Decoder()
+    assert decoder.decode_target(row("servers//i-7f", document)) is None
+
+
+# Former deployments don't state when a server started.
+def test_a_server_need_not_state_when_it_started():
+    document = {key: value for key, value in SERVER.items() if key != "born"}
+    target = documents.Decoder().decode_target(row("servers//i-7f", document))
+    assert target.started == 0
