A turn gets no more events than it has tokens (BUDGET)

Cause: the most tokens of a turn are reserved before it and what was sent is counted after it; what arrived in between was passed on whatever its number.

Change: events beyond the reservation are not passed on, and the target has failed. A turn that states no number of tokens is not limited. How long a stream waits for a silent target moves to a module of its own, without a change.

--- a/src/endivepier/gateway/budgets/turn_tokens.py
+++ b/src/endivepier/gateway/budgets/turn_tokens.py
@@ -10,6 +10,8 @@
 from endivepier.gateway.budgets import owners as budget_owners
 from endivepier.gateway.budgets import state as budget_state
 from endivepier.gateway.store import access as store_access
+from endivepier.gateway.streams import events
+from endivepier.gateway.streams import progress as stream_progress
 
 # How long a turn waits for an uncertain reservation before it is sent to a
 # target. A turn that already runs waits for as long as its route allows.
@@ -133,6 +135,34 @@
                     ran=errors.Ran.YES,
                 )
 
+    def excess(
+        self,
+        ctx: calls.CallContext,
+        reservation: budget_owners.Reservation | None,
+        progress: stream_progress.Progress,
+        new_events: list[events.Event],
+    ) -> int:
+        """Returns how many of the last new events a turn has no tokens for.
+
+        Engines stop at the most tokens that the call allows. One that does not
+        would spend what other turns of the program have reserved.
+
+        Args:
+            ctx: the turn.
+            reservation: the reservation of the turn; None for no limit.
+            progress: the events that its client has.
+            new_events: those that follow, and comments between them.
+        """
+        if reservation is None or not ctx.call.max_tokens:
+            return 0
+        left = reservation.max_tokens // self.event_tokens(ctx)
+        left -= progress.events_sent
+        for place, event in enumerate(new_events):
+            left -= not event.is_comment
+            if left < 0:
+                return len(new_events) - place
+        return 0
+
     def settle(
         self,
         ctx: calls.CallContext,
--- a/src/endivepier/gateway/streams/stream_calls.py
+++ b/src/endivepier/gateway/streams/stream_calls.py
@@ -26,20 +26,13 @@
 from endivepier.gateway.store import access as store_access
 from endivepier.gateway.streams import events
 from endivepier.gateway.streams import progress as stream_progress
+from endivepier.gateway.streams import silence
 from endivepier.gateway.streams import turns as turns_lib
 from endivepier.gateway.streams import versions as stream_versions
 from endivepier.gateway.suspects import guard as suspect_guard
 from endivepier.gateway.targets import catalog as catalog_lib
 from endivepier.http1 import messages
 
-# A resumable stream continues at another target after a silence of this
-# multiple of the route's objective for the pause between events, and of no less
-# than the minimum below.
-SILENCE_GAPS = 3.0
-MIN_SILENCE_SECONDS = 0.4
-# The minimum before the first event: the engine may queue the call, and it
-# prefills the prompt.
-MIN_FIRST_EVENT_SECONDS = 1.0
 # `Retry-After` when the engines are overloaded: a queue of a few tenths of a
 # second is empty then.
 BUSY_RETRY_SECONDS = 0.2
@@ -253,6 +246,9 @@
             if splitter.partial_length > MAX_EVENT_BYTES:
                 raise exchange.limit_exceeded("event", MAX_EVENT_BYTES)
             new_events = sequence.add(received)
+            excess = self._tokens.excess(ctx, reservation, progress, new_events)
+            if excess:
+                new_events = new_events[:-excess]
             if not has_event and not all(e.is_comment for e in new_events):
                 has_event = True
                 exchange.report_first_event()
@@ -264,6 +260,8 @@
                 self._forward(ctx, new_events, progress)
             if sequence.fault:
                 raise exchange.failure(sequence.fault)
+            if excess:
+                raise exchange.failure("it sent more than the turn's tokens")
             if sequence.has_excess:
                 raise exchange.limit_exceeded(
                     "comments", events.MAX_COMMENT_BYTES
@@ -370,16 +368,13 @@
             exchange.release_body()
 
     def _event_deadline(self, ctx: calls.CallContext, *, first: bool) -> float:
-        """Returns until when to wait for the next data from a target.
-
-        A silent target is waited for if no other one can continue the stream.
-        """
-        if not self._choice.has_other(ctx):
-            return ctx.deadline
-        silence_seconds = max(SILENCE_GAPS * ctx.route.gap, MIN_SILENCE_SECONDS)
-        if first:
-            silence_seconds = max(silence_seconds, MIN_FIRST_EVENT_SECONDS)
-        return ctx.response_deadline(self._timers.now(), silence_seconds)
+        """Returns until when to wait for the next data from a target."""
+        return silence.event_deadline(
+            ctx,
+            self._timers.now(),
+            first=first,
+            has_other=self._choice.has_other(ctx),
+        )
 
     def _abort(
         self,
