--- a/src/endivepier/gateway/exchange.py
+++ b/src/endivepier/gateway/exchange.py
@@ -34,7 +34,6 @@
 # was idle for no longer than this. If the target has closed an idle connection
 # in the meantime, the outcome of the call would be unknown.
 MAX_IDLE_SECONDS = 4.0
-MISDIRECTED_REQUEST = 421  # HTTP status: the wrong server, call not run
 # Late responses to earlier calls, before the response to a call.
 MAX_OTHER_RESPONSE_BYTES = 1024 * 1024
 # Targets stop work at the deadline that they get, in whole milliseconds, and
@@ -79,7 +78,7 @@
     @property
     def not_run(self) -> bool:
         """Whether the target states that the call has not run."""
-        return self.verdict.not_run or self.head.status == MISDIRECTED_REQUEST
+        return self.verdict.says_not_run(self.head.status)
 
     def read_head(self, deadline: float) -> None:
         """Reads the response head, skipping responses to other calls.
@@ -103,14 +102,12 @@
             if verdict.call and verdict.call != self._call.id:
                 self._skipped_response = True
                 continue
-            if not verdict.call and not (
-                verdict.not_run or part.status == MISDIRECTED_REQUEST
-            ):
-                raise self.failure("the response carries no call id")
+            if fault := verdict.find_fault(part.status):
+                raise self.failure(fault)
             self.head = part
             self.verdict = verdict
             self._dispatcher.cold_targets.note_reached(self.target)
-            if part.status != MISDIRECTED_REQUEST:  # sent by the target meant
+            if part.status != model.MISDIRECTED_REQUEST:
                 self._dispatcher.rates.note(
                     self.target.incarnation,
                     verdict.rate,
--- a/src/endivepier/gateway/model.py
+++ b/src/endivepier/gateway/model.py
@@ -189,6 +189,7 @@
         return self.incarnation, self.address, self.software_version
 
 
+MISDIRECTED_REQUEST = 421  # status code: not the target that was meant
 # The prompt of a program's first turn has a shared part and one of its own.
 MAX_FIRST_TURN_PARTS = 2
 
@@ -297,7 +298,7 @@
 
     Attributes:
         call: id of the call that it responds to; empty if it names none.
-        sealed: whether it carries the target's signature, as event streams do.
+        sealed: whether it carries the target's signature, as successes do.
         not_run: whether the target guarantees that the call has not run.
         leaving: whether the target says that it is about to stop.
         rate: requests a second that the target takes from all hosts together,
@@ -310,6 +311,22 @@
     leaving: bool = False
     rate: float | None = None
 
+    def says_not_run(self, status: int) -> bool:
+        """Returns whether the call has not run, given the status code."""
+        return self.not_run or status == MISDIRECTED_REQUEST
+
+    def find_fault(self, status: int) -> str:
+        """Returns why a response is none to a call, or an empty string.
+
+        Args:
+            status: its status code.
+        """
+        if not self.call and not self.says_not_run(status):
+            return "the response carries no call id"
+        if 200 <= status < 300 and not self.sealed:
+            return f"a success, {status}, without the target's signature"
+        return ""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetStatus:
