--- a/src/endivepier/gateway/targets/cold.py
+++ b/src/endivepier/gateway/targets/cold.py
@@ -25,6 +25,7 @@
 # A target that says that it stays cold for longer is asked again by then.
 MAX_COLD_SECONDS = 60.0
 MAX_UNREACHABLE = 1_000  # targets
+MAX_UNDECLARED = 1_000  # targets
 MILLISECONDS_PER_SECOND = 1000.0
 
 
@@ -44,8 +45,11 @@
         self._unreachable: bounded_map.BoundedMap[None] = (
             bounded_map.BoundedMap(MAX_UNREACHABLE)
         )
-        # Targets that were listed before their service was declared.
-        self._undeclared: list[model.Target] = []
+        # Targets that were listed before their service was declared, by
+        # incarnation, as of their last row.
+        self._undeclared: bounded_map.BoundedMap[model.Target] = (
+            bounded_map.BoundedMap(MAX_UNDECLARED)
+        )
         catalog.subscribe_rows(self._note_row)
         catalog.subscribe(self._note_declaration)
         catalog.evacuations.subscribe(self._note_evacuation)
@@ -68,7 +72,7 @@
     def _note_row(self, target: model.Target, has_appeared: bool) -> None:
         service = self._catalog.service(target.service)
         if service is None:
-            self._undeclared.append(target)
+            self._undeclared.put(target.incarnation, target)
             return
         seconds = target.cold_seconds
         if seconds > MAX_COLD_SECONDS:
@@ -83,8 +87,8 @@
         self._set_cold(target, seconds, "row")
 
     def _note_declaration(self) -> None:
-        targets, self._undeclared = self._undeclared, []
-        for target in targets:
+        for incarnation, target in self._undeclared.items():
+            self._undeclared.drop(incarnation)
             self._note_row(target, False)
 
     def _note_evacuation(self, data_centre: str, is_evacuated: bool) -> None:
--- a/tests/cover/gateway/test_cold_targets.py
+++ b/tests/cover/gateway/test_cold_targets.py
@@ -145,6 +145,21 @@
     assert host.is_cold("t")
 
 
+# Each row of a target whose service nobody declares was kept, once a second for
+# each such target.
+def test_rows_of_services_that_are_not_declared_are_not_collected(host):
+    host.start()
+    host.catalog.declaration.services.clear()
+    for number in range(5):
+        host.put("targets//t", b"1699999000000 %d" % number)
+        host.timers.advance(0.1)
+    assert len(host.cold._undeclared) == 1
+    for number in range(cold_targets.MAX_UNDECLARED + 5):
+        host.put_target(f"t{number}", age=60.0)
+    host.timers.advance(0.5)
+    assert len(host.cold._undeclared) == cold_targets.MAX_UNDECLARED
+
+
 def test_an_unreachable_target_is_cold_until_some_time_after_it_responds(host):
     host.put_target("t", age=60.0)
     host.start()
