--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -236,7 +236,6 @@
             target_liveness.TargetLiveness(
                 adapters.dialect,
                 self.pool,
-                buffers,
                 self.catalog.service,
                 timers,
             ),
--- a/src/endivepier/gateway/targets/liveness.py
+++ b/src/endivepier/gateway/targets/liveness.py
@@ -28,6 +28,10 @@
 MIN_CONNECT_SECONDS = 0.001
 KEPT_SECONDS = 0.3  # for a response on a connection that was idle
 RETRY_SECONDS = 0.05  # before another connection is opened
+# Of one response. A status has some kilobytes; decoded, small values take many
+# times their bytes.
+MAX_STATUS_BYTES = 64 * 1024
+STATUSES_BYTES = 1024 * 1024  # of all that are received at a time
 
 
 class TargetLiveness:
@@ -37,7 +41,6 @@
         self,
         dialect: dialect_lib.Dialect,
         pool: pool_lib.Pool,
-        buffers: buffers_lib.Buffers,
         service: Callable[[str], model.Service | None],
         timers: timers_lib.Timers,
     ) -> None:
@@ -46,13 +49,16 @@
         Args:
             dialect: encodes the requests and decodes the responses.
             pool: the connections to targets.
-            buffers: limits the memory for the responses.
             service: returns the declared service of a name, if any.
             timers: the timer service.
         """
         self._dialect = dialect
         self._pool = pool
-        self._buffers = buffers
+        self._buffers = buffers_lib.Buffers(
+            body_bytes=MAX_STATUS_BYTES,
+            small_bytes=STATUSES_BYTES,
+            large_bytes=STATUSES_BYTES,
+        )
         self._service = service
         self._timers = timers
 
--- a/tests/cover/gateway/test_target_liveness.py
+++ b/tests/cover/gateway/test_target_liveness.py
@@ -238,3 +238,28 @@
     assert response.status == 200
     assert response.body.startswith(b"done by t")
     assert len(fleet.received()) == 2
+
+
+# A report of a few megabytes, which a body may have, takes many times more when
+# it is decoded: 4 MB of small values as much as a host has.
+def test_a_status_of_megabytes_is_not_read(start):
+    fleet = start()
+    (target,) = fleet.targets
+    body = b'{"born": 1, "runs": [' + b"1," * 500_000 + b"1]}"
+    target.status_handler = lambda request, responder: responder.send(
+        200, [], body
+    )
+    target.handler = target.stream_until_close
+    assert not fleet.request().complete
+    assert fleet.request("again").status == 200  # it is still called
+
+
+def test_a_status_of_some_kilobytes_is_read(start):
+    fleet = start()
+    (target,) = fleet.targets
+    body = b'{"born": 1, "runs": [' + b"1," * 10_000 + b"1]}"
+    target.status_handler = lambda request, responder: responder.send(
+        200, [], body
+    )
+    target.handler = target.stream_until_close
+    assert fleet.request().complete
