--- a/tests/cover/platform/test_dialect.py
+++ b/tests/cover/platform/test_dialect.py
@@ -187,3 +187,32 @@
     ]
     call = decode(headers)
     assert (call.last_event, call.budget) == (7, 8)
+
+
+ID_HEADERS = [
+    b"Attempt-Id",
+    b"Program-Id",
+    b"Session-Id",
+    b"Previous-Turn",
+    b"Resumes",
+]
+
+
+# Rows are called by ids. The store refuses a row with a long key for good, which
+# a host takes for an outage of the store, for all programs.
+@pytest.mark.parametrize("value", [b"x" * 181, b"\xe9" * 91, b"x" * 10_000])
+@pytest.mark.parametrize("name", ID_HEADERS)
+def test_a_request_with_an_id_that_no_row_can_have_is_refused(name, value):
+    headers = [header for header in HEADERS if header[0] != name]
+    with pytest.raises(errors.Refused) as caught:
+        decode([*headers, (name, value)])
+    assert caught.value.status == 400
+    assert name.decode() in caught.value.detail
+
+
+@pytest.mark.parametrize("name", ID_HEADERS)
+def test_ids_may_have_as_many_bytes_as_rows_allow(name):
+    headers = [header for header in HEADERS if header[0] != name]
+    call = decode([*headers, (name, b"\xe9" * 90)])
+    ids = [call.id, call.program, call.session, call.previous, call.resumes]
+    assert ids[ID_HEADERS.index(name)] == "\xe9" * 90
