--- a/src/endivepier/gateway/handler.py
+++ b/src/endivepier/gateway/handler.py
@@ -68,9 +68,7 @@
             exc = self._correct_outcome(ctx, exc)
             self._return_token(ctx)
             outcome, reason = f"refused {exc.status}", exc.detail
-            self._metrics.count("refusals", code=exc.code.value)
-            headers, body = self._dialect.encode_refusal(call, exc)
-            responder.send(exc.status, headers, body)
+            self._refuse(call, exc, responder)
         except stream_progress.StreamAborted as exc:
             outcome, reason = "broken off", str(exc)
         except http_errors.ClientGone:
@@ -79,10 +77,22 @@
         except Exception as exc:
             outcome, reason = "failed here", f"{type(exc).__name__}: {exc}"
             eliot.write_traceback()
-            raise
+            if responder.started:
+                raise
+            self._refuse(call, _failed_here(reason), responder)
         finally:
             self._log_request(call, ctx, outcome, reason)
 
+    def _refuse(
+        self,
+        call: model.Call | None,
+        exc: errors.Refused,
+        responder: responding.Responder,
+    ) -> None:
+        self._metrics.count("refusals", code=exc.code.value)
+        headers, body = self._dialect.encode_refusal(call, exc)
+        responder.send(exc.status, headers, body)
+
     def _return_token(self, ctx: calls.CallContext | None) -> None:
         """Refunds the rate limit token of a call that was sent to no target."""
         if ctx is None or ctx.tried or not ctx.account:
@@ -241,6 +251,19 @@
         )
 
 
+def _failed_here(reason: str) -> errors.Refused:
+    """Returns the error for a call that this host failed on.
+
+    A target may have run it: the exception may come at any place.
+    """
+    return errors.Refused(
+        errors.Code.OUTCOME_UNKNOWN,
+        502,
+        f"this host failed: {reason}",
+        ran=errors.Ran.UNKNOWN,
+    )
+
+
 def _choose_service(route: model.Route, call: model.Call) -> str:
     """Chooses a service by weight, the same one for all calls of a program."""
     if len(route.backends) == 1:
--- a/src/endivepier/timers.py
+++ b/src/endivepier/timers.py
@@ -22,6 +22,7 @@
 import gevent.event
 
 from endivepier import errors
+from endivepier.internal import failures
 
 
 class Handle(abc.ABC):
@@ -53,7 +54,7 @@
         if self._cancelled:
             return
         try:
-            self._callback()
+            failures.contain(self._callback)
         finally:
             if not self._cancelled:
                 self._handle = self._timers.after(self._seconds, self._fire)
--- a/tests/cover/test_timers.py
+++ b/tests/cover/test_timers.py
@@ -1,3 +1,4 @@
+import eliot
 import gevent
 import gevent.event
 import pytest
@@ -74,3 +75,25 @@
     virtual = clock.VirtualTimers()
     with pytest.raises(RuntimeError, match="no timer is set"):
         virtual.run(gevent.event.Event().wait)
+
+
+# The exception was written as text to standard error, and not to the log.
+def test_a_periodic_callback_that_fails_is_logged_and_called_again():
+    virtual = clock.VirtualTimers()
+    lines = []
+    called = []
+
+    def fail():
+        called.append(virtual.now())
+        raise OverflowError("int too large to convert to float")
+
+    eliot.add_destinations(lines.append)
+    lines.clear()  # the first destination gets earlier messages
+    try:
+        virtual.every(1.0, fail)
+        virtual.advance(3.5)
+    finally:
+        eliot.remove_destination(lines.append)
+    assert called == [1.0, 2.0, 3.0]
+    failed = [li for li in lines if li.get("message_type") == "task.failed"]
+    assert len(failed) == 3
