--- a/tests/cover/platform/test_dialect.py
+++ b/tests/cover/platform/test_dialect.py
@@ -198,8 +198,8 @@
 ]
 
 
-# Rows are called by ids. The store refuses a row with a long key for good, and a
-# host takes that for an outage of the store, for all programs.
+# Rows are called by ids. The store refuses a row with a long key for good, and
+# hosts take that for an outage of the store, for all programs.
 @pytest.mark.parametrize("value", [b"x" * 181, b"\xe9" * 91, b"x" * 10_000])
 @pytest.mark.parametrize("name", ID_HEADERS)
 def test_a_request_with_an_id_that_no_row_can_have_is_refused(name, value):
