A peer that gives up is no failure of the host that it asked

Cause: the change before caught every exception of a handler of peers' messages, also the one by which the server ends a handler whose peer has closed the connection; peers do so after 80 ms, so that task.failed would come often.

Change: that exception passes, as before.

--- a/src/endivepier/gateway/hosts/peers.py
+++ b/src/endivepier/gateway/hosts/peers.py
@@ -43,7 +43,6 @@
 MAX_AVOID_SECONDS = 8.0  # a frozen or cut-off host recovers in some seconds
 PROBE_AFTER_SECONDS = 0.25  # most responses come within a few milliseconds
 PROBE = "probe"
-FAILED_STATUS = 500  # of a response to a message that this host fails on
 # News that can't wait for the next message are collected for this long.
 NEWS_DELAY_SECONDS = 0.02
 MAX_TOLD = 100  # hosts that get such news at once; they pass it on
@@ -371,10 +370,11 @@
         except errors.Refused as exc:
             responder.send(exc.status, [], exc.detail.encode())
             return
+        except http_errors.ClientGone:
+            raise
         except Exception as exc:
-            # A closed connection would make this host look silent.
             failures.log(exc)
-            responder.send(FAILED_STATUS, [], b"")
+            responder.send(500, [], b"")  # without it, this host looks silent
             return
         headers = [
             (b"Content-Type", b"application/json"),
--- a/tests/cover/gateway/test_failing_hosts.py
+++ b/tests/cover/gateway/test_failing_hosts.py
@@ -1,5 +1,7 @@
 """Requests that a host itself fails on, by an exception nobody expects."""
 
+import eliot
+import gevent
 import pytest
 
 from endivepier import errors
@@ -61,3 +63,21 @@
     with pytest.raises(errors.PeerUnreachable, match="status 500"):
         first.peers.request("h1", "fails", b"{}")
     assert first.peers.is_available("h1")
+
+
+def test_a_message_whose_sender_gives_up_is_no_failure_of_the_host(start):
+    fleet = start(hosts=2)
+    first, second = fleet.gateways
+    second.peers.register("lasts", lambda body: gevent.sleep(1.0) or b"{}")
+    lines = []
+    eliot.add_destinations(lines.append)
+    try:
+        lines.clear()  # the first destination gets earlier messages
+        with pytest.raises(errors.PeerUnreachable):
+            first.peers.request("h1", "lasts", b"{}", seconds=0.05)
+        gevent.sleep(0.2)
+    finally:
+        eliot.remove_destination(lines.append)
+    kinds = [line.get("message_type") for line in lines]
+    assert "peer.silent" in kinds
+    assert "task.failed" not in kinds
