--- a/src/endivepier/gateway/suspects/suspects.py
+++ b/src/endivepier/gateway/suspects/suspects.py
@@ -267,8 +267,7 @@
 
     def _is_ignored(self, content: str) -> bool:
         since = self._ignored.get(content)
-        now = self._timers.now()
-        return since is not None and now - since < REFUSE_SECONDS
+        return since is not None and self._timers.now() - since < REFUSE_SECONDS
 
     def _refuse(
         self, content: str, since: float, source: str, **details: str
