turn_tokens: excess -> surplus

Cause: a stream's comments in excess and a turn's events beyond its tokens had the same name in stream_calls.

Change: excess -> surplus, of TurnTokens and its caller.

Result: test_endless_turns, test_events and test_truncated_streams pass.

--- a/src/endivepier/gateway/budgets/turn_tokens.py
+++ b/src/endivepier/gateway/budgets/turn_tokens.py
@@ -135,7 +135,7 @@
                     ran=errors.Ran.YES,
                 )
 
-    def excess(
+    def surplus(
         self,
         ctx: calls.CallContext,
         reservation: budget_owners.Reservation | None,
--- a/src/endivepier/gateway/streams/stream_calls.py
+++ b/src/endivepier/gateway/streams/stream_calls.py
@@ -246,9 +246,11 @@
             if splitter.partial_length > MAX_EVENT_BYTES:
                 raise exchange.limit_exceeded("event", MAX_EVENT_BYTES)
             new_events = sequence.add(received)
-            excess = self._tokens.excess(ctx, reservation, progress, new_events)
-            if excess:
-                new_events = new_events[:-excess]
+            surplus = self._tokens.surplus(
+                ctx, reservation, progress, new_events
+            )
+            if surplus:
+                new_events = new_events[:-surplus]
             if not has_event and not all(e.is_comment for e in new_events):
                 has_event = True
                 exchange.report_first_event()
@@ -260,7 +262,7 @@
                 self._forward(ctx, new_events, progress)
             if sequence.fault:
                 raise exchange.failure(sequence.fault)
-            if excess:
+            if surplus:
                 raise exchange.failure("it sent more than the turn's tokens")
             if sequence.has_excess:
                 raise exchange.limit_exceeded(
