--- a/review/11/play.py
+++ b/review/11/play.py
@@ -1,4 +1,4 @@
-"""Clients of one host use a third of the engines; the other hosts refuse turns."""
+"""Clients of one host use half of the engines; other hosts refuse turns."""
 
 import asyncio
 import os
