--- a/review/13/play.py
+++ b/review/13/play.py
@@ -41,6 +41,13 @@
     return tokens, answer.status
 
 
+def store_is_back(rig) -> None:
+    """Ends the outage."""
+    rig.record.write("store", state="back")
+    for host in rig.hosts:
+        host.door.set("open")
+
+
 async def case(rig, trouble) -> bool:
     """Plays the case; returns whether the rule held."""
     await rig.start(hosts=2)
@@ -66,7 +73,8 @@
     if trouble:
         rig.record.write("store", state="down")
         for host in rig.hosts:
-            host.door.set("busy")
+            host.door.set("silent")
+        asyncio.get_running_loop().call_later(DOWN_SECONDS, store_is_back, rig)
     await asyncio.sleep(DOWN_BEFORE_SECONDS)
     returned = rig_lib.now()
     for number in range(MOST_TURNS):
@@ -75,11 +83,9 @@
         rig.record.write("returned", tokens=tokens, status=status)
         left = DOWN_SECONDS - DOWN_BEFORE_SECONDS
         if status == 402 or rig_lib.now() - returned > left:
-            break
+            break  # the store is back, or it was told that all is spent
         if status != 200:
             await asyncio.sleep(0.3)
-    for host in rig.hosts:
-        host.door.set("open")
     most = BUDGET + MOST_TOKENS
     rig.record.write("count", tokens=total, most=most)
     return total <= most
