budgets: assume tokens of a lost host only while it may have granted them

Cause: a program whose first choice was silent, or followed a lost process, had half of its budget written as spent when it began, for good, since that host might have opened it in an outage of the store. Nothing told that it had not. Ruled out: tokens held in rows (these programs had none), slow owners (nothing was held elsewhere). Evidence: budget.written with "spent":544 as the first version of the rows.

Change: a host opens programs only after more than half of the others have noted it (budgets.notices). Assumed tokens are held under a name of their own; a turn that needs them has the hosts in doubt asked (budgets.doubts): one that responds says whether it has opened the program, and never does from then on; for a silent one at least half of the others must have noted no opening, and note none afterwards (budgets.witness). Any such two groups have a host in common, so that a host that is paused, cut off or lost with some of its witnesses still counts. 402 only for tokens that are used or that run; else 503.

--- a/src/endivepier/gateway/budgets/ledger.py
+++ b/src/endivepier/gateway/budgets/ledger.py
@@ -31,6 +31,7 @@
 from endivepier.gateway.budgets import row_expiry
 from endivepier.gateway.budgets import rows as budget_rows
 from endivepier.gateway.budgets import state as budget_state
+from endivepier.gateway.budgets import unstored as unstored_lib
 from endivepier.storage import ports
 
 # When a program has been idle for this time, its process writes the tokens
@@ -82,6 +83,10 @@
         self._timers = timers
         self._programs: dict[str, budget_state.Program] = {}
         self._store_back = gevent.event.Event()
+        self._unstored: unstored_lib.Unstored | None = None
+        if openers is not None:
+            self._unstored = unstored_lib.Unstored(openers, timers)
+            openers.use_ledger(self._open_pending, self._forgo)
 
     def start(self) -> None:
         """Starts to release the tokens of idle programs."""
@@ -114,7 +119,9 @@
         reservation = budget_state.Reservation(max_tokens, tracked)
         if self.store_down:
             self._open(tracked)
-        if tracked.spare >= max_tokens:
+        elif self._unstored is not None:
+            self._unstored.renew_clearance(tracked)
+        if self._spare(tracked) >= max_tokens:
             tracked.active += max_tokens
             reservation.decide(budget_state.State.GRANTED)
             self._start_writing(tracked)
@@ -141,7 +148,7 @@
     def _grant_spare(self, program: budget_state.Program) -> None:
         """Grants pending reservations from tokens that are held already."""
         for reservation in list(program.pending):
-            if program.spare < reservation.max_tokens:
+            if self._spare(program) < reservation.max_tokens:
                 return
             program.pending.remove(reservation)
             program.active += reservation.max_tokens
@@ -149,42 +156,49 @@
 
     def has_unrecorded(self) -> bool:
         """Returns whether any program was opened and is not recorded yet."""
-        return any(program.opened for program in self._programs.values())
+        return any(program.is_unrecorded for program in self._programs.values())
+
+    def _spare(self, program: budget_state.Program) -> int:
+        """Returns the tokens that may be granted without a write."""
+        if self._unstored is None:
+            return program.spare
+        return self._unstored.spare(program)
+
+    def _open_pending(self) -> None:
+        """Begins the programs that wait for it, if the store is away."""
+        if not self.store_down:
+            return
+        for program in list(self._programs.values()):
+            if program.pending:
+                self._open(program)
+
+    def _forgo(self, name: str) -> bool:
+        """Has a program never begin here without the store.
+
+        Returns:
+            Whether everything that was granted here is recorded.
+        """
+        program = self._programs.get(name)
+        if program is None:
+            return True
+        if not program.opened:
+            program.is_new = False
+        return not program.is_unrecorded
 
     def _track(self, name: str, budget: int) -> budget_state.Program:
         program = budget_state.Program(name, budget)
-        if self._openers is None:
-            return program
-        program.is_new = self._openers.is_new(name)
-        if program.is_new:
-            program.assumed = self._openers.tokens_assumed(name, budget)
-            program.spent = program.assumed
+        if self._unstored is not None:
+            self._unstored.track(program)
         return program
 
     def _open(self, program: budget_state.Program) -> None:
         """Begins a program without the store, if this process may do so."""
-        if self._openers is None or program.opened:
-            return
-        if not program.is_new or program.version is not None:
-            return
-        part = self._openers.tokens_to_open(program.name, program.budget)
-        if not part:
-            return
-        # A write whose outcome is unknown may leave a row with fewer tokens.
-        kept = [
-            attempt.tokens + attempt.used
-            for attempt in program.attempts.values()
-        ]
-        program.opened = min([part, *kept])
-        program.held_here = program.opened
-        program.needs_write = True
-        eliot.log_message(
-            "budget.opened",
-            program=program.name,
-            tokens=program.opened,
-            **self._openers.basis(),
-        )
-        self._grant_spare(program)
+        if self._unstored is not None and self._unstored.open(program):
+            self._grant_spare(program)
+
+    def _resolve(self, program: budget_state.Program) -> bool:
+        """Releases what others were assumed to hold, if they hold nothing."""
+        return self._unstored is not None and self._unstored.resolve(program)
 
     def _is_likely(
         self, program: budget_state.Program, max_tokens: int, first: bool
@@ -247,15 +261,25 @@
         self.store_down = exc is not None
 
     def _deny(self, program: budget_state.Program) -> None:
-        """Denies all pending reservations; the row has just been read."""
+        """Refuses all pending reservations; the row has just been read.
+
+        Only what turns have used, or may use that run here, is spent for sure.
+        Tokens that others hold may have been lost with their process.
+        """
+        state = budget_state.State.DENIED
+        if program.held_by_others and not program.is_spent:
+            state = budget_state.State.UNAVAILABLE
         for reservation in program.pending:
-            reservation.decide(budget_state.State.DENIED)
+            reservation.decide(state)
         eliot.log_message(
-            "budget.spent",
+            "budget.spent"
+            if state is budget_state.State.DENIED
+            else "budget.held_elsewhere",
             program=program.name,
             budget=program.budget,
             spent=program.spent,
             held_elsewhere=program.held_by_others,
+            assumed=program.assumption is not None,
             row_version=program.version,
             denied=len(program.pending),
         )
@@ -281,6 +305,8 @@
             # before any reservation is denied.
             self._rows.read(program)
             granted = self._affordable(program)
+        if len(granted) < len(program.pending) and self._resolve(program):
+            granted = self._affordable(program)
         if granted or program.needs_write:
             # An earlier write whose reply was lost may hold these tokens
             # already. Unless they are marked, `_grant_spare` would grant them
@@ -328,7 +354,8 @@
         held in either case can be granted.
         """
         if self._openers is not None:
-            self._openers.tick()
+            is_recorded = not self.store_down and not self.has_unrecorded()
+            self._openers.tick(all_recorded=is_recorded)
         if self.store_down:
             return
         now = self._timers.now()
--- a/src/endivepier/gateway/budgets/openers.py
+++ b/src/endivepier/gateway/budgets/openers.py
@@ -12,8 +12,11 @@
 * A process whose predecessor ended without recording everything may open a
   program with a smaller part, once it has read which programs have a row.
   After a second loss, nothing is opened.
-* Any other host that begins a program counts both parts as spent. So does a
-  process after a loss.
+* Before it opens any, more than half of the other hosts have noted that it does
+  (`budgets.notices`).
+* Any other host that begins a program counts both parts as held by others, and
+  so does a process after a loss, until it has found out that nobody opened the
+  program (`budgets.doubts`).
 * A host that has joined asks the same of the next choices, down to the first
   one that was there before: one of them was the first choice until then. It
   counts on one only once that host has confirmed that it knows of the new one:
@@ -25,8 +28,14 @@
 from collections.abc import Callable
 
 from endivepier import timers as timers_lib
+from endivepier.gateway.budgets import doubts as doubts_lib
+from endivepier.gateway.budgets import notices as notices_lib
+from endivepier.gateway.budgets import opening_messages
 from endivepier.gateway.budgets import recorded_programs
+from endivepier.gateway.budgets import witness as witness_lib
 from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.hosts import rows as host_rows
+from endivepier.internal import codec
 from endivepier.internal import rendezvous
 
 # Parts of a budget that a process may grant without a row, and its successor
@@ -34,11 +43,10 @@
 # to their end.
 OPENED_PERCENT = 26
 REOPENED_PERCENT = 24
-ASSUMED_PERCENT = OPENED_PERCENT + REOPENED_PERCENT
 # After this, the other hosts know that a host has joined, and what they opened
 # in an outage that has ended is recorded.
 SETTLE_SECONDS = 3.0
-CLOCK_MARGIN_SECONDS = 10.0  # the hosts' clocks may differ by some seconds
+CLOCK_MARGIN_SECONDS = witness_lib.CLOCK_MARGIN_SECONDS
 SUSPENDED_SECONDS = 1.0  # without a tick, the process was suspended
 MAX_PROGRAMS = 50_000  # that are remembered; an entry takes some 150 bytes
 
@@ -53,6 +61,8 @@
         timers: timers_lib.Timers,
         retention: Callable[[], float],
         recorded: recorded_programs.RecordedPrograms | None = None,
+        notices: notices_lib.Notices | None = None,
+        doubts: doubts_lib.Doubts | None = None,
     ) -> None:
         """Initializes.
 
@@ -63,7 +73,14 @@
             retention: returns for how long a program may come back, in seconds.
             recorded: the programs that have a row, read if this process follows
                 a lost one; None if it opens nothing then.
+            notices: has the other hosts note that this one opens programs;
+                None if they need not.
+            doubts: finds out what others have opened; None if that stays
+                unknown.
         """
+        self._notices = notices
+        self._doubts = doubts
+        self._forgo: Callable[[str], bool] = lambda _: True
         self._recorded = recorded
         self._host = host
         self._peers = peers
@@ -94,19 +111,93 @@
         self._programs[program] = now
         return not known
 
-    def tick(self) -> None:
-        """Notes that the process runs; to be called several times a second."""
+    def use_ledger(
+        self, open_pending: Callable[[], None], forgo: Callable[[str], bool]
+    ) -> None:
+        """Sets what this host's ledger does for others.
+
+        Args:
+            open_pending: opens the programs that wait for it, now that the
+                other hosts have noted it.
+            forgo: has a program never be opened, and returns whether nothing
+                of it is unrecorded.
+        """
+        self._forgo = forgo
+        if self._notices is not None:
+            self._notices.subscribe(open_pending)
+        if self._doubts is not None:
+            self._peers.register(opening_messages.CLAIM, self._handle_claim)
+
+    def _handle_claim(self, body: bytes) -> bytes:
+        """Handles a peer's `Claim`."""
+        assert self._doubts is not None
+        claim: opening_messages.Claim = codec.decode(
+            opening_messages.Claim, body
+        )
+        self.is_new(claim.program)  # it is not opened from then on
+        began_at = self._timers.wall() - claim.seconds
+        is_recorded = self._forgo(claim.program)
+        is_clear = is_recorded and self._doubts.is_own_clear(began_at)
+        return codec.encode(opening_messages.Claimed(is_clear))
+
+    def may_grant_opened(self) -> bool:
+        """Returns whether tokens of opened programs may still be granted."""
+        if self._notices is None:
+            return True
+        return self._notices.is_noted(witness_lib.GRANT_SECONDS)
+
+    def is_resolved(
+        self, program: str, assumption: opening_messages.Assumption
+    ) -> bool:
+        """Returns whether no host can have opened a program; may wait."""
+        if self._doubts is None:
+            return False
+        return self._doubts.is_resolved(program, assumption)
+
+    def tick(self, *, all_recorded: bool = False) -> None:
+        """Notes that the process runs; to be called several times a second.
+
+        Args:
+            all_recorded: whether all that was opened here is in the store, and
+                the store responds.
+        """
         now = self._timers.now()
         if now - self._ticked_at > SUSPENDED_SECONDS:
             self._awake_since = now
         self._ticked_at = now
         self._introduce()
+        if self._doubts is not None:
+            self._doubts.tick()
+        if self._notices is not None:
+            self._notices.tick(
+                all_recorded=all_recorded, is_clear=self._is_own_clear()
+            )
         if self._recorded is not None and self._follows_a_loss():
             self._recorded.start()
 
+    def _is_own_clear(self) -> bool:
+        """Returns whether no lost process of this host matters any more."""
+        if self._doubts is None:
+            return not self._is_recent(self._peers.rows.own.lost_at)
+        return self._doubts.is_own_clear(self._timers.wall())
+
     def tokens_to_open(self, program: str, budget: int) -> int:
         """Returns the tokens that this host may grant without a row, or 0.
 
+        The first time, 0 until the other hosts have noted it.
+
+        Args:
+            program: a program that is new here.
+            budget: its whole budget.
+        """
+        part = self._part_to_open(program, budget)
+        if not part or self._notices is None:
+            return part
+        return part if self._notices.request_opening() else 0
+
+    def _part_to_open(self, program: str, budget: int) -> int:
+        """Returns the tokens that this host may grant once it is noted, or 0.
+
         Args:
             program: a program that is new here.
             budget: its whole budget.
@@ -133,44 +224,68 @@
 
     def may_open(self, program: str) -> bool:
         """Returns whether this host may begin a program that is new here."""
-        return self.tokens_to_open(program, 100) > 0
+        return self._part_to_open(program, 100) > 0
 
-    def tokens_assumed(self, program: str, budget: int) -> int:
-        """Returns the tokens that other processes may have granted.
+    def may_be_open(self, program: str) -> bool:
+        """Returns whether another process may have opened a program.
 
-        Args:
-            program: a program that is new here.
-            budget: its whole budget.
+        To be asked for a program that is new here.
         """
-        if not self.may_be_open(program):
-            return 0
-        return budget * ASSUMED_PERCENT // 100
+        return self.doubtful_hosts(program) is not None
 
-    def may_be_open(self, program: str) -> bool:
-        """Returns whether a process that is lost may have opened a program.
+    def doubtful_hosts(self, program: str) -> tuple[str, ...] | None:
+        """Returns the hosts of which a process may have opened a program.
 
         To be asked for a program that is new here.
+
+        Returns:
+            None if there are none; nothing if they are unknown.
         """
         rows = self._peers.rows
         if not rows.is_settled:
-            return True
+            return ()
         members = rows.members()
+        doubtful = []
         is_first = True
         for name in self._former_choices(program):
             member = members.get(name)
-            if member is None or self._is_recent(member.lost_at):
-                return True
-            if member.has_left:
-                continue
-            if name != self._host:
-                if is_first or not self._peers.is_available(name):
-                    return True
-                if not self._peers.introductions.is_known_to(name):
-                    return True
-            elif self._is_joining():
-                return True
-            is_first = False
-        return False
+            if member is None or self._may_have_opened(name, member, is_first):
+                doubtful.append(name)
+            if member is not None and not member.has_left:
+                is_first = False
+        return tuple(doubtful) or None
+
+    def tokens_assumed(self, budget: int, doubtful: tuple[str, ...]) -> int:
+        """Returns the tokens that count as held by others.
+
+        Args:
+            budget: the whole budget of a program.
+            doubtful: see `doubtful_hosts`.
+        """
+        percent = OPENED_PERCENT + REOPENED_PERCENT
+        if doubtful == (self._host,) and self._peers.rows.own.losses == 1:
+            percent = OPENED_PERCENT  # the other part is this process's own
+        return budget * percent // 100
+
+    def _may_have_opened(
+        self, name: str, member: host_rows.Entry, is_first: bool
+    ) -> bool:
+        """Returns whether a host may have opened a program.
+
+        Args:
+            name: a former choice for the program.
+            member: its row.
+            is_first: whether it is the first one that has not left.
+        """
+        if self._is_recent(member.lost_at):
+            return name != self._host or not self._is_own_clear()
+        if member.has_left:
+            return False
+        if name == self._host:
+            return self._is_joining()
+        if is_first or not self._peers.is_available(name):
+            return True
+        return not self._peers.introductions.is_known_to(name)
 
     def _former_choices(self, program: str) -> list[str]:
         """Returns the hosts that lately may have been the first choice.
--- a/src/endivepier/gateway/budgets/rows.py
+++ b/src/endivepier/gateway/budgets/rows.py
@@ -64,6 +64,7 @@
                 **program.others,
                 self._holder: budget_state.Held(tokens, number),
             },
+            program.assumption,
         )
         # Without a known row, none is assumed. If there is one, the write
         # fails and the row is read.
@@ -121,6 +122,7 @@
         program.unwritten -= attempt.used
         program.held_here = attempt.tokens
         program.opened = 0
+        program.is_unrecorded = False
 
     def read(self, program: budget_state.Program) -> None:
         """Reads the row, which also tells whether a write took effect.
@@ -130,10 +132,10 @@
         """
         row = self._table.get(rows.key(rows.BUDGETS, program.name))
         if row is None:
-            self._use_row(
-                program, 0, budget_state.Usage(program.assumed, {}), None
-            )
+            self._use_row(program, 0, budget_state.Usage(0, {}), None)
             program.others = {}
+            if program.assumption is not None:
+                program.assume(program.assumed, program.assumption)
             return
         usage: budget_state.Usage = codec.decode(budget_state.Usage, row.value)
         own = usage.held.get(self._holder)
@@ -146,6 +148,7 @@
             for holder, held in usage.held.items()
             if holder != self._holder
         }
+        program.assumption = usage.assumption
 
     def _use_row(
         self,
--- a/src/endivepier/gateway/hosts/rows.py
+++ b/src/endivepier/gateway/hosts/rows.py
@@ -50,6 +50,9 @@
         listed_since: since when there has been a row of the host, Unix seconds;
             0 if the whole fleet started for the first time; None if it is a
             former build, which does not tell.
+        tells_openings: whether the process tells other hosts before it opens
+            programs without the store; a former build does not.
+        lost_told: whether all lost processes of the host did.
     """
 
     address: str
@@ -59,6 +62,8 @@
     has_left: bool = False
     losses: int = 0
     listed_since: float | None = None
+    tells_openings: bool = False
+    lost_told: bool = False
 
 
 class HostRows:
@@ -250,6 +255,7 @@
                 lost_at=entry.lost_at,
                 losses=losses,
                 listed_since=now,
+                lost_told=entry.lost_told,
             )
         return dataclasses.replace(
             self.own,
@@ -259,6 +265,7 @@
             listed_since=entry.listed_since
             if entry.listed_since is not None
             else now,
+            lost_told=entry.lost_told and entry.tells_openings,
         )
 
     def _apply_snapshot(self, changes: ports.Changes) -> None:
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -21,12 +21,15 @@
 from endivepier.gateway import unary_calls
 from endivepier.gateway.accounts import renewals as share_renewals
 from endivepier.gateway.accounts import shares as shares_lib
+from endivepier.gateway.budgets import doubts
 from endivepier.gateway.budgets import ledger as ledger_lib
+from endivepier.gateway.budgets import notices
 from endivepier.gateway.budgets import openers
 from endivepier.gateway.budgets import owners as budget_owners
 from endivepier.gateway.budgets import recorded_programs
 from endivepier.gateway.budgets import row_expiry
 from endivepier.gateway.budgets import turn_tokens
+from endivepier.gateway.budgets import witness as budget_witness
 from endivepier.gateway.choice import homes as homes_lib
 from endivepier.gateway.choice import load_reports
 from endivepier.gateway.choice import placement as placement_lib
@@ -147,7 +150,12 @@
         )
         host_rows = host_rows_lib.HostRows(
             cfg.host,
-            host_rows_lib.Entry(cfg.peer_listen, cfg.data_centre),
+            host_rows_lib.Entry(
+                cfg.peer_listen,
+                cfg.data_centre,
+                tells_openings=True,
+                lost_told=True,
+            ),
             adapters.table,
             adapters.feed,
             timers,
@@ -186,6 +194,9 @@
         shares = shares_lib.Shares(
             self.renewals, self.catalog, self.peers, timers
         )
+        witness = budget_witness.Witness(
+            cfg.host, self.peers, timers, self.catalog.retention
+        )
         self.ledger = self.kernel.register(
             "budgets",
             ledger_lib.Ledger(
@@ -198,6 +209,8 @@
                     timers,
                     self.catalog.retention,
                     recorded_programs.RecordedPrograms(store, timers),
+                    notices.Notices(cfg.host, self.peers, timers, witness),
+                    doubts.Doubts(cfg.host, self.peers, timers, witness),
                 ),
                 row_expiry.RowExpiry(store, timers, self.catalog.retention),
             ),
--- a/tests/common/gateway_peers.py
+++ b/tests/common/gateway_peers.py
@@ -51,6 +51,8 @@
         return [name for name in self.hosts if self.is_available(name)]
 
     def process(self, host):
+        if self.rows is not None:
+            return self.rows.entries.get(host)
         return self.processes.get(host)
 
     def other_hosts(self):
