accounts: take over shares of lost hosts before their leases end

Cause: both held the account's rate by leases of 15 s in the store, which outlast outages of it, and which nobody else may use before they end. The same figure served outages and losses. Evidence: account.refused at the two hosts that were left named them as owners, with a fraction of 0 and no_share. Ruled out: used up tokens (four requests in all), lost hosts taken for available (peer.silent at the first request).

Change: a host uses its shares in a term that its entries name, as long as half of up to seven witnesses confirm it, for 1.5 s from when it asked. A host that lacks a share and does not reach its holder has more than half of the witnesses end the term, and removes the entry with its own write of the row. Both always have a witness in common, so that a holder that is paused or cut off uses nothing that was taken. A restarted witness confirms no older term. An owner releases no share to a host that has not responded.

--- a/src/endivepier/gateway/accounts/renewals.py
+++ b/src/endivepier/gateway/accounts/renewals.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+import uuid
 
 import eliot
 import gevent
@@ -15,7 +16,11 @@
 from endivepier import timers as timers_lib
 from endivepier.gateway import model
 from endivepier.gateway.accounts import owners as account_owners
+from endivepier.gateway.accounts import planning
 from endivepier.gateway.accounts import rows as share_rows
+from endivepier.gateway.accounts import takeovers as takeovers_lib
+from endivepier.gateway.accounts import term_witness
+from endivepier.gateway.accounts import terms as terms_lib
 from endivepier.gateway.hosts import peers as peers_lib
 from endivepier.gateway.store import rows
 from endivepier.gateway.targets import catalog as catalog_lib
@@ -27,31 +32,20 @@
 from endivepier.storage import ports
 from endivepier.storage import scans
 
-# Longer than the store outages stated for the deployments (9 s), so that
-# accounts keep their rates through one.
-LEASE_SECONDS = 15.0
 # How often an owner looks for a share that it lacks, and how late it notices
 # that the share of a lost owner is free.
 POLL_INTERVAL_SECONDS = 1.0
-RENEW_INTERVAL_SECONDS = 4.0  # a lease survives three lost renewals
-COMMIT_TIMEOUT_SECONDS = 2.0  # less than RENEW_INTERVAL_SECONDS
+BLOCKED_INTERVAL_SECONDS = 0.25  # while another host's entry is in the way
+COMMIT_TIMEOUT_SECONDS = 2.0  # less than the interval of renewals
 # Above this many rows, one scan of the table is cheaper than single reads.
 MAX_SINGLE_READS = 16
 # A transaction holds 100 entries, and a row takes a condition and a put.
 MAX_BATCH_ROWS = 45
-# A restart takes at least this long. The host admitted nothing meanwhile, so
-# its bucket starts with the tokens that were refilled in this time.
-RESTART_SECONDS = 0.3
 
 # Fraction of the operators' tolerance that is added to each burst. A bucket
 # admits whole tokens only, so that a small account would otherwise lose most
 # of its burst by the split over owners.
 TOLERANCE_FRACTION = 0.7
-# A restarted host does not know what its former process admitted. If it
-# started without tokens, it would refuse most requests for seconds. The rest of
-# the tolerance covers what both may have admitted, but not for several restarts
-# within this time.
-CREDIT_INTERVAL_SECONDS = 15.0
 
 
 class Renewals:
@@ -63,6 +57,7 @@
         host_count: number of known hosts, this one included.
         local: the shares of this host.
         owners: ranks the hosts for each account.
+        terms: the terms in which shares are used.
         holder: name of this host, the same after a restart.
     """
 
@@ -101,10 +96,24 @@
         self.owners = account_owners.AccountOwners(
             holder, peers, self.local.tolerance
         )
-        self._restart_credit = tolerance * (1.0 - TOLERANCE_FRACTION)
         self._committer = commit.Committer(table, timers, rng)
-        # By account and holder: its last write, and when it was first read.
-        self._last_writes: dict[tuple[str, str], tuple[str, float]] = {}
+        self.terms = terms_lib.Terms(
+            holder, peers, timers, rng, self._has_rates
+        )
+        self.terms.subscribe(lambda: self._wake.set())
+        self._planner = planning.Planner(
+            self.owners,
+            peers,
+            timers,
+            self.terms,
+            takeovers_lib.Takeovers(
+                holder,
+                peers,
+                timers,
+                term_witness.TermWitness(uuid.uuid4().hex[:16], peers, timers),
+            ),
+            tolerance * (1.0 - TOLERANCE_FRACTION),
+        )
         self._read_at: dict[str, float] = {}  # by account: its last read
         self._is_failing = False
         self._wake = gevent.event.Event()
@@ -112,8 +121,19 @@
 
     def start(self) -> None:
         """Starts the task that renews the leases."""
+        self.terms.start(self.local.terms)
         self._task = gevent.spawn(self._run)
 
+    def is_usable(self, share: share_rows.Share) -> bool:
+        """Returns whether no other host can have taken over a share."""
+        return self.terms.may_use(share.terms)
+
+    def _has_rates(self) -> bool:
+        declaration = self._catalog.declaration
+        return declaration is not None and any(
+            account.rate > 0 for account in declaration.accounts.values()
+        )
+
     def drain(self) -> None:
         """Releases this host's shares, so that others can use them at once."""
         self.owners.is_draining = True
@@ -140,11 +160,11 @@
                 failures.log(exc)
                 self._log_change(exc)
             self._clear_lapsed()
-            seconds = (
-                POLL_INTERVAL_SECONDS
-                if self.ready
-                else POLL_INTERVAL_SECONDS / 10
-            )
+            seconds = POLL_INTERVAL_SECONDS
+            if not self.ready:
+                seconds = POLL_INTERVAL_SECONDS / 10
+            elif self._planner.is_blocked:
+                seconds = BLOCKED_INTERVAL_SECONDS
             self._timers.wait(self._wake, seconds * self._rng.uniform(0.8, 1.2))
 
     def _log_change(self, exc: Exception | None) -> None:
@@ -164,12 +184,13 @@
                 account=account,
                 fraction=round(share.fraction, 4),
                 written=round(now - share.written_at, 2),
-                lease=LEASE_SECONDS,
+                lease=planning.LEASE_SECONDS,
                 action="requests of the account need a token of another owner",
             )
             share.fraction = 0.0
 
     def _renew_all(self) -> None:
+        self._planner.is_blocked = False
         declaration = self._catalog.declaration
         if declaration is None:
             return
@@ -200,10 +221,12 @@
         wanted = self.owners.wanted_fraction(account)
         if abs(held - wanted) > bucket_lib.ROUNDING_TOLERANCE:
             return True
+        if held and self._planner.needs_other_term(share):
+            return True
         if not held and not self.owners.follows(account):
             return False
         last = share.written_at if held else self._read_at.get(account.name)
-        return last is None or now - last >= RENEW_INTERVAL_SECONDS
+        return last is None or now - last >= planning.RENEW_INTERVAL_SECONDS
 
     def _read_rows(self, accounts: list[model.Account]) -> dict[str, ports.Row]:
         """Returns the rows of accounts that have one, by key."""
@@ -234,7 +257,7 @@
             if before is None:  # it may hold shares of other hosts
                 continue
             share = self.local.ensure(account, now)
-            planned = self._planned_row(account, share, before, write_id, now)
+            planned = self._planner.plan(account, share, before, write_id, now)
             if planned is None:
                 continue
             after, plan = planned
@@ -248,86 +271,6 @@
         if puts:
             self._commit(conditions, puts, plans, write_id, now)
 
-    def _planned_row(
-        self,
-        account: model.Account,
-        share: share_rows.Share,
-        before: share_rows.Row,
-        write_id: str,
-        now: float,
-    ) -> tuple[share_rows.Row, share_rows.Plan] | None:
-        """Returns the row with this host's new entry, and what it changes.
-
-        Returns None if the entry needs neither a change nor a renewal.
-        """
-        other_entries = self._live_entries(account.name, before, now)
-        free = 1.0 - sum(entry.fraction for entry in other_entries.values())
-        fraction = max(0.0, min(self.owners.wanted_fraction(account), free))
-        own_entry = before.holders.get(self.holder)
-        held_fraction = share.fraction if now < share.lease_until else 0.0
-        if not (fraction or held_fraction) and (
-            own_entry is None or not own_entry.fraction
-        ):
-            return None
-        unchanged = (
-            abs(fraction - held_fraction) <= bucket_lib.ROUNDING_TOLERANCE
-        )
-        if (
-            unchanged
-            and own_entry
-            and now - share.written_at < RENEW_INTERVAL_SECONDS
-        ):
-            return None
-        # Former builds know a renewal by its number, so a new entry must not
-        # begin with that of an entry which a former process had.
-        renewals = int(write_id, 16) >> 2  # fits 64 bits with a sign
-        if own_entry is not None:
-            renewals = own_entry.renewals + 1
-        credited_at = 0.0 if own_entry is None else own_entry.credited_at
-        released = before.released
-        tokens = 0.0
-        if fraction and not held_fraction:
-            bucket = share.bucket
-            tokens, released = released, 0.0
-            was_restarted = (
-                own_entry is not None
-                and own_entry.fraction > 0
-                and not share.written_at
-            )
-            if was_restarted:
-                tokens += fraction * RESTART_SECONDS * bucket.rate
-                wall = self._timers.wall()
-                if abs(wall - credited_at) >= CREDIT_INTERVAL_SECONDS:
-                    credited_at = wall
-                    tokens += fraction * self._restart_credit
-            tokens = min(tokens, fraction * bucket.burst)
-        elif not fraction:
-            share.update_bucket(now)
-            released += max(share.bucket.level, 0.0)
-        entry = share_rows.Entry(fraction, renewals, write_id, credited_at)
-        row = share_rows.Row({**other_entries, self.holder: entry}, released)
-        return row, share_rows.Plan(share, fraction, tokens)
-
-    def _live_entries(
-        self, account: str, row: share_rows.Row, now: float
-    ) -> dict[str, share_rows.Entry]:
-        """Returns the entries of other hosts whose leases may not be over.
-
-        A lease is timed by this host's clock, from when it first read the
-        latest write of the entry.
-        """
-        live = {}
-        for holder, entry in row.holders.items():
-            if holder == self.holder:
-                continue
-            last_write = self._last_writes.get((account, holder))
-            if last_write is None or last_write[0] != entry.write:
-                last_write = (entry.write, now)
-                self._last_writes[account, holder] = last_write
-            if now - last_write[1] <= leases.expired_after(LEASE_SECONDS):
-                live[holder] = entry
-        return live
-
     def _commit(
         self,
         conditions: list[ports.Condition],
@@ -343,6 +286,8 @@
             share.update_bucket(now)
             share.fraction = min(share.fraction, plan.fraction)
             share.update_bucket(now)
+            if plan.term not in share.terms:
+                share.terms = (*share.terms, plan.term)
         first = puts[0]
         assert isinstance(first, ports.Put)
 
@@ -357,11 +302,12 @@
             commit.Proof(first.key, is_ours),
             seconds=COMMIT_TIMEOUT_SECONDS,
         )
-        lease_until = now + leases.usable(LEASE_SECONDS)
+        lease_until = now + leases.usable(planning.LEASE_SECONDS)
         for plan in plans:
             share = plan.share
             share.update_bucket(self._timers.now())
             share.fraction = plan.fraction
+            share.terms = (plan.term,)
             share.lease_until = lease_until
             share.written_at = now
             share.update_bucket(self._timers.now())
--- a/src/endivepier/gateway/accounts/rows.py
+++ b/src/endivepier/gateway/accounts/rows.py
@@ -10,6 +10,7 @@
 
 from endivepier.gateway import model
 from endivepier.gateway.accounts import starts as starts_lib
+from endivepier.gateway.accounts import term_messages
 from endivepier.limits import bucket as bucket_lib
 
 
@@ -25,12 +26,17 @@
             and its own recognizes it if the reply was lost.
         credited_at: wall-clock time, in seconds, at which a restarted process
             of the host last got tokens that its former one may have used.
+        term: the term in which the host uses the share; one without witnesses
+            if a former build wrote the entry.
     """
 
     fraction: float
     renewals: int
     write: str
     credited_at: float = 0.0
+    term: term_messages.Term = dataclasses.field(
+        default_factory=term_messages.Term
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,11 +61,13 @@
         share: the share.
         fraction: its fraction after the write.
         tokens: tokens that its bucket gets by the write.
+        term: the term of its entry after the write.
     """
 
     share: Share
     fraction: float
     tokens: float
+    term: term_messages.Term
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,6 +86,8 @@
             monotonic seconds.
         elsewhere: estimate of the tokens at the account's other owners; None
             if this host has never decided alone on its programs.
+        terms: the terms that its entry in the store may have, more than one
+            after writes whose outcome is unknown.
         no_tokens_until: by peer that lent nothing, the time before which it
             is not asked again, monotonic seconds.
     """
@@ -89,8 +99,16 @@
     written_at: float = 0.0
     owner_seen_at: float = float("-inf")
     elsewhere: bucket_lib.Bucket | None = None
+    terms: tuple[term_messages.Term, ...] = ()
     no_tokens_until: dict[str, float] = dataclasses.field(default_factory=dict)
 
+    def clear(self, now: float) -> None:
+        """Ends the use of the share; its tokens are gone."""
+        self.fraction = 0.0
+        self.lease_until = 0.0
+        self.terms = ()
+        self.update_bucket(now)
+
     def update_bucket(self, now: float) -> None:
         """Updates the bucket to `now` and the fraction; 0 without a lease."""
         self.bucket.update(
@@ -122,6 +140,15 @@
         self.tolerance = tolerance
         self._shares: dict[str, Share] = {}
 
+    def terms(self) -> set[term_messages.Term]:
+        """Returns the terms in which shares are held."""
+        return {
+            term
+            for share in self._shares.values()
+            if share.fraction
+            for term in share.terms
+        }
+
     def find(self, name: str) -> Share | None:
         """Returns the share of an account, or None if there is none yet."""
         return self._shares.get(name)
--- a/src/endivepier/gateway/accounts/shares.py
+++ b/src/endivepier/gateway/accounts/shares.py
@@ -224,7 +224,7 @@
         share.update_bucket(now)
         if not is_retry:
             share.bucket.record_request(now)
-        if not share.fraction:
+        if not share.fraction or not self.renewals.is_usable(share):
             return share_messages.Admission(
                 NO_SHARE_RETRY_SECONDS, begins, delayed, no_share=True
             )
@@ -378,7 +378,9 @@
         kept = 1.0 if demand > IDLE_REQUESTS_PER_SECOND else 0.0
         if self._owners.has_single_home(account):
             kept = 0.0
-        tokens = max(0, min(borrow.tokens, int(share.bucket.level - kept)))
+        is_usable = bool(share.fraction) and self.renewals.is_usable(share)
+        spare = int(share.bucket.level - kept) if is_usable else 0
+        tokens = max(0, min(borrow.tokens, spare))
         if not tokens:
             elsewhere = self._tokens_elsewhere(account, share, now)
             if elsewhere is not None:  # the sender asks there next
@@ -393,6 +395,6 @@
                 tokens,
                 begun=begun,
                 had=info.initial_seconds,
-                has_share=bool(share.fraction),
+                has_share=is_usable,
             )
         )
--- a/src/endivepier/gateway/hosts/rows.py
+++ b/src/endivepier/gateway/hosts/rows.py
@@ -53,6 +53,8 @@
         tells_openings: whether the process tells other hosts before it opens
             programs without the store; a former build does not.
         lost_told: whether all lost processes of the host did.
+        confirms_terms: whether the process confirms the terms in which others
+            use shares of accounts; a former build does not.
     """
 
     address: str
@@ -64,6 +66,7 @@
     listed_since: float | None = None
     tells_openings: bool = False
     lost_told: bool = False
+    confirms_terms: bool = False
 
 
 class HostRows:
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -155,6 +155,7 @@
                 cfg.data_centre,
                 tells_openings=True,
                 lost_told=True,
+                confirms_terms=True,
             ),
             adapters.table,
             adapters.feed,
--- a/tests/cover/gateway/test_share_restarts.py
+++ b/tests/cover/gateway/test_share_restarts.py
@@ -9,6 +9,7 @@
 
 from endivepier.gateway.accounts import messages as share_messages
 from endivepier.gateway.accounts import owners as account_owners
+from endivepier.gateway.accounts import planning
 from endivepier.gateway.accounts import renewals as share_renewals
 from endivepier.gateway.accounts import rows as share_rows
 from endivepier.gateway.accounts import shares
@@ -59,7 +60,7 @@
 
         rows_read.append(fleet.timers.run(main))
     readers = account_owners.MIN_OWNERS + account_owners.STANDBY_OWNERS
-    rounds = 20.0 / share_renewals.RENEW_INTERVAL_SECONDS
+    rounds = 20.0 / planning.RENEW_INTERVAL_SECONDS
     assert max(rows_read) <= 1.5 * readers * rounds * len(accounts)
 
 
@@ -71,7 +72,7 @@
             share = fleet.renewals[name].local.find(account)
             if share is not None:
                 share.fraction = share.bucket.level = 0.0
-    fleet.timers.sleep(share_renewals.RESTART_SECONDS)
+    fleet.timers.sleep(planning.RESTART_SECONDS)
     for name in names:
         fleet.start(name)
 
@@ -296,7 +297,7 @@
         former = stored_entry(fleet, account, "h1")
         fleet.renewals["h1"].stop()
         del fleet.peers["h1"]
-        fleet.timers.sleep(2.0 * share_renewals.LEASE_SECONDS)
+        fleet.timers.sleep(2.0 * planning.LEASE_SECONDS)
         assert fraction("h0") == pytest.approx(1.0)
         fleet.start("h1")
         while not fraction("h1"):
--- a/tests/cover/gateway/test_shares.py
+++ b/tests/cover/gateway/test_shares.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from endivepier.gateway.accounts import messages as share_messages
+from endivepier.gateway.accounts import planning
 from endivepier.gateway.accounts import renewals as share_renewals
 from endivepier.gateway.accounts import shares
 from endivepier.standins import clock
@@ -307,7 +308,7 @@
         fleet.timers.sleep(3.0)
         fleet.table.faults.outage = True
         fleet.timers.sleep(
-            share_renewals.LEASE_SECONDS + share_renewals.RENEW_INTERVAL_SECONDS
+            planning.LEASE_SECONDS + planning.RENEW_INTERVAL_SECONDS
         )
         return fleet.request("h0", "acme")
 
@@ -326,7 +327,7 @@
     def main():
         fleet.timers.sleep(3.0)
         fleet.table.faults.outage = True
-        fleet.timers.sleep(share_renewals.LEASE_SECONDS + 10.0)
+        fleet.timers.sleep(planning.LEASE_SECONDS + 10.0)
 
     fleet.timers.run(main)
     assert lines.count("shares.lapsed") == 1
@@ -387,8 +388,7 @@
         fleet.timers.sleep(3.0)
         lost = fleet.lose_an_owner(account)
         fleet.timers.sleep(
-            share_renewals.LEASE_SECONDS
-            + 3 * share_renewals.POLL_INTERVAL_SECONDS
+            planning.LEASE_SECONDS + 3 * share_renewals.POLL_INTERVAL_SECONDS
         )
         return sum(
             renewals.local.find("acme").fraction
