--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -21,15 +21,11 @@
 from endivepier.gateway import unary_calls
 from endivepier.gateway.accounts import renewals as share_renewals
 from endivepier.gateway.accounts import shares as shares_lib
-from endivepier.gateway.budgets import doubts
+from endivepier.gateway.budgets import assembly as budget_assembly
 from endivepier.gateway.budgets import ledger as ledger_lib
-from endivepier.gateway.budgets import notices
-from endivepier.gateway.budgets import openers
 from endivepier.gateway.budgets import owners as budget_owners
-from endivepier.gateway.budgets import recorded_programs
 from endivepier.gateway.budgets import row_expiry
 from endivepier.gateway.budgets import turn_tokens
-from endivepier.gateway.budgets import witness as budget_witness
 from endivepier.gateway.choice import homes as homes_lib
 from endivepier.gateway.choice import load_reports
 from endivepier.gateway.choice import placement as placement_lib
@@ -195,23 +191,18 @@
         shares = shares_lib.Shares(
             self.renewals, self.catalog, self.peers, timers
         )
-        witness = budget_witness.Witness(
-            cfg.host, self.peers, timers, self.catalog.retention
-        )
         self.ledger = self.kernel.register(
             "budgets",
             ledger_lib.Ledger(
                 self.incarnation,
                 store,
                 timers,
-                openers.Openers(
+                budget_assembly.create_openers(
                     cfg.host,
                     self.peers,
+                    store,
                     timers,
                     self.catalog.retention,
-                    recorded_programs.RecordedPrograms(store, timers),
-                    notices.Notices(cfg.host, self.peers, timers, witness),
-                    doubts.Doubts(cfg.host, self.peers, timers, witness),
                 ),
                 row_expiry.RowExpiry(store, timers, self.catalog.retention),
             ),
--- a/tests/common/outage_load.py
+++ b/tests/common/outage_load.py
@@ -10,14 +10,12 @@
 from endivepier import errors
 from endivepier.gateway import calls
 from endivepier.gateway import model
-from endivepier.gateway.budgets import doubts
+from endivepier.gateway.budgets import assembly
 from endivepier.gateway.budgets import ledger as ledger_lib
-from endivepier.gateway.budgets import notices
 from endivepier.gateway.budgets import openers
 from endivepier.gateway.budgets import owners as budget_owners
 from endivepier.gateway.budgets import recorded_programs
 from endivepier.gateway.budgets import turn_tokens
-from endivepier.gateway.budgets import witness as witness_lib
 from endivepier.gateway.hosts import rows as host_rows
 from endivepier.gateway.store import access as store_access
 from endivepier.standins import clock
@@ -88,22 +86,22 @@
             fleet.timers,
             is_first_start=is_first_start,
         )
-        witness = witness_lib.Witness(
-            name, peers, fleet.timers, lambda: RETENTION_SECONDS
-        )
-        self.openers = openers.Openers(
-            name,
-            peers,
-            fleet.timers,
-            lambda: RETENTION_SECONDS,
-            recorded_programs.RecordedPrograms(self.store, fleet.timers),
-            None
-            if is_former
-            else notices.Notices(name, peers, fleet.timers, witness),
-            None
-            if is_former
-            else doubts.Doubts(name, peers, fleet.timers, witness),
-        )
+        if is_former:
+            self.openers = openers.Openers(
+                name,
+                peers,
+                fleet.timers,
+                lambda: RETENTION_SECONDS,
+                recorded_programs.RecordedPrograms(self.store, fleet.timers),
+            )
+        else:
+            self.openers = assembly.create_openers(
+                name,
+                peers,
+                self.store,
+                fleet.timers,
+                lambda: RETENTION_SECONDS,
+            )
         self.ledger = ledger_lib.Ledger(
             f"{name}-{fleet.timers.now()}",
             self.store,
