load: ask hosts that were not heard before a turn is refused

Cause: a host that sent no report for 0.5 s counted as the average of those heard. Idle hosts send nothing, so that a host that had heard the busy one only took five others for as busy. Evidence: request.done, "2.33 turns are under way for each slot", "2.50", 52 such lines. Ruled out: waits at the engines (another reason), calls that have ended (the busy host's report was right).

Change: before a turn is refused for the load, up to 16 hosts without a recent report are asked, and the turn is judged again; those asked stand for the ones that were not. Hosts that don't respond count no more. The guess that all others are as busy as this host, if none was heard, is checked as well. The check moves from stream_calls to choice.load_check.

--- a/src/endivepier/gateway/choice/load_reports.py
+++ b/src/endivepier/gateway/choice/load_reports.py
@@ -4,7 +4,8 @@
 cost. So each host adds the number of its calls at each target to the
 requests and responses that hosts exchange anyway. A report expires quickly;
 hosts without a recent report are assumed to have as many calls as the average
-of the others.
+of the others: of those that this host has asked, if any, since a host that is
+heard without being asked is likely to be a busy one (see `load_inquiries`).
 """
 
 from __future__ import annotations
@@ -33,12 +34,15 @@
         received_at: when it was last received, monotonic seconds.
         running: running calls by the target's incarnation.
         is_listed: whether the host was listed when it was received.
+        asked_at: when the host last replied to a request for it, monotonic
+            seconds.
     """
 
     encoded: bytes
     received_at: float
     running: dict[str, int]
     is_listed: bool
+    asked_at: float = float("-inf")
 
     @property
     def unlisted_entries(self) -> int:
@@ -117,6 +121,8 @@
                 f"{MAX_CALLS}"
             )
         report = Report(encoded, now, dict(document), is_listed)
+        if previous is not None:
+            report.asked_at = previous.asked_at
         self._drop(host)
         if not self._has_space(report):
             self._update_sums(now)  # drops the expired ones
@@ -131,6 +137,20 @@
         if len(self._reports) > self.host_count + MAX_UNKNOWN_REPORTS:
             self._update_sums(now)  # drops the expired ones
 
+    def is_recent(self, host: str) -> bool:
+        """Returns whether a report of a host has not expired."""
+        report = self._reports.get(host)
+        if report is None:
+            return False
+        return self._timers.now() - report.received_at <= FRESH_SECONDS
+
+    def note_asked(self, host: str) -> None:
+        """Notes that a host has just sent its report since it was asked."""
+        report = self._reports.get(host)
+        if report is not None:
+            report.asked_at = self._timers.now()
+            self._summed_at = float("-inf")
+
     def _has_space(self, report: Report) -> bool:
         added = report.unlisted_entries
         return not added or (
@@ -156,7 +176,9 @@
 
     def _update_sums(self, now: float) -> None:
         sums: dict[str, float] = {}
+        asked: dict[str, float] = {}  # sums of those that were asked
         reporting_count = 0
+        asked_count = 0
         for host, report in list(self._reports.items()):
             if now - report.received_at > FRESH_SECONDS:
                 self._drop(host)
@@ -164,9 +186,15 @@
             reporting_count += 1
             for incarnation, running in report.running.items():
                 sums[incarnation] = sums.get(incarnation, 0.0) + running
-        other_count = max(self.host_count - 1, reporting_count)
-        if 0 < reporting_count < other_count:
-            scale = other_count / reporting_count
-            sums = {key: running * scale for key, running in sums.items()}
+            if now - report.asked_at <= FRESH_SECONDS:
+                asked_count += 1
+                for incarnation, running in report.running.items():
+                    asked[incarnation] = asked.get(incarnation, 0.0) + running
+        silent_count = max(self.host_count - 1 - reporting_count, 0)
+        if silent_count and reporting_count:
+            sample = asked if asked_count else dict(sums)
+            scale = silent_count / (asked_count or reporting_count)
+            for incarnation, calls in sample.items():
+                sums[incarnation] += calls * scale
         self._sums = sums
         self._summed_at = now
--- a/src/endivepier/gateway/process.py
+++ b/src/endivepier/gateway/process.py
@@ -27,6 +27,8 @@
 from endivepier.gateway.budgets import row_expiry
 from endivepier.gateway.budgets import turn_tokens
 from endivepier.gateway.choice import homes as homes_lib
+from endivepier.gateway.choice import load_check
+from endivepier.gateway.choice import load_inquiries
 from endivepier.gateway.choice import load_reports
 from endivepier.gateway.choice import placement as placement_lib
 from endivepier.gateway.choice import target_choice
@@ -271,6 +273,14 @@
                 self.catalog,
                 self.dispatcher,
                 choice,
+                load_check.LoadCheck(
+                    self.dispatcher,
+                    choice,
+                    load_inquiries.LoadInquiries(
+                        self.peers, reports, timers, rng
+                    ),
+                    timers,
+                ),
                 guard,
                 turn_tokens.TurnTokens(self.budgets, store, timers),
                 stream_versions.StreamVersions(self.catalog, origins, routes),
--- a/src/endivepier/gateway/streams/stream_calls.py
+++ b/src/endivepier/gateway/streams/stream_calls.py
@@ -21,7 +21,7 @@
 from endivepier.gateway import model
 from endivepier.gateway.budgets import owners as budget_owners
 from endivepier.gateway.budgets import turn_tokens
-from endivepier.gateway.choice import admission as turn_admission
+from endivepier.gateway.choice import load_check
 from endivepier.gateway.choice import target_choice
 from endivepier.gateway.store import access as store_access
 from endivepier.gateway.streams import events
@@ -33,9 +33,6 @@
 from endivepier.gateway.targets import catalog as catalog_lib
 from endivepier.http1 import messages
 
-# `Retry-After` when the engines are overloaded: a queue of a few tenths of a
-# second is empty then.
-BUSY_RETRY_SECONDS = 0.2
 MAX_EVENT_BYTES = 256 * 1024  # some hundred streams share a host's memory
 MAX_STORED_OUTPUT_BYTES = 1024 * 1024  # of one turn
 # Clients give up a stream that is silent for two seconds.
@@ -50,6 +47,7 @@
         catalog: catalog_lib.Catalog,
         dispatcher: exchange_lib.Dispatcher,
         choice: target_choice.TargetChoice,
+        check: load_check.LoadCheck,
         guard: suspect_guard.SuspectGuard,
         tokens: turn_tokens.TurnTokens,
         versions: stream_versions.StreamVersions,
@@ -60,6 +58,7 @@
         self._catalog = catalog
         self._dispatcher = dispatcher
         self._choice = choice
+        self._load_check = check
         self._guard = guard
         self._tokens = tokens
         self._versions = versions
@@ -78,7 +77,7 @@
         """
         self._guard.begin(ctx)
         self._versions.set_resumed(ctx)
-        self._check_load(ctx)
+        self._load_check.check(ctx)
         body = self._request_body(ctx)
         reservation = self._tokens.reserve(ctx)
         if reservation is not None:
@@ -91,35 +90,6 @@
             if reservation is not None:
                 self._tokens.settle(ctx, reservation, progress.events_sent)
 
-    def _check_load(self, ctx: calls.CallContext) -> None:
-        """Checks that the engines have capacity for a turn.
-
-        Raises:
-            errors.Refused: they are overloaded; the call has not run.
-        """
-        if ctx.engine is None:
-            return
-        rate_tokens = self._dispatcher.rate_tokens
-        targets = [
-            t for t in self._choice.targets(ctx) if rate_tokens.may_take(t)
-        ]
-        reason = turn_admission.refusal_reason(
-            ctx.call,
-            self._dispatcher.placement,
-            targets,
-            self._timers.now(),
-            begins=ctx.is_first_turn,
-            delayed=ctx.delayed,
-            slots=sum(rate_tokens.slots(target) for target in targets),
-        )
-        if reason:
-            raise errors.Refused(
-                errors.Code.OVERLOADED,
-                503,
-                f"service {ctx.service!r}: {reason}",
-                retry_after=BUSY_RETRY_SECONDS,
-            )
-
     def _request_body(self, ctx: calls.CallContext) -> bytes:
         """Returns the request body: the earlier turns and the new input."""
         call = ctx.call
