budgets: remember programs from their last use on

Cause: a host remembered the first arrival of a program for the retention and 10 s, also while it ran; the ledger forgot it after 20 s without a turn, and then it was new. Ruled out: another host (one owner from the first turn on), an unread row taken for unspent.

Change: each use renews the time (budgets.known_programs). On related paths, where a first choice has not seen the last uses, since it started again or does not respond to the host where the program runs: that host tells the possible first choices, each new process within some 2 s, all every 30 s; for one that is silent for 12 s, half of the other hosts note no opening of it.

--- a/src/endivepier/gateway/budgets/ledger.py
+++ b/src/endivepier/gateway/budgets/ledger.py
@@ -116,11 +116,11 @@
         tracked.budget = budget
         tracked.release_spare = False
         tracked.largest_turn = max(tracked.largest_turn, max_tokens)
+        if self._unstored is not None:
+            self._unstored.note_use(tracked)
         reservation = budget_state.Reservation(max_tokens, tracked)
         if self.store_down:
             self._open(tracked)
-        elif self._unstored is not None:
-            self._unstored.renew_clearance(tracked)
         if self._spare(tracked) >= max_tokens:
             tracked.active += max_tokens
             reservation.decide(budget_state.State.GRANTED)
@@ -135,6 +135,8 @@
         """Settles a turn of which `used` tokens were sent to the client."""
         program = reservation.program
         program.used_at = self._timers.now()
+        if self._unstored is not None:
+            self._unstored.note_use(program)
         if reservation.state is not budget_state.State.GRANTED:
             if reservation in program.pending:
                 program.pending.remove(reservation)
@@ -356,6 +358,9 @@
         if self._openers is not None:
             is_recorded = not self.store_down and not self.has_unrecorded()
             self._openers.tick(all_recorded=is_recorded)
+        if self._unstored is not None:
+            for program in list(self._programs.values()):
+                self._unstored.check(program)
         if self.store_down:
             return
         now = self._timers.now()
--- a/src/endivepier/gateway/budgets/openers.py
+++ b/src/endivepier/gateway/budgets/openers.py
@@ -29,6 +29,7 @@
 
 from endivepier import timers as timers_lib
 from endivepier.gateway.budgets import doubts as doubts_lib
+from endivepier.gateway.budgets import known_programs
 from endivepier.gateway.budgets import notices as notices_lib
 from endivepier.gateway.budgets import opening_messages
 from endivepier.gateway.budgets import recorded_programs
@@ -48,7 +49,8 @@
 SETTLE_SECONDS = 3.0
 CLOCK_MARGIN_SECONDS = witness_lib.CLOCK_MARGIN_SECONDS
 SUSPENDED_SECONDS = 1.0  # without a tick, the process was suspended
-MAX_PROGRAMS = 50_000  # that are remembered; an entry takes some 150 bytes
+# How often other hosts are told not to open a program that runs here.
+CLEARANCE_SECONDS = 30.0
 
 
 class Openers:
@@ -89,27 +91,15 @@
         self._started_at = timers.now()
         self._ticked_at = self._started_at
         self._awake_since = float("-inf")  # since the last suspension
-        # When each program came here first, monotonic seconds; oldest first.
-        self._programs: dict[str, float] = {}
-        # Until when programs that were dropped from it may come back.
-        self._forgot_until = float("-inf")
+        self._known = known_programs.KnownPrograms(timers, self._horizon)
 
     def is_new(self, program: str) -> bool:
         """Returns whether a program has come here for the first time.
 
-        From then on the program is known.
+        From then on the program is known, until it can't come back. To be
+        called for each use.
         """
-        now = self._timers.now()
-        horizon = self._horizon()
-        while self._programs:
-            oldest, at = next(iter(self._programs.items()))
-            if now - at < horizon and len(self._programs) < MAX_PROGRAMS:
-                break
-            del self._programs[oldest]
-            self._forgot_until = max(self._forgot_until, at + horizon)
-        known = self._programs.pop(program, None) is not None
-        self._programs[program] = now
-        return not known
+        return self._known.note_use(program)
 
     def use_ledger(
         self, open_pending: Callable[[], None], forgo: Callable[[str], bool]
@@ -134,7 +124,9 @@
         claim: opening_messages.Claim = codec.decode(
             opening_messages.Claim, body
         )
-        self.is_new(claim.program)  # it is not opened from then on
+        # It is not opened from then on. The next claim of a program that still
+        # runs there comes this much later.
+        self._known.note_use(claim.program, used_for=CLEARANCE_SECONDS)
         began_at = self._timers.wall() - claim.seconds
         is_recorded = self._forgo(claim.program)
         is_clear = is_recorded and self._doubts.is_own_clear(began_at)
@@ -305,6 +297,25 @@
                 break
         return former
 
+    def other_choices(self, program: str) -> dict[str, host_rows.Entry | None]:
+        """Returns the hosts that may open a program that runs here.
+
+        Returns:
+            The row of the last known process of each.
+        """
+        if not self._peers.rows.is_settled:
+            return {}
+        members = self._peers.rows.members()
+        return {
+            name: members.get(name)
+            for name in self._former_choices(program)
+            if name != self._host
+        }
+
+    def is_available(self, host: str) -> bool:
+        """Returns whether another host responds."""
+        return self._peers.is_available(host)
+
     def _follows_a_loss(self) -> bool:
         """Returns whether this process directly follows one that was lost.
 
@@ -336,7 +347,7 @@
         if any(member.listed_since is None for member in members.values()):
             return False
         now = self._timers.now()
-        if now < self._forgot_until:
+        if now < self._known.forgot_until:
             return False
         departed = {
             host
--- a/src/endivepier/gateway/budgets/state.py
+++ b/src/endivepier/gateway/budgets/state.py
@@ -8,6 +8,7 @@
 import gevent.event
 
 from endivepier.gateway.budgets import opening_messages
+from endivepier.gateway.hosts import rows as host_rows
 
 # A process holds tokens in advance only if enough are left for so many turns at
 # other processes, or for one turn of its own.
@@ -128,10 +129,10 @@
         assumed: tokens that count as held while there is no row, since another
             process may have granted them.
         assumption: why tokens are held as `ASSUMED`; None if none are.
-        doubtful: the hosts that may open the program, as known when it came;
-            None if none may, empty if they are unknown.
-        cleared_at: when these hosts were last told not to open it, monotonic
-            seconds.
+        told: the hosts that were told not to open the program, each with the
+            row of its process, and when, monotonic seconds.
+        told_all_at: when all that may open it had last been told.
+        checked_at: when it was last checked whether others must be told.
         is_new: whether the program came to this host for the first time.
         opened: tokens that this process may grant although there is no row.
         is_unrecorded: whether it has granted some that no row counts yet.
@@ -157,8 +158,11 @@
     release_spare: bool = False
     assumed: int = 0
     assumption: opening_messages.Assumption | None = None
-    doubtful: tuple[str, ...] | None = None
-    cleared_at: float = 0.0
+    told: dict[str, tuple[host_rows.Entry | None, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    told_all_at: float = 0.0
+    checked_at: float = float("-inf")
     is_new: bool = False
     opened: int = 0
     is_unrecorded: bool = False
--- a/src/endivepier/gateway/budgets/unstored.py
+++ b/src/endivepier/gateway/budgets/unstored.py
@@ -13,10 +13,12 @@
 from endivepier.gateway.budgets import openers as openers_lib
 from endivepier.gateway.budgets import opening_messages
 from endivepier.gateway.budgets import state as budget_state
+from endivepier.gateway.hosts import rows as host_rows
 
-# How often other hosts are told not to open a program that runs here. They
-# remember it for longer than a program's retention.
-CLEARANCE_SECONDS = 30.0
+# How often it is checked which other hosts may open a program that runs here.
+CHECK_SECONDS = 2.0
+# For so long a silent host is waited for; less than `ledger.FORGET_SECONDS`.
+SILENT_SECONDS = 12.0
 
 
 class Unstored:
@@ -36,18 +38,16 @@
 
     def track(self, program: budget_state.Program) -> None:
         """Sets what others may have granted to a program that comes here."""
+        program.told_all_at = self._timers.now()
         program.is_new = self._openers.is_new(program.name)
         if not program.is_new:
             return
-        program.doubtful = self._openers.doubtful_hosts(program.name)
-        program.cleared_at = self._timers.now()
-        if program.doubtful is not None:
+        doubtful = self._openers.doubtful_hosts(program.name)
+        if doubtful is not None:
             assumption = opening_messages.Assumption(
-                program.doubtful, self._timers.wall()
-            )
-            tokens = self._openers.tokens_assumed(
-                program.budget, program.doubtful
+                doubtful, self._timers.wall()
             )
+            tokens = self._openers.tokens_assumed(program.budget, doubtful)
             program.assume(tokens, assumption)
 
     def spare(self, program: budget_state.Program) -> int:
@@ -109,20 +109,61 @@
             tokens=program.held_by_others,
         )
         program.clear_assumption()
-        program.cleared_at = self._timers.now()
         program.needs_write = True
         return True
 
-    def renew_clearance(self, program: budget_state.Program) -> None:
-        """Has others know that a program still runs here, from time to time."""
-        if not program.doubtful or program.assumption is not None:
+    def note_use(self, program: budget_state.Program) -> None:
+        """Remembers a program, so that it is not taken for new here."""
+        self._openers.is_new(program.name)
+
+    def check(self, program: budget_state.Program) -> None:
+        """Has no other host take a program for new that runs here.
+
+        Those that may be its first choice are told: each new process at once,
+        all of them from time to time. For one that stays silent, the other
+        hosts are asked to note no opening of it. To be called often.
+        """
+        now = self._timers.now()
+        if program.version is None or program.assumption is not None:
+            return  # what others may open counts, or is not known yet
+        if now - program.checked_at < CHECK_SECONDS:
             return
-        if program.version is None:
+        # A process that starts after the last use opens nothing for longer than
+        # the program may come back.
+        if program.told_all_at > program.used_at:
             return
-        if self._timers.now() - program.cleared_at < CLEARANCE_SECONDS:
+        program.checked_at = now
+        choices = self._openers.other_choices(program.name)
+        untold = [
+            host
+            for host, process in choices.items()
+            if not self._is_told(program, host, process)
+        ]
+        if not untold:
+            program.told_all_at = now
             return
-        program.cleared_at = self._timers.now()
-        assumption = opening_messages.Assumption(
-            program.doubtful, self._timers.wall()
-        )
-        gevent.spawn(self._openers.is_resolved, program.name, assumption)
+        is_late = now - program.told_all_at > SILENT_SECONDS
+        for host in untold:
+            if is_late or self._openers.is_available(host):
+                gevent.spawn(self._tell, program, host, choices[host])
+
+    def _is_told(
+        self,
+        program: budget_state.Program,
+        host: str,
+        process: host_rows.Entry | None,
+    ) -> bool:
+        told, at = program.told.get(host, (None, float("-inf")))
+        age = self._timers.now() - at
+        return told == process and age < openers_lib.CLEARANCE_SECONDS
+
+    def _tell(
+        self,
+        program: budget_state.Program,
+        host: str,
+        process: host_rows.Entry | None,
+    ) -> None:
+        now = self._timers.now()
+        assumption = opening_messages.Assumption((host,), self._timers.wall())
+        if self._openers.is_resolved(program.name, assumption):
+            program.told[host] = (process, now)
--- a/tests/cover/gateway/test_openers.py
+++ b/tests/cover/gateway/test_openers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from endivepier.gateway.budgets import known_programs
 from endivepier.gateway.budgets import openers
 from endivepier.gateway.hosts import rows as host_rows
 from endivepier.internal import rendezvous
@@ -205,8 +206,17 @@
     assert world.openers.is_new("p")
 
 
+# It was forgotten 70 s after it came first, also while it ran.
+def test_a_program_is_remembered_from_its_last_use_on(world):
+    for _ in range(10):
+        world.openers.is_new("p")
+        world.timers.advance(HORIZON_SECONDS / 2)
+    world.timers.advance(HORIZON_SECONDS / 2 - 1.0)
+    assert not world.openers.is_new("p")
+
+
 def test_a_host_that_had_to_forget_programs_opens_none(world, monkeypatch):
-    monkeypatch.setattr(openers, "MAX_PROGRAMS", 3)
+    monkeypatch.setattr(known_programs, "MAX_PROGRAMS", 3)
     for number in range(4):
         assert world.openers.is_new(f"p{number}")
     assert not world.openers.may_open("p")
