peers: more time for replies that no call waits for

Confirmations of terms are asked for twice a second, and a host that misses the usual 80 ms once would be avoided for a second by all that ask it. They, and notices of openings, get 250 ms.

--- a/src/endivepier/gateway/accounts/terms.py
+++ b/src/endivepier/gateway/accounts/terms.py
@@ -29,6 +29,9 @@
 
 TICK_SECONDS = 0.25
 CONFIRM_SECONDS = 0.5  # how often a witness is asked
+# Longer than for other requests, as no call waits for the reply: a witness that
+# is slow for once is not avoided for it.
+REPLY_SECONDS = 0.25
 # For so long the hosts that respond must differ from the witnesses before
 # another term begins; at once if too few witnesses confirm the current one.
 CHANGE_SECONDS = 2.0
@@ -240,6 +243,7 @@
                 host,
                 messages.CONFIRM,
                 codec.encode(messages.Confirm(self._host, tuple(terms))),
+                REPLY_SECONDS,
             )
             confirmed: messages.Confirmed = codec.decode(
                 messages.Confirmed, reply
--- a/src/endivepier/gateway/budgets/notices.py
+++ b/src/endivepier/gateway/budgets/notices.py
@@ -26,6 +26,8 @@
 RENEW_SECONDS = 5.0  # how often a notice is repeated while programs are open
 OPEN_SECONDS = 15.0  # for which a notice allows to open programs
 RETRY_SECONDS = 1.0  # after a host did not note it
+# Longer than for other requests: a host that is slow for once is not avoided.
+REPLY_SECONDS = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,7 +168,7 @@
         is_noted = False
         try:
             reply = self._peers.request(
-                host, messages.NOTICE, codec.encode(notice)
+                host, messages.NOTICE, codec.encode(notice), REPLY_SECONDS
             )
             noted: messages.Noted = codec.decode(messages.Noted, reply)
             is_noted = noted.is_noted
