budgets: let programs begin beside lost hosts as long as half are left

Cause: a host opened programs after more than half of the others had noted it, which of two others are both. So beside one lost host of three, two of five or three of seven, no program began in an outage, while losses of more than half could still be ruled out.

Change: half of the others or more note an opening, and more than half rule one out, as shares of rates have it already (hosts.quorums, used by both). Both bear the loss of less than half of all hosts.

Result: test_programs_begin_in_an_outage_beside_lost_hosts fails on for 3, 5 and 7 hosts, and passes; the tests of openings, outages, openers and returning programs pass. test_without_enough_hosts_that_note_it loses three of five hosts, not two: with two, programs begin now.

--- a/src/endivepier/gateway/accounts/takeovers.py
+++ b/src/endivepier/gateway/accounts/takeovers.py
@@ -11,6 +11,7 @@
 from endivepier.gateway.accounts import term_messages as messages
 from endivepier.gateway.accounts import term_witness
 from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.hosts import quorums
 from endivepier.internal import codec
 
 ASK_TIMEOUT_SECONDS = 0.1  # a little more than the timeout of a request
@@ -90,7 +91,7 @@
             task.rawlink(lambda _, done=done: done.set())
             self._timers.wait(done, max(until - self._timers.now(), 0.0))
         count = len(ended)
-        needed = messages.ends_needed(len(term.witnesses))
+        needed = quorums.to_replace(len(term.witnesses))
         eliot.log_message(
             "shares.term_ended" if count >= needed else "shares.term_lasts",
             peer=holder,
--- a/src/endivepier/gateway/accounts/term_messages.py
+++ b/src/endivepier/gateway/accounts/term_messages.py
@@ -35,20 +35,6 @@
     return age > leases.expired_after(CONFIRMED_SECONDS)
 
 
-def confirmations_needed(witnesses: int) -> int:
-    """Returns how many witnesses must confirm a term to its holder."""
-    return (witnesses + 1) // 2
-
-
-def ends_needed(witnesses: int) -> int:
-    """Returns how many witnesses must end a term for another host.
-
-    Together with `confirmations_needed` it is more than there are, so that one
-    of those that end a term has confirmed it, if its holder may still use it.
-    """
-    return witnesses // 2 + 1 if witnesses else 0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Term:
     """A time in which a host uses shares, as long as its witnesses confirm it.
--- a/src/endivepier/gateway/accounts/terms.py
+++ b/src/endivepier/gateway/accounts/terms.py
@@ -23,6 +23,7 @@
 from endivepier import timers as timers_lib
 from endivepier.gateway.accounts import term_messages as messages
 from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.hosts import quorums
 from endivepier.internal import codec
 from endivepier.internal import failures
 from endivepier.internal import rendezvous
@@ -106,7 +107,7 @@
         for witness in term.witnesses:
             _, at = self._confirmed.get((term.id, witness), ("", float("-inf")))
             count += messages.holder_may_use(now - at)
-        return count >= messages.confirmations_needed(len(term.witnesses))
+        return count >= quorums.to_act(len(term.witnesses))
 
     def may_use(self, terms: tuple[messages.Term, ...]) -> bool:
         """Returns whether a share may be used that has one of some terms."""
--- a/src/endivepier/gateway/budgets/doubts.py
+++ b/src/endivepier/gateway/budgets/doubts.py
@@ -17,6 +17,7 @@
 from endivepier.gateway.budgets import opening_messages as messages
 from endivepier.gateway.budgets import witness as witness_lib
 from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.hosts import quorums
 from endivepier.internal import codec
 
 ASK_TIMEOUT_SECONDS = 0.1  # a little more than the timeout of a request
@@ -163,7 +164,7 @@
             + [answer.others for answer in answers]
         )
         count = sum(answer.rules_out for answer in answers)
-        result = 0 < messages.answers_needed(most) <= count
+        result = count >= quorums.to_replace(most)
         self._results[inquiry.host] = (inquiry, now, result)
         eliot.log_message(
             "openings.inquired",
--- a/src/endivepier/gateway/budgets/notices.py
+++ b/src/endivepier/gateway/budgets/notices.py
@@ -18,6 +18,7 @@
 from endivepier.gateway.budgets import opening_messages as messages
 from endivepier.gateway.budgets import witness as witness_lib
 from endivepier.gateway.hosts import peers as peers_lib
+from endivepier.gateway.hosts import quorums
 from endivepier.gateway.hosts import rows as host_rows
 from endivepier.internal import codec
 from endivepier.internal import failures
@@ -116,7 +117,7 @@
             if self._is_current(host, ack) and now - ack.at <= seconds
         ]
         others = self._witness.others(self._host)
-        return len(noted) >= messages.notices_needed(others)
+        return len(noted) >= quorums.to_act(others)
 
     def _set_state(self, is_open: bool, is_clear: bool) -> None:
         if is_open != self._is_open:
--- a/src/endivepier/gateway/budgets/openers.py
+++ b/src/endivepier/gateway/budgets/openers.py
@@ -12,7 +12,7 @@
 * A process whose predecessor ended without recording everything may open a
   program with a smaller part, once it has read which programs have a row.
   After a second loss, nothing is opened.
-* Before it opens any, more than half of the other hosts have noted that it does
+* Before it opens any, half of the other hosts or more have noted that it does
   (`budgets.notices`).
 * Any other host that begins a program counts both parts as held by others, and
   so does a process after a loss, until it has found out that nobody opened the
--- a/src/endivepier/gateway/budgets/opening_messages.py
+++ b/src/endivepier/gateway/budgets/opening_messages.py
@@ -117,17 +117,3 @@
 
     hosts: tuple[str, ...]
     at: float
-
-
-def notices_needed(others: int) -> int:
-    """Returns how many of the other hosts must note that a host opens.
-
-    Together with `answers_needed` it is more than there are, so that one of
-    those that answer an inquiry has noted the opening.
-    """
-    return others // 2 + 1 if others else 0
-
-
-def answers_needed(others: int) -> int:
-    """Returns how many of the other hosts must know of no opening."""
-    return others - others // 2
--- a/src/endivepier/gateway/budgets/witness.py
+++ b/src/endivepier/gateway/budgets/witness.py
@@ -1,6 +1,6 @@
 """Remembers which other hosts may have opened programs without the store.
 
-A host that opens programs has more than half of the others note it first (see
+A host that opens programs has half of the others or more note it first (see
 `notices`). What it opened is recorded by itself once the store is back. If it
 is lost before, those that noted it count against it; if it is lost without
 such a notice, they rule out that it opened any (see `doubts`).
