accounts: name all witnesses soon after a start

In the trace of the first, host 2 had started 0.2 s before the others: its first term named host 3 only, the next one began 2 s later and would have been written with the renewal 4 s after the first write. Both were killed before, and nobody was left to end the term. In the second, the same refusals; its logs were not read.

Change: a term with more witnesses begins at once and is written at once. An owner asks another one before it releases a share to it only if a request to that one has failed and no message came since, with more time for the reply; until then it goes on to renew its own.

--- a/src/endivepier/gateway/accounts/planning.py
+++ b/src/endivepier/gateway/accounts/planning.py
@@ -93,6 +93,10 @@
             own_entry is None or not own_entry.fraction
         ):
             return None
+        if fraction < held_fraction and not self._is_taken(
+            account, other_entries
+        ):
+            fraction = held_fraction
         unchanged = (
             abs(fraction - held_fraction) <= bucket_lib.ROUNDING_TOLERANCE
         )
@@ -103,10 +107,6 @@
             and not self.needs_other_term(share)
         ):
             return None
-        if fraction < held_fraction and not self._is_taken(
-            account, other_entries
-        ):
-            return None
         # Former builds know a renewal by its number, so a new entry must not
         # begin with that of an entry which a former process had.
         renewals = int(write_id, 16) >> 2  # fits 64 bits with a sign
@@ -149,8 +149,8 @@
             return False
         if not self.terms.may_use(share.terms):
             return True
-        return bool(current.witnesses) and any(
-            not term.witnesses for term in share.terms
+        return any(
+            len(current.witnesses) > len(term.witnesses) for term in share.terms
         )
 
     def _entries_in_use(
@@ -222,7 +222,7 @@
     def _is_taken(
         self, account: model.Account, entries: dict[str, share_rows.Entry]
     ) -> bool:
-        """Returns whether the owners of an account respond.
+        """Returns whether the owners of an account respond, as far as is known.
 
         A host that was silent is tried again after a while. Its share must not
         be released to it before it responds.
@@ -231,10 +231,14 @@
             return True
         body = codec.encode(term_messages.Confirm(self.holder, ()))
         for host in self.owners.owners(account):
-            if host == self.holder or host in entries:
+            if host == self.holder or not self._peers.has_failed(host):
+                continue
+            if host in entries:
                 continue
             try:
-                self._peers.request(host, term_messages.CONFIRM, body)
+                self._peers.request(
+                    host, term_messages.CONFIRM, body, terms_lib.REPLY_SECONDS
+                )
             except (errors.PeerUnreachable, errors.Refused):
                 if not self._peers.is_available(host):
                     return False
--- a/src/endivepier/gateway/accounts/terms.py
+++ b/src/endivepier/gateway/accounts/terms.py
@@ -171,9 +171,10 @@
             return
         if self._differs_since is None:
             self._differs_since = now
-        is_urgent = not self.current.witnesses or not self.is_confirmed(
-            self.current
-        )
+        # With few witnesses, a term can't be ended once they are lost as well.
+        is_urgent = len(wanted) > len(
+            self.current.witnesses
+        ) or not self.is_confirmed(self.current)
         if not is_urgent and now - self._differs_since < CHANGE_SECONDS:
             return
         if now < self._retry_at:
--- a/src/endivepier/gateway/hosts/backoffs.py
+++ b/src/endivepier/gateway/hosts/backoffs.py
@@ -37,6 +37,10 @@
         backoff = self._backoffs.get(host)
         return backoff is not None and backoff.until > self._timers.now()
 
+    def has_failed(self, host: str) -> bool:
+        """Returns whether no message of a host came since a failed request."""
+        return host in self._backoffs
+
     def note_failure(self, host: str, reason: str) -> None:
         """Records a failed request; one while it is avoided changes nothing."""
         now = self._timers.now()
--- a/src/endivepier/gateway/hosts/peers.py
+++ b/src/endivepier/gateway/hosts/peers.py
@@ -157,6 +157,13 @@
             return False
         return not self._backoffs.is_avoided(host)
 
+    def has_failed(self, host: str) -> bool:
+        """Returns whether no message of a host came since a failed request.
+
+        It may be available again without a sign that it responds.
+        """
+        return self._backoffs.has_failed(host)
+
     def available_hosts(self) -> list[str]:
         """Returns the other hosts that are listed and not avoided."""
         return [host for host in self.rows.listed if self.is_available(host)]
--- a/tests/common/gateway_peers.py
+++ b/tests/common/gateway_peers.py
@@ -36,6 +36,7 @@
         self.sees_no_peers = False
         self.is_settled = True
         self.avoided_until = {}
+        self.failed = set()  # hosts whose last request failed
         self.known_to = set()
         self.introductions = self  # has the methods of `Introductions` itself
         self.processes = {}  # the row of each host's process, if it is known
@@ -69,6 +70,9 @@
         until = self.avoided_until.get(host, 0.0)
         return until <= self.timers.now()
 
+    def has_failed(self, host):
+        return host in self.failed
+
     def is_known_to(self, host):
         return host in self.known_to
 
@@ -93,7 +97,10 @@
         self.timers.sleep(self.request_seconds)
         if self.cut or other.cut:
             self.avoided_until[host] = self.timers.now() + AVOID_SECONDS
+            self.failed.add(host)
             raise errors.PeerUnreachable(host, "cut", sent=True)
         if other.rows is not None:
             other.rows.hear(self.name)
+        self.failed.discard(host)
+        other.failed.discard(self.name)
         return other
--- a/tests/cover/gateway/test_lost_owners.py
+++ b/tests/cover/gateway/test_lost_owners.py
@@ -8,6 +8,7 @@
 from endivepier.gateway.accounts import renewals as share_renewals
 from endivepier.gateway.accounts import shares
 from endivepier.gateway.hosts import rows as host_rows
+from endivepier.internal import rendezvous
 from tests.common import gateway_parts
 from tests.common import gateway_peers
 from tests.common import outage_load
@@ -105,6 +106,32 @@
     assert not fleet.refused
 
 
+# The first term of an owner named only the hosts that had started before it,
+# and was replaced with the next renewal, too late if they were lost as well.
+@pytest.mark.parametrize("seconds", [0.1, 0.4, 1.0])
+def test_an_account_is_served_after_its_owners_were_lost_soon_after_a_start(
+    seconds,
+):
+    fleet = Fleet(0)
+    names = rendezvous.rank(ACCOUNT.name, [f"h{n}" for n in range(4)], 4)
+
+    def main():
+        for name in names:  # the owners first
+            fleet.start(name)
+            fleet.timers.sleep(seconds)
+        fleet.timers.sleep(3.0)
+        for name in fleet.owners():
+            fleet.lose(name)
+        fleet.timers.sleep(CONTACT_SECONDS)
+        for _ in range(20):
+            for name in list(fleet.hosts):
+                fleet.request(name, "acme")
+            fleet.timers.sleep(0.2)
+
+    fleet.timers.run(main)
+    assert not fleet.refused
+
+
 def test_an_account_keeps_most_of_its_rate_after_its_owners_were_lost():
     fleet = Fleet(4)
 
